Add a thin whole path: daemon, command-line tool and stand-ins

Cause: nothing ran yet, and the parts need fixed interfaces before they can grow side by side. Change: a request goes from a caller through ibisforkd to an engine stand-in and streams back; the configuration is rows in the platform's table, each change one conditional transaction; a node admits work only while its revision is confirmed.

--- /dev/null
+++ b/include/ibisfork/fleet/config.h
@@ -0,0 +1,164 @@
+#pragma once
+
+#include <array>
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <ibisfork/base/clock.h>
+#include <ibisfork/base/names.h>
+#include <ibisfork/coord/change.h>
+
+namespace ibisfork::fleet {
+
+/// A version of a model, written "model@version".
+struct VersionId
+{
+    std::string model;
+    std::string version;
+
+    auto operator<=>(const VersionId &) const = default;
+    std::string text() const { return model + "@" + version; }
+    /// Throws ConfigError if @p text is not of the form model@version.
+    static VersionId parse(const std::string &text);
+};
+
+enum class VersionState { Active, RollingOut, Withdrawn };
+inline constexpr std::array<base::Name<VersionState>, 3> versionStateNames{{
+    {VersionState::Active, "active"},
+    {VersionState::RollingOut, "rolling-out"},
+    {VersionState::Withdrawn, "withdrawn"},
+}};
+
+/// A model version: what it costs, how good it is expected to be, and whether it may run.
+struct Version
+{
+    VersionId id;
+    VersionState state = VersionState::Active;
+    double costPerRequest = 1.0;
+    double expectedQuality = 1.0;
+    /// Share of its model's fresh requests while rolling out, 0 to 1.
+    double rolloutShare = 1.0;
+    /// Requests that may run fleet-wide before ratings decide; 0 for no cap.
+    std::uint32_t exposureCap = 0;
+};
+
+enum class UpstreamKind { Engine, Service };
+inline constexpr std::array<base::Name<UpstreamKind>, 2> upstreamKindNames{{
+    {UpstreamKind::Engine, "engine"},
+    {UpstreamKind::Service, "service"},
+}};
+
+enum class UpstreamState { Live, Draining };
+inline constexpr std::array<base::Name<UpstreamState>, 2> upstreamStateNames{{
+    {UpstreamState::Live, "live"},
+    {UpstreamState::Draining, "draining"},
+}};
+
+/// Requests that an upstream bears at once: cold, warm, and the time from one to the other.
+struct ConcurrencyLimit
+{
+    std::uint32_t cold = 2;
+    std::uint32_t warm = 16;
+    std::chrono::milliseconds ramp{30000};
+};
+
+/// A back end that requests are routed to.
+struct Upstream
+{
+    std::string id;
+    UpstreamKind kind = UpstreamKind::Engine;
+    UpstreamState state = UpstreamState::Live;
+    std::string address;
+    std::string failureDomain;
+    /// Versions that an engine serves.
+    std::vector<VersionId> versions;
+    /// The name under which a plain service is called.
+    std::string service;
+    ConcurrencyLimit limit;
+    bool checksFencing = true;
+};
+
+enum class DomainState { In, TakenOut };
+inline constexpr std::array<base::Name<DomainState>, 2> domainStateNames{{
+    {DomainState::In, "in"},
+    {DomainState::TakenOut, "taken-out"},
+}};
+
+struct FailureDomain
+{
+    std::string name;
+    std::string region;
+    DomainState state = DomainState::In;
+};
+
+/// What becomes of a session whose version is withdrawn.
+enum class WithdrawnSessionRule { End, Move };
+inline constexpr std::array<base::Name<WithdrawnSessionRule>, 2> withdrawnSessionRuleNames{{
+    {WithdrawnSessionRule::End, "end"},
+    {WithdrawnSessionRule::Move, "move"},
+}};
+
+/// Rules that hold for a workspace where no exception says otherwise.
+struct WorkspaceRules
+{
+    double qualityTarget = 0.8;
+    /// Highest cost of one request, all steps of a cascade together.
+    double costBound = 1e9;
+    int priority = 1;
+    /// Weight of the workspace under overload.
+    double share = 1.0;
+    WithdrawnSessionRule withdrawnSession = WithdrawnSessionRule::Move;
+    bool cascade = true;
+};
+
+/// A customer: its keys, the versions and services it may use, and its rules.
+struct Workspace
+{
+    std::string name;
+    /// SHA-256 of each bearer key, in hexadecimal.
+    std::vector<std::string> keyHashes;
+    std::vector<VersionId> versions;
+    std::vector<std::string> services;
+    WorkspaceRules rules;
+};
+
+/// A departure from the defaults for one workspace, with its written reason.
+struct Exception
+{
+    std::string id;
+    std::string workspace;
+    std::string field;
+    std::string value;
+    std::string reason;
+    /// Last day it holds, YYYY-MM-DD; empty for no end.
+    std::string until;
+};
+
+/// A node of the fleet: one process, known by its incarnation.
+struct Member
+{
+    std::string node;
+    std::string incarnation;
+    std::string peerAddress;
+    std::string failureDomain;
+    std::string region;
+};
+
+/// The typed form of the fleet's rows at one revision.
+struct Config
+{
+    coord::Revision revision = 0;
+    WorkspaceRules defaults;
+    std::map<VersionId, Version> versions;
+    std::map<std::string, Workspace> workspaces;
+    std::map<std::string, Upstream> upstreams;
+    std::map<std::string, FailureDomain> failureDomains;
+    std::map<std::string, Exception> exceptions;
+    std::map<std::string, Member> members;
+};
+
+} // namespace ibisfork::fleet
--- /dev/null
+++ b/include/ibisfork/fleet/rows.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include <ibisfork/coord/change.h>
+#include <ibisfork/fleet/config.h>
+
+namespace ibisfork::fleet {
+
+/// Prefixes of the keys of the fleet's rows.
+namespace rowprefix {
+inline constexpr const char *defaults = "config/defaults";
+inline constexpr const char *version = "config/version/";
+inline constexpr const char *workspace = "config/workspace/";
+inline constexpr const char *upstream = "config/upstream/";
+inline constexpr const char *failureDomain = "config/failure-domain/";
+inline constexpr const char *exception = "config/exception/";
+inline constexpr const char *member = "member/";
+} // namespace rowprefix
+
+/// The typed form of @p snapshot. Throws ConfigError that names the row.
+Config configFromRows(const coord::Snapshot &snapshot);
+
+/// The rows that stand for @p config.
+coord::Rows rowsFromConfig(const Config &config);
+
+std::string versionRow(const Version &version);
+std::string upstreamRow(const Upstream &upstream);
+std::string failureDomainRow(const FailureDomain &domain);
+std::string exceptionRow(const Exception &exception);
+std::string memberRow(const Member &member);
+
+/// The changes that turn the configuration rows of @p from into @p to; members are left alone.
+std::vector<coord::RowChange> difference(const coord::Rows &from, const coord::Rows &to);
+
+} // namespace ibisfork::fleet
--- /dev/null
+++ b/src/net/exceptions.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <ibisfork/base/error.h>
+
+namespace ibisfork::net {
+
+namespace errormessage {
+inline constexpr const char *badAddress = "'{}' is not an address of the form IP:PORT";
+inline constexpr const char *noEventBase = "no event base could be made";
+inline constexpr const char *cannotListen = "cannot listen on {}";
+} // namespace errormessage
+
+/// A socket, an address or an event loop that can't be had.
+class NetError : public base::Error
+{
+public:
+    using Error::Error;
+};
+
+} // namespace ibisfork::net
--- /dev/null
+++ b/src/net/httpserver.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "net/address.h"
+#include "net/httpmessage.h"
+#include "net/libevent.h"
+
+namespace ibisfork::net {
+
+/// The answer to one request of a caller. Exactly one of send(), end() and abort() finishes it.
+class HttpReply
+{
+public:
+    explicit HttpReply(evhttp_request *request);
+    ~HttpReply();
+    HttpReply(const HttpReply &) = delete;
+    HttpReply &operator=(const HttpReply &) = delete;
+
+    /// Called once if the caller goes away before the answer is finished.
+    void onGone(std::function<void()> callback);
+
+    /// A whole answer.
+    void send(int status, const HttpHeaders &headers, const std::string &body);
+    /// An answer in pieces: start, any number of chunks, end.
+    void start(int status, const HttpHeaders &headers);
+    void chunk(std::string_view bytes);
+    void end();
+    /// Cuts the connection, so that a part is not taken for the whole.
+    void abort();
+
+    bool started() const { return m_started; }
+    bool finished() const { return m_request == nullptr; }
+    /// Bytes that wait to be written to the caller.
+    std::size_t bufferedBytes() const;
+
+private:
+    static void onClose(evhttp_connection *, void *self);
+    static void onEarlyClose(evutil_socket_t, short, void *self);
+    void watch();
+    void unwatch();
+    void gone();
+    void addHeaders(const HttpHeaders &headers);
+
+    evhttp_request *m_request;
+    EventPtr m_closed;
+    std::function<void()> m_onGone;
+    bool m_started = false;
+    bool m_disconnected = false;
+};
+
+/// One request of a caller, read whole.
+struct HttpServerRequest
+{
+    HttpRequest request;
+    std::string peer;
+    std::shared_ptr<HttpReply> reply;
+};
+
+struct HttpServerLimits
+{
+    std::size_t maxHeaderBytes = 16UL * 1024;
+    std::size_t maxBodyBytes = 4UL * 1024 * 1024;
+    int silenceSeconds = 30;
+};
+
+/// Listens and hands each whole request to the handler.
+class HttpServer
+{
+public:
+    using Handler = std::function<void(HttpServerRequest)>;
+
+    /// Port 0 takes a free port. Throws NetError if the address can't be had.
+    HttpServer(event_base *base, const Address &address, const HttpServerLimits &limits, Handler handler);
+
+    /// The address that it listens on.
+    const Address &address() const { return m_address; }
+    /// Takes no more connections; those that are open go on.
+    void stopListening();
+
+private:
+    static void onRequest(evhttp_request *request, void *self);
+
+    EvHttpPtr m_server;
+    evhttp_bound_socket *m_socket = nullptr;
+    Address m_address;
+    Handler m_handler;
+};
+
+} // namespace ibisfork::net
--- /dev/null
+++ b/src/net/libevent.cpp
@@ -0,0 +1,23 @@
+#include "net/libevent.h"
+
+#include <csignal>
+
+#include <event2/thread.h>
+
+#include "net/exceptions.h"
+
+namespace ibisfork::net {
+
+EventBasePtr makeEventBase()
+{
+    static const int threads = evthread_use_pthreads();
+    static const auto pipeSignal = std::signal(SIGPIPE, SIG_IGN);
+    (void)pipeSignal;
+    EventBasePtr base(threads == 0 ? event_base_new() : nullptr);
+    if (!base) {
+        throw NetError(errormessage::noEventBase);
+    }
+    return base;
+}
+
+} // namespace ibisfork::net
--- /dev/null
+++ b/src/net/libevent.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <memory>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+
+namespace ibisfork::net {
+
+/// Deleters that let std::unique_ptr own the objects of libevent.
+struct EventBaseDeleter
+{
+    void operator()(event_base *base) const { event_base_free(base); }
+};
+
+struct EventDeleter
+{
+    void operator()(event *item) const { event_free(item); }
+};
+
+struct EvHttpDeleter
+{
+    void operator()(evhttp *server) const { evhttp_free(server); }
+};
+
+struct EvBufferDeleter
+{
+    void operator()(evbuffer *buffer) const { evbuffer_free(buffer); }
+};
+
+using EventBasePtr = std::unique_ptr<event_base, EventBaseDeleter>;
+using EventPtr = std::unique_ptr<event, EventDeleter>;
+using EvHttpPtr = std::unique_ptr<evhttp, EvHttpDeleter>;
+using EvBufferPtr = std::unique_ptr<evbuffer, EvBufferDeleter>;
+
+/// Makes an event base that other threads may wake. Throws NetError.
+EventBasePtr makeEventBase();
+
+} // namespace ibisfork::net
--- /dev/null
+++ b/src/operators/operatorstask.cpp
@@ -0,0 +1,178 @@
+#include "operators/operatorstask.h"
+
+#include <nlohmann/json.hpp>
+
+#include <ibisfork/base/log.h>
+#include <ibisfork/base/names.h>
+
+namespace ibisfork::operators {
+
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr int statusOk = 200;
+constexpr int statusBadRequest = 400;
+constexpr int statusNotFound = 404;
+constexpr int statusUnavailable = 503;
+
+constexpr std::array<base::Name<platform::ChangeState>, 5> changeStateNames{{
+    {platform::ChangeState::Committed, "committed"},
+    {platform::ChangeState::AlreadyCommitted, "already-committed"},
+    {platform::ChangeState::Conflict, "conflict"},
+    {platform::ChangeState::Unknown, "unknown"},
+    {platform::ChangeState::NotSent, "not-sent"},
+}};
+
+void sendJson(net::HttpReply &reply, int status, const Json &json)
+{
+    net::HttpHeaders headers;
+    headers.add("Content-Type", "application/json");
+    reply.send(status, headers, json.dump());
+}
+
+void sendText(net::HttpReply &reply, int status, const std::string &text)
+{
+    net::HttpHeaders headers;
+    headers.add("Content-Type", "text/plain; version=0.0.4");
+    reply.send(status, headers, text);
+}
+
+Json rowChangesJson(const std::vector<coord::RowChange> &rows)
+{
+    Json list = Json::array();
+    for (const auto &row : rows) {
+        list.push_back({{"key", row.key}, {"value", row.value ? Json(*row.value) : Json()}});
+    }
+    return list;
+}
+
+Json changeJson(const coord::Change &change)
+{
+    return {{"revision", change.revision},
+            {"id", change.id},
+            {"author", change.author},
+            {"reason", change.reason},
+            {"rows", rowChangesJson(change.rows)}};
+}
+
+coord::Change changeFrom(const std::string &body)
+{
+    const Json json = Json::parse(body);
+    coord::Change change;
+    change.id = json.at("id").get<std::string>();
+    change.author = json.value("author", std::string());
+    change.reason = json.value("reason", std::string());
+    for (const auto &row : json.at("rows")) {
+        const auto &value = row.at("value");
+        change.rows.push_back({row.at("key").get<std::string>(),
+                               value.is_null() ? std::nullopt : std::optional<std::string>(value.get<std::string>())});
+    }
+    return change;
+}
+
+} // namespace
+
+OperatorsTask::OperatorsTask(const settings::Settings &settings, base::MetricsRegistry &metrics, OperatorPorts ports)
+    : m_metrics(metrics)
+    , m_ports(std::move(ports))
+    , m_task("operators")
+    , m_server(m_task.base(),
+               settings.listen.operators,
+               net::HttpServerLimits{},
+               [this](const net::HttpServerRequest &request) { onRequest(request); })
+    , m_mailbox(m_task.base(), [](const std::function<void()> &work) { work(); })
+{ }
+
+void OperatorsTask::onRequest(const net::HttpServerRequest &request)
+{
+    try {
+        route(request);
+    } catch (const Json::exception &error) {
+        sendJson(*request.reply, statusBadRequest, {{"error", error.what()}});
+    }
+}
+
+void OperatorsTask::route(const net::HttpServerRequest &request)
+{
+    const auto &path = request.request.path;
+    const std::string explainPath = "/v1/explain/";
+    const std::string historyPath = "/v1/changes?after=";
+    if (path == "/metrics") {
+        sendText(*request.reply, statusOk, m_metrics.render());
+    } else if (path == "/healthz") {
+        sendText(*request.reply, statusOk, "ok\n");
+    } else if (path == "/readyz") {
+        const bool ready = m_ports.ready();
+        sendText(*request.reply, ready ? statusOk : statusUnavailable, ready ? "ready\n" : "not ready\n");
+    } else if (path == "/v1/changes" && request.request.method == net::HttpMethod::Post) {
+        submitChange(request);
+    } else if (path.starts_with(historyPath)) {
+        readHistory(request.reply, path.substr(historyPath.size()));
+    } else if (path == "/v1/rows") {
+        readRows(request.reply);
+    } else if (path.starts_with(explainPath)) {
+        explain(request.reply, path.substr(explainPath.size()));
+    } else {
+        sendJson(*request.reply, statusNotFound, {{"error", "there is nothing at this path"}});
+    }
+}
+
+void OperatorsTask::submitChange(const net::HttpServerRequest &request)
+{
+    auto change = changeFrom(request.request.body);
+    const auto id = change.id;
+    const auto reply = request.reply;
+    m_ports.fleet(fleettask::SubmitChange{std::move(change), [this, id, reply](platform::ChangeOutcome outcome) {
+                                              m_mailbox.post([id, reply, outcome] {
+                                                  const Json answer{
+                                                      {"id", id},
+                                                      {"state", base::nameOf(changeStateNames, outcome.state)},
+                                                      {"revision", outcome.revision}};
+                                                  sendJson(*reply, statusOk, answer);
+                                              });
+                                          }});
+}
+
+void OperatorsTask::readRows(const Reply &reply)
+{
+    m_ports.fleet(fleettask::ReadRows{[this, reply](const coord::Snapshot &snapshot) {
+        m_mailbox.post([reply, snapshot] {
+            sendJson(*reply, statusOk, {{"revision", snapshot.revision}, {"rows", snapshot.rows}});
+        });
+    }});
+}
+
+void OperatorsTask::readHistory(const Reply &reply, const std::string &after)
+{
+    coord::Revision revision = 0;
+    try {
+        revision = std::stoull(after);
+    } catch (const std::logic_error &) {
+        sendJson(*reply, statusBadRequest, {{"error", "after must be a revision"}});
+        return;
+    }
+    const auto answer = [reply](const std::optional<std::vector<coord::Change>> &changes) {
+        if (!changes) {
+            sendJson(*reply, statusUnavailable, {{"error", "the table does not answer"}});
+            return;
+        }
+        Json list = Json::array();
+        for (const auto &change : *changes) {
+            list.push_back(changeJson(change));
+        }
+        sendJson(*reply, statusOk, {{"changes", list}});
+    };
+    m_ports.fleet(fleettask::ReadHistory{revision, [this, answer](std::optional<std::vector<coord::Change>> changes) {
+                                             m_mailbox.post(
+                                                 [answer, changes = std::move(changes)] { answer(changes); });
+                                         }});
+}
+
+void OperatorsTask::explain(const Reply &reply, const std::string &requestId)
+{
+    const auto decisions = m_ports.explain(requestId);
+    sendJson(*reply, decisions.empty() ? statusNotFound : statusOk, {{"request", requestId}, {"decisions", decisions}});
+}
+
+} // namespace ibisfork::operators
--- /dev/null
+++ b/src/serving/chatanswer.cpp
@@ -0,0 +1,78 @@
+#include "serving/chatanswer.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace ibisfork::serving {
+
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr int statusOk = 200;
+
+Json usageJson(const upstream::EngineUsage &usage)
+{
+    return {{"prompt_tokens", usage.promptTokens},
+            {"completion_tokens", usage.completionTokens},
+            {"total_tokens", usage.promptTokens + usage.completionTokens}};
+}
+
+} // namespace
+
+ChatAnswer::ChatAnswer(net::HttpReply &reply, std::string requestId, bool stream)
+    : m_reply(reply)
+    , m_requestId(std::move(requestId))
+    , m_stream(stream)
+{ }
+
+void ChatAnswer::begin(const std::string &version, const net::HttpHeaders &headers)
+{
+    m_version = version;
+    m_headers = headers;
+    m_headers.add("Content-Type", m_stream ? "text/event-stream" : "application/json");
+    if (m_stream) {
+        m_reply.start(statusOk, m_headers);
+    }
+}
+
+void ChatAnswer::piece(const std::string &text)
+{
+    if (m_stream) {
+        m_reply.chunk(event(text));
+    } else {
+        m_text += text;
+    }
+}
+
+void ChatAnswer::finish(const upstream::EngineUsage &usage)
+{
+    if (m_stream) {
+        const Json last{{"id", m_requestId},
+                        {"object", "chat.completion.chunk"},
+                        {"model", m_version},
+                        {"choices", {{{"index", 0}, {"delta", Json::object()}, {"finish_reason", "stop"}}}},
+                        {"usage", usageJson(usage)}};
+        m_reply.chunk(fmt::format("data: {}\n\ndata: [DONE]\n\n", last.dump()));
+        m_reply.end();
+        return;
+    }
+    const Json message{{"role", "assistant"}, {"content", m_text}};
+    const Json whole{{"id", m_requestId},
+                     {"object", "chat.completion"},
+                     {"model", m_version},
+                     {"choices", {{{"index", 0}, {"message", message}, {"finish_reason", "stop"}}}},
+                     {"usage", usageJson(usage)}};
+    m_reply.send(statusOk, m_headers, whole.dump());
+}
+
+std::string ChatAnswer::event(const std::string &text) const
+{
+    const Json json{{"id", m_requestId},
+                    {"object", "chat.completion.chunk"},
+                    {"model", m_version},
+                    {"choices", {{{"index", 0}, {"delta", {{"content", text}}}, {"finish_reason", nullptr}}}}};
+    return fmt::format("data: {}\n\n", json.dump());
+}
+
+} // namespace ibisfork::serving
--- /dev/null
+++ b/src/serving/context.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include <ibisfork/base/clock.h>
+#include <ibisfork/base/metrics.h>
+#include <ibisfork/fleet/config.h>
+
+#include "net/libevent.h"
+#include "routing/router.h"
+#include "serving/decisionlog.h"
+#include "settings/settings.h"
+#include "upstream/limitbook.h"
+
+namespace ibisfork::serving {
+
+/// The configuration of one revision and the router built on it.
+struct FleetView
+{
+    explicit FleetView(std::shared_ptr<const fleet::Config> newConfig)
+        : config(std::move(newConfig))
+        , router(*config)
+    { }
+
+    std::shared_ptr<const fleet::Config> config;
+    routing::Router router;
+};
+
+/// What the requests of a node share. Used on the serving task's thread only.
+struct Context
+{
+    Context(event_base *eventBase,
+            const settings::Settings &nodeSettings,
+            base::MetricsRegistry &registry,
+            DecisionLog &log)
+        : base(eventBase)
+        , settings(nodeSettings)
+        , metrics(registry)
+        , decisions(log)
+    { }
+
+    /// Whether new work may be dispatched under the view held.
+    bool confirmed(base::TimePoint now) const { return view && now < confirmedUntil; }
+
+    event_base *base;
+    const settings::Settings &settings;
+    base::MetricsRegistry &metrics;
+    DecisionLog &decisions;
+    std::shared_ptr<const FleetView> view;
+    base::TimePoint confirmedUntil{};
+    upstream::LimitBook limits;
+};
+
+} // namespace ibisfork::serving
--- /dev/null
+++ b/src/serving/servingtask.cpp
@@ -0,0 +1,175 @@
+#include "serving/servingtask.h"
+
+#include <random>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <ibisfork/base/log.h>
+#include <ibisfork/base/overloaded.h>
+#include <ibisfork/fleet/digest.h>
+
+namespace ibisfork::serving {
+
+using caller::RefusalCode;
+using caller::RunState;
+
+namespace {
+
+constexpr int statusOk = 200;
+constexpr int retryAfterSeconds = 1;
+
+std::string newRequestId()
+{
+    thread_local std::mt19937_64 random{std::random_device{}()};
+    return fmt::format("req-{:016x}{:016x}", random(), random());
+}
+
+net::HttpServerLimits serverLimits(const settings::Settings &settings)
+{
+    net::HttpServerLimits limits;
+    limits.maxBodyBytes = settings.limits.maxBodyBytes;
+    return limits;
+}
+
+} // namespace
+
+ServingTask::ServingTask(const settings::Settings &settings, base::MetricsRegistry &metrics, DecisionLog &decisions)
+    : m_settings(settings)
+    , m_task("serving")
+    , m_context(m_task.base(), settings, metrics, decisions)
+    , m_server(m_task.base(),
+               settings.listen.callers,
+               serverLimits(settings),
+               [this](net::HttpServerRequest request) { onRequest(std::move(request)); })
+    , m_mailbox(m_task.base(), [this](ServingMessage message) { handle(std::move(message)); })
+{ }
+
+bool ServingTask::ready() const
+{
+    return !m_draining && base::monotonicNow().time_since_epoch().count() < m_confirmedUntil.load();
+}
+
+void ServingTask::handle(ServingMessage message)
+{
+    std::visit(base::Overloaded{
+                   [this](const fleettask::ConfigUpdate &update) {
+                       m_context.view = std::make_shared<const FleetView>(update.config);
+                       m_context.limits.update(*update.config, m_settings.node.name, base::monotonicNow());
+                       m_context.confirmedUntil = {};
+                   },
+                   [this](const fleettask::ConfirmationUpdate &update) {
+                       const bool held = m_context.view && m_context.view->config->revision == update.revision;
+                       m_context.confirmedUntil = held ? update.until : base::TimePoint{};
+                       m_confirmedUntil = m_context.confirmedUntil.time_since_epoch().count();
+                   },
+                   [this](const BeginDrain &drain) {
+                       m_draining = true;
+                       m_drained = drain.drained;
+                       m_server.stopListening();
+                       checkDrained();
+                   },
+               },
+               message);
+}
+
+void ServingTask::onRequest(net::HttpServerRequest request)
+{
+    if (m_draining) {
+        refuse(request, RefusalCode::Draining, "this node is shutting down");
+        return;
+    }
+    if (!m_context.confirmed(base::monotonicNow())) {
+        refuse(request, RefusalCode::Unconfirmed, "this node can't confirm that its configuration is the newest");
+        return;
+    }
+    const auto *workspace = authenticate(request.request.headers);
+    if (workspace == nullptr) {
+        refuse(request, RefusalCode::BadKey, "the bearer key is not known");
+        return;
+    }
+    const auto &path = request.request.path;
+    if (path == "/v1/chat/completions" && request.request.method == net::HttpMethod::Post) {
+        startChat(std::move(request), *workspace);
+    } else if (path == "/v1/models" && request.request.method == net::HttpMethod::Get) {
+        listModels(request, *workspace);
+    } else {
+        refuse(request, RefusalCode::NotFound, "there is nothing at this path");
+    }
+}
+
+void ServingTask::startChat(net::HttpServerRequest request, const fleet::Workspace &workspace)
+{
+    if (m_exchanges.size() >= m_settings.limits.maxRequests) {
+        refuse(request, RefusalCode::Overloaded, "this node bears no more requests");
+        return;
+    }
+    try {
+        auto chat = parseChatRequest(request.request.body);
+        const auto deadline = deadlineOf(request.request.headers, m_settings.timing.requestDeadline);
+        const auto id = newRequestId();
+        auto exchange = std::make_unique<Exchange>(
+            m_context, id, workspace.name, std::move(chat), request.reply, deadline, [this, id] { erase(id); });
+        auto &held = *(m_exchanges[id] = std::move(exchange));
+        held.start();
+    } catch (const RequestError &error) {
+        refuse(request, RefusalCode::BadRequest, error.what());
+    }
+}
+
+void ServingTask::listModels(const net::HttpServerRequest &request, const fleet::Workspace &workspace) const
+{
+    nlohmann::json models = nlohmann::json::array();
+    for (const auto &id : workspace.versions) {
+        const auto version = m_context.view->config->versions.find(id);
+        if (version != m_context.view->config->versions.end()
+            && version->second.state != fleet::VersionState::Withdrawn) {
+            models.push_back({{"id", id.text()}, {"object", "model"}});
+        }
+    }
+    net::HttpHeaders headers;
+    headers.add("Content-Type", "application/json");
+    request.reply->send(statusOk, headers, nlohmann::json{{"object", "list"}, {"data", models}}.dump());
+}
+
+const fleet::Workspace *ServingTask::authenticate(const net::HttpHeaders &headers) const
+{
+    const auto digest = fleet::sha256Hex(bearerKey(headers));
+    const fleet::Workspace *found = nullptr;
+    // Every key is compared, so that the time tells nothing about which one matched.
+    for (const auto &[name, workspace] : m_context.view->config->workspaces) {
+        for (const auto &hash : workspace.keyHashes) {
+            if (fleet::equalConstantTime(hash, digest)) {
+                found = &workspace;
+            }
+        }
+    }
+    return found;
+}
+
+void ServingTask::refuse(const net::HttpServerRequest &request, RefusalCode code, const std::string &message) const
+{
+    base::LogLine(base::LogLevel::Info, "refuse")
+        .field("peer", request.peer)
+        .field("path", request.request.path)
+        .field("code", caller::nameOf(code));
+    m_context.metrics.counter("ibisfork_requests_total", {{"outcome", "refused"}}).add();
+    const bool temporary
+        = code == RefusalCode::Draining || code == RefusalCode::Unconfirmed || code == RefusalCode::Overloaded;
+    caller::sendRefusal(*request.reply, {code, RunState::NotRun, message, temporary ? retryAfterSeconds : 0}, {});
+}
+
+void ServingTask::erase(const std::string &requestId)
+{
+    m_exchanges.erase(requestId);
+    checkDrained();
+}
+
+void ServingTask::checkDrained()
+{
+    if (m_draining && m_exchanges.empty() && m_drained) {
+        std::exchange(m_drained, nullptr)();
+    }
+}
+
+} // namespace ibisfork::serving
--- /dev/null
+++ b/src/serving/servingtask.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <variant>
+
+#include <ibisfork/base/metrics.h>
+
+#include "fleettask/messages.h"
+#include "net/httpserver.h"
+#include "net/mailbox.h"
+#include "net/task.h"
+#include "net/timer.h"
+#include "serving/context.h"
+#include "serving/exchange.h"
+#include "settings/settings.h"
+
+namespace ibisfork::serving {
+
+/// Takes no new work and ends when what runs is done.
+struct BeginDrain
+{
+    std::function<void()> drained;
+};
+
+using ServingMessage = std::variant<fleettask::ConfigUpdate, fleettask::ConfirmationUpdate, BeginDrain>;
+
+/// Owns the sockets of callers and upstreams and the requests between them.
+class ServingTask
+{
+public:
+    ServingTask(const settings::Settings &settings, base::MetricsRegistry &metrics, DecisionLog &decisions);
+
+    void start() { m_task.start(); }
+    void stop() { m_task.stop(); }
+    /// Hands a message to the task, from any thread.
+    void post(ServingMessage message) { m_mailbox.post(std::move(message)); }
+
+    /// Whether new work is taken: confirmed and not draining. Any thread.
+    bool ready() const;
+    const net::Address &address() const { return m_server.address(); }
+
+private:
+    void handle(ServingMessage message);
+    void onRequest(net::HttpServerRequest request);
+    void startChat(net::HttpServerRequest request, const fleet::Workspace &workspace);
+    void listModels(const net::HttpServerRequest &request, const fleet::Workspace &workspace) const;
+    const fleet::Workspace *authenticate(const net::HttpHeaders &headers) const;
+    void refuse(const net::HttpServerRequest &request, caller::RefusalCode code, const std::string &message) const;
+    void erase(const std::string &requestId);
+    void checkDrained();
+
+    const settings::Settings &m_settings;
+    net::Task m_task;
+    Context m_context;
+    std::atomic<bool> m_draining{false};
+    std::atomic<base::TimePoint::rep> m_confirmedUntil{0};
+    std::function<void()> m_drained;
+    net::HttpServer m_server;
+    std::map<std::string, std::unique_ptr<Exchange>> m_exchanges;
+    net::Mailbox<ServingMessage> m_mailbox;
+};
+
+} // namespace ibisfork::serving
--- /dev/null
+++ b/src/settings/settings.cpp
@@ -0,0 +1,126 @@
+#include "settings/settings.h"
+
+#include <fstream>
+#include <sstream>
+
+#include <fmt/format.h>
+
+#include "net/exceptions.h"
+#include "settings/exceptions.h"
+#include "yaml/yamlfields.h"
+
+namespace ibisfork::settings {
+
+using yaml::YamlFields;
+
+namespace {
+
+constexpr std::array<base::Name<base::LogLevel>, 4> logLevelNames{{
+    {base::LogLevel::Debug, "debug"},
+    {base::LogLevel::Info, "info"},
+    {base::LogLevel::Warning, "warning"},
+    {base::LogLevel::Error, "error"},
+}};
+
+net::Address addressFrom(YamlFields &fields, const char *name)
+{
+    return net::Address::parse(fields.required<std::string>(name, "an address of the form IP:PORT"));
+}
+
+NodeSettings nodeFrom(YamlFields fields)
+{
+    NodeSettings node;
+    node.name = fields.required<std::string>("name", "a name");
+    node.failureDomain = fields.required<std::string>("failure_domain", "a name");
+    node.region = fields.required<std::string>("region", "a name");
+    fields.refuseUnknown();
+    return node;
+}
+
+ListenSettings listenFrom(YamlFields fields)
+{
+    ListenSettings listen;
+    listen.callers = addressFrom(fields, "callers");
+    listen.operators = addressFrom(fields, "operators");
+    listen.peers = addressFrom(fields, "peers");
+    fields.refuseUnknown();
+    return listen;
+}
+
+PeerSettings peersFrom(YamlFields fields)
+{
+    PeerSettings peers;
+    peers.publicKey = fields.optional("public_key", std::string(), "a CURVE key in Z85");
+    peers.secretKey = fields.optional("secret_key", std::string(), "a CURVE key in Z85");
+    peers.fleetKey = fields.optional("fleet_key", std::string(), "a CURVE key in Z85");
+    fields.refuseUnknown();
+    return peers;
+}
+
+TimingSettings timingFrom(YamlFields fields)
+{
+    TimingSettings timing;
+    timing.confirmWithin = fields.optionalMilliseconds("confirm_within", timing.confirmWithin);
+    timing.pollInterval = fields.optionalMilliseconds("poll_interval", timing.pollInterval);
+    timing.platformTimeout = fields.optionalMilliseconds("platform_timeout", timing.platformTimeout);
+    timing.connectTimeout = fields.optionalMilliseconds("connect_timeout", timing.connectTimeout);
+    timing.upstreamSilence = fields.optionalMilliseconds("upstream_silence", timing.upstreamSilence);
+    timing.requestDeadline = fields.optionalMilliseconds("request_deadline", timing.requestDeadline);
+    timing.drainWithin = fields.optionalMilliseconds("drain_within", timing.drainWithin);
+    fields.refuseUnknown();
+    return timing;
+}
+
+LimitSettings limitsFrom(YamlFields fields)
+{
+    LimitSettings limits;
+    limits.maxBodyBytes = fields.optional("max_body_bytes", limits.maxBodyBytes, "a count of bytes");
+    limits.maxStreamBuffer = fields.optional("max_stream_buffer", limits.maxStreamBuffer, "a count of bytes");
+    limits.maxRequests = fields.optional("max_requests", limits.maxRequests, "a count of requests");
+    limits.maxQueued = fields.optional("max_queued", limits.maxQueued, "a count of requests");
+    fields.refuseUnknown();
+    return limits;
+}
+
+Settings read(const std::string &text)
+{
+    YamlFields document(YAML::Load(text), "document");
+    Settings settings;
+    settings.node = nodeFrom(YamlFields(document.map("node"), "node"));
+    settings.listen = listenFrom(YamlFields(document.map("listen"), "listen"));
+    settings.peers = peersFrom(YamlFields(document.map("peers"), "peers"));
+    YamlFields platform(document.map("platform"), "platform");
+    settings.platform = addressFrom(platform, "address");
+    platform.refuseUnknown();
+    settings.timing = timingFrom(YamlFields(document.map("timing"), "timing"));
+    settings.limits = limitsFrom(YamlFields(document.map("limits"), "limits"));
+    settings.logLevel = document.optionalName("log_level", logLevelNames, settings.logLevel);
+    document.refuseUnknown();
+    return settings;
+}
+
+} // namespace
+
+Settings parseSettings(const std::string &text, const std::string &path)
+{
+    try {
+        return read(text);
+    } catch (const YAML::Exception &error) {
+        throw SettingsError(fmt::format("{}: line {}: {}", path, error.mark.line + 1, error.msg));
+    } catch (const base::Error &error) {
+        throw SettingsError(fmt::format(errormessage::inFile, path, error.what()));
+    }
+}
+
+Settings readSettings(const std::string &path)
+{
+    const std::ifstream file(path);
+    if (!file) {
+        throw SettingsError(fmt::format(errormessage::unreadable, path));
+    }
+    std::stringstream text;
+    text << file.rdbuf();
+    return parseSettings(text.str(), path);
+}
+
+} // namespace ibisfork::settings
--- /dev/null
+++ b/src/settings/settings.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <chrono>
+#include <string>
+
+#include <ibisfork/base/log.h>
+
+#include "net/address.h"
+
+namespace ibisfork::settings {
+
+/// Who and where this node is.
+struct NodeSettings
+{
+    std::string name;
+    std::string failureDomain;
+    std::string region;
+};
+
+/// Addresses that the node listens on.
+struct ListenSettings
+{
+    net::Address callers;
+    net::Address operators;
+    net::Address peers;
+};
+
+/// CURVE keys between nodes, in Z85. All empty: no encryption, for loopback demonstrations only.
+struct PeerSettings
+{
+    std::string publicKey;
+    std::string secretKey;
+    std::string fleetKey;
+};
+
+struct TimingSettings
+{
+    /// Age from which a reading of the newest revision no longer counts.
+    std::chrono::milliseconds confirmWithin{6000};
+    std::chrono::milliseconds pollInterval{1000};
+    std::chrono::milliseconds platformTimeout{2000};
+    std::chrono::milliseconds connectTimeout{500};
+    /// Longest wait between two bytes of an upstream.
+    std::chrono::milliseconds upstreamSilence{10000};
+    /// Deadline of a request whose caller gives none.
+    std::chrono::milliseconds requestDeadline{60000};
+    /// Longest time that a shutdown waits for running requests.
+    std::chrono::milliseconds drainWithin{30000};
+};
+
+/// Bounds on what a node takes in.
+struct LimitSettings
+{
+    std::size_t maxBodyBytes = 4UL * 1024 * 1024;
+    std::size_t maxStreamBuffer = 64UL * 1024;
+    std::size_t maxRequests = 2000;
+    std::size_t maxQueued = 500;
+};
+
+/// All settings of one daemon.
+struct Settings
+{
+    NodeSettings node;
+    ListenSettings listen;
+    PeerSettings peers;
+    net::Address platform;
+    TimingSettings timing;
+    LimitSettings limits;
+    base::LogLevel logLevel = base::LogLevel::Info;
+};
+
+/// Reads and checks the settings in @p path. Throws SettingsError.
+Settings readSettings(const std::string &path);
+
+/// The same for @p text; @p path is used in messages.
+Settings parseSettings(const std::string &text, const std::string &path);
+
+} // namespace ibisfork::settings
--- /dev/null
+++ b/src/upstream/enginestream.cpp
@@ -0,0 +1,152 @@
+#include "upstream/enginestream.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace ibisfork::upstream {
+
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr int statusOk = 200;
+constexpr const char *endEvent = "end";
+
+net::HttpRequest startRequest(const EngineRequest &request)
+{
+    net::HttpRequest out;
+    out.method = net::HttpMethod::Post;
+    out.path = "/v1/chat/completions";
+    out.headers.add("Content-Type", "application/json");
+    out.headers.add("X-Request-Id", request.requestId);
+    out.headers.add("X-Priority", std::to_string(request.priority));
+    out.body = request.body;
+    return out;
+}
+
+net::HttpRequest resumeRequest(const std::string &streamId, std::uint64_t offset)
+{
+    net::HttpRequest out;
+    out.method = net::HttpMethod::Get;
+    out.path = fmt::format("/v1/streams/{}?offset={}", streamId, offset);
+    return out;
+}
+
+std::string textOf(const Json &event)
+{
+    return event.at("choices").at(0).at("delta").value("content", std::string());
+}
+
+EngineUsage usageOf(const Json &event)
+{
+    const auto &usage = event.at("usage");
+    return {usage.at("prompt_tokens").get<std::uint64_t>(), usage.at("completion_tokens").get<std::uint64_t>()};
+}
+
+} // namespace
+
+std::unique_ptr<EngineStream> EngineStream::start(event_base *base,
+                                                  const net::Address &address,
+                                                  const EngineRequest &request,
+                                                  base::Duration silence,
+                                                  EngineStreamHandlers handlers)
+{
+    return std::unique_ptr<EngineStream>(
+        new EngineStream(base, address, startRequest(request), 0, silence, std::move(handlers)));
+}
+
+std::unique_ptr<EngineStream> EngineStream::resume(event_base *base,
+                                                   const net::Address &address,
+                                                   const std::string &streamId,
+                                                   std::uint64_t offset,
+                                                   base::Duration silence,
+                                                   EngineStreamHandlers handlers)
+{
+    return std::unique_ptr<EngineStream>(
+        new EngineStream(base, address, resumeRequest(streamId, offset), offset, silence, std::move(handlers)));
+}
+
+EngineStream::EngineStream(event_base *base,
+                           const net::Address &address,
+                           net::HttpRequest request,
+                           std::uint64_t offset,
+                           base::Duration silence,
+                           EngineStreamHandlers handlers)
+    : m_handlers(std::move(handlers))
+    , m_nextOffset(offset)
+    , m_parser([this](const ServerSentEvent &event) { onEvent(event); })
+{
+    net::HttpCallHandlers callHandlers;
+    callHandlers.head = [this](const net::HttpHead &head) {
+        onHead(head);
+    };
+    callHandlers.chunk = [this](std::string_view bytes) {
+        if (m_status == statusOk && !m_finished && !m_parser.feed(bytes)) {
+            finish(EngineFailure{EngineFailureKind::Malformed, m_status});
+        }
+    };
+    callHandlers.done = [this](const net::HttpOutcome &outcome) {
+        onDone(outcome);
+    };
+    m_call = std::make_unique<net::HttpCall>(base, address, std::move(request), silence, std::move(callHandlers));
+}
+
+void EngineStream::onHead(const net::HttpHead &head)
+{
+    m_status = head.status;
+    if (m_status == statusOk && m_handlers.greeting) {
+        m_handlers.greeting(
+            {head.headers.find("X-Incarnation").value_or(""), head.headers.find("X-Stream-Id").value_or("")});
+    }
+}
+
+void EngineStream::onEvent(const ServerSentEvent &event)
+{
+    if (m_finished) {
+        return;
+    }
+    try {
+        const Json json = Json::parse(event.data);
+        if (event.event == endEvent) {
+            finish(usageOf(json));
+            return;
+        }
+        // A repeated or missing piece would corrupt the answer, so the offsets must be without gaps.
+        if (event.id != std::to_string(m_nextOffset)) {
+            finish(EngineFailure{EngineFailureKind::Malformed, m_status});
+            return;
+        }
+        m_handlers.token(m_nextOffset++, textOf(json));
+    } catch (const Json::exception &) {
+        finish(EngineFailure{EngineFailureKind::Malformed, m_status});
+    }
+}
+
+void EngineStream::onDone(const net::HttpOutcome &outcome)
+{
+    if (m_finished) {
+        return;
+    }
+    if (const auto *failure = std::get_if<net::HttpFailure>(&outcome)) {
+        const auto kind = failure->bytesLeft ? EngineFailureKind::Lost : EngineFailureKind::NotSent;
+        finish(EngineFailure{kind, m_status});
+        return;
+    }
+    // An answer of 200 that ended without its last event was cut.
+    const auto kind = m_status == statusOk ? EngineFailureKind::Lost : EngineFailureKind::Refused;
+    finish(EngineFailure{kind, m_status});
+}
+
+void EngineStream::finish(const std::variant<EngineUsage, EngineFailure> &result)
+{
+    m_finished = true;
+    // The handler may destroy this object.
+    const auto handlers = m_handlers;
+    if (const auto *usage = std::get_if<EngineUsage>(&result)) {
+        handlers.end(*usage);
+    } else {
+        handlers.failed(std::get<EngineFailure>(result));
+    }
+}
+
+} // namespace ibisfork::upstream
--- /dev/null
+++ b/tests/process/harness.cpp
@@ -0,0 +1,259 @@
+#include "process/harness.h"
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+#include <thread>
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace ibisfork::process {
+
+namespace {
+
+constexpr std::chrono::milliseconds pollStep{20};
+constexpr std::chrono::seconds startWithin{10};
+
+std::string newFolder()
+{
+    std::string path = std::filesystem::temp_directory_path() / "ibisfork-XXXXXX";
+    if (mkdtemp(path.data()) == nullptr) {
+        throw std::runtime_error("no temporary folder can be made");
+    }
+    return path;
+}
+
+void writeFile(const std::string &path, const std::string &text)
+{
+    std::ofstream(path) << text;
+}
+
+[[noreturn]] void runProgram(const std::string &name, const std::vector<std::string> &arguments, int output, int log)
+{
+    dup2(output, STDOUT_FILENO);
+    if (log >= 0) {
+        dup2(log, STDERR_FILENO);
+    }
+    const std::string path = std::string(IBISFORK_BINARY_DIR) + "/" + name;
+    std::vector<char *> argv{const_cast<char *>(path.c_str())};
+    for (const auto &argument : arguments) {
+        argv.push_back(const_cast<char *>(argument.c_str()));
+    }
+    argv.push_back(nullptr);
+    execv(path.c_str(), argv.data());
+    _exit(127);
+}
+
+} // namespace
+
+Program::Program(const std::string &name, const std::vector<std::string> &arguments, const std::string &logPath)
+{
+    int ends[2];
+    if (pipe2(ends, O_CLOEXEC) != 0) {
+        throw std::runtime_error("no pipe can be made");
+    }
+    const int log = logPath.empty() ? -1 : open(logPath.c_str(), O_CREAT | O_APPEND | O_WRONLY | O_CLOEXEC, 0600);
+    m_pid = fork();
+    if (m_pid == 0) {
+        runProgram(name, arguments, ends[1], log);
+    }
+    close(ends[1]);
+    if (log >= 0) {
+        close(log);
+    }
+    m_output = ends[0];
+    fcntl(m_output, F_SETFL, O_NONBLOCK);
+}
+
+Program::~Program()
+{
+    if (m_pid > 0) {
+        kill(m_pid, SIGKILL);
+        waitpid(m_pid, nullptr, 0);
+    }
+    close(m_output);
+}
+
+std::string Program::listening() const
+{
+    const std::string prefix = "listening ";
+    std::string text;
+    const bool found = eventually(startWithin, [&] {
+        char buffer[256];
+        const auto length = read(m_output, buffer, sizeof(buffer));
+        text.append(buffer, length > 0 ? static_cast<std::size_t>(length) : 0);
+        return text.find('\n') != std::string::npos;
+    });
+    if (!found || !text.starts_with(prefix)) {
+        throw std::runtime_error("a stand-in does not say where it listens: " + text);
+    }
+    return text.substr(prefix.size(), text.find('\n') - prefix.size());
+}
+
+void Program::signal(int number) const
+{
+    kill(m_pid, number);
+}
+
+int Program::wait(base::Duration within)
+{
+    int status = 0;
+    const bool ended = eventually(within, [&] { return waitpid(m_pid, &status, WNOHANG) == m_pid; });
+    if (!ended) {
+        return -1;
+    }
+    m_pid = -1;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+Answer call(const std::string &address, const net::HttpRequest &request, base::Duration timeout)
+{
+    const auto base = net::makeEventBase();
+    Answer answer;
+    const auto running
+        = net::fetch(base.get(), net::Address::parse(address), request, timeout, [&](const auto &outcome) {
+              if (const auto *response = std::get_if<net::HttpResponse>(&outcome)) {
+                  answer = {response->head.status, response->head.headers, response->body};
+              }
+              event_base_loopbreak(base.get());
+          });
+    event_base_dispatch(base.get());
+    return answer;
+}
+
+Answer get(const std::string &address, const std::string &path)
+{
+    net::HttpRequest request;
+    request.path = path;
+    return call(address, request);
+}
+
+Answer post(const std::string &address,
+            const std::string &path,
+            const nlohmann::json &body,
+            const net::HttpHeaders &headers)
+{
+    net::HttpRequest request;
+    request.method = net::HttpMethod::Post;
+    request.path = path;
+    request.headers = headers;
+    request.headers.add("Content-Type", "application/json");
+    request.body = body.dump();
+    return call(address, request);
+}
+
+bool eventually(base::Duration within, const std::function<bool()> &condition)
+{
+    const auto until = base::monotonicNow() + within;
+    while (!condition()) {
+        if (base::monotonicNow() > until) {
+            return false;
+        }
+        std::this_thread::sleep_for(pollStep);
+    }
+    return true;
+}
+
+std::uint16_t freePort()
+{
+    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    bind(socket, reinterpret_cast<sockaddr *>(&address), sizeof(address));
+    socklen_t length = sizeof(address);
+    getsockname(socket, reinterpret_cast<sockaddr *>(&address), &length);
+    close(socket);
+    return ntohs(address.sin_port);
+}
+
+Fleet::Fleet()
+    : m_folder(newFolder())
+    , m_platform(std::make_unique<Program>("standin-platform", std::vector<std::string>{}))
+    , m_platformAddress(m_platform->listening())
+{ }
+
+std::string Fleet::addEngine(const std::vector<std::string> &arguments)
+{
+    m_upstreams.push_back(std::make_unique<Program>("standin-engine", arguments));
+    return m_upstreams.back()->listening();
+}
+
+std::string Fleet::addService()
+{
+    m_upstreams.push_back(std::make_unique<Program>("standin-service", std::vector<std::string>{}));
+    return m_upstreams.back()->listening();
+}
+
+std::size_t Fleet::addNode(const std::string &failureDomain, const std::string &extraSettings)
+{
+    const auto index = m_nodes.size();
+    Node node;
+    node.callers = fmt::format("127.0.0.1:{}", freePort());
+    node.operators = fmt::format("127.0.0.1:{}", freePort());
+    const auto peers = fmt::format("127.0.0.1:{}", freePort());
+    const auto path = fmt::format("{}/node-{}.yaml", m_folder, index);
+    writeFile(path,
+              fmt::format("node: {{name: node-{}, failure_domain: {}, region: r1}}\n"
+                          "listen: {{callers: {}, operators: {}, peers: {}}}\n"
+                          "platform: {{address: {}}}\n{}",
+                          index,
+                          failureDomain,
+                          node.callers,
+                          node.operators,
+                          peers,
+                          m_platformAddress,
+                          extraSettings));
+    node.program = std::make_unique<Program>(
+        "ibisforkd", std::vector<std::string>{"--settings", path}, fmt::format("{}/node-{}.log", m_folder, index));
+    m_nodes.push_back(std::move(node));
+    if (!eventually(startWithin, [&] { return get(operators(index), "/healthz").status == 200; })) {
+        throw std::runtime_error("a node does not start; its log is in " + m_folder);
+    }
+    return index;
+}
+
+int Fleet::ctl(std::size_t node, const std::vector<std::string> &arguments)
+{
+    auto all = arguments;
+    all.insert(all.end(), {"--node", operators(node)});
+    return Program("ibisforkctl", all).wait(std::chrono::seconds(30));
+}
+
+void Fleet::apply(std::size_t node, const std::string &yaml)
+{
+    const auto path = m_folder + "/fleet.yaml";
+    writeFile(path, yaml);
+    if (ctl(node, {"config", "apply", path}) != 0) {
+        throw std::runtime_error("the configuration is not taken");
+    }
+    for (std::size_t index = 0; index < m_nodes.size(); ++index) {
+        if (!eventually(startWithin, [&] { return ready(index); })) {
+            throw std::runtime_error("a node does not get ready; its log is in " + m_folder);
+        }
+    }
+}
+
+bool Fleet::ready(std::size_t node) const
+{
+    return get(operators(node), "/readyz").status == 200;
+}
+
+Answer chat(const Fleet &fleet, std::size_t node, const std::string &key, const nlohmann::json &extra)
+{
+    nlohmann::json body{{"messages", {{{"role", "user"}, {"content", "hello"}}}}};
+    if (extra.is_object()) {
+        body.update(extra);
+    }
+    net::HttpHeaders headers;
+    headers.add("Authorization", "Bearer " + key);
+    return post(fleet.callers(node), "/v1/chat/completions", body, headers);
+}
+
+} // namespace ibisfork::process
