Move the choice of an upstream into a class of its own

Choice of version and choice of upstream change for different reasons. The index by version and service, the choice and the reasons to leave an upstream out move from Router to UpstreamPicker; the types that both use move to decision.h. Behaviour is unchanged.

--- /dev/null
+++ b/src/routing/decision.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <array>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <ibisfork/base/names.h>
+#include <ibisfork/fleet/config.h>
+
+namespace ibisfork::routing {
+
+/// Why a version or an upstream was left out.
+enum class LeftOutReason { NotPermitted, Withdrawn, OtherModel, BelowQuality, DomainTakenOut, Draining, NoRoom, Tried };
+inline constexpr std::array<base::Name<LeftOutReason>, 8> leftOutReasonNames{{
+    {LeftOutReason::NotPermitted, "not-permitted"},
+    {LeftOutReason::Withdrawn, "withdrawn"},
+    {LeftOutReason::OtherModel, "other-model"},
+    {LeftOutReason::BelowQuality, "below-quality"},
+    {LeftOutReason::DomainTakenOut, "domain-taken-out"},
+    {LeftOutReason::Draining, "draining"},
+    {LeftOutReason::NoRoom, "no-room"},
+    {LeftOutReason::Tried, "tried"},
+}};
+
+struct LeftOut
+{
+    std::string candidate;
+    LeftOutReason reason;
+};
+
+/// The version and upstream chosen, or neither.
+struct RoutingDecision
+{
+    std::optional<fleet::VersionId> version;
+    std::string upstream;
+    std::vector<LeftOut> leftOut;
+};
+
+/// How much room and load an upstream has, asked of the node's own books.
+struct UpstreamRoom
+{
+    std::uint32_t free = 0;
+    std::uint32_t running = 0;
+};
+using RoomLookup = std::function<UpstreamRoom(const std::string &upstream)>;
+
+} // namespace ibisfork::routing
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -21,27 +21,14 @@
 
 Router::Router(const fleet::Config &config)
     : m_config(config)
-{
-    for (const auto &[id, upstream] : config.upstreams) {
-        if (upstream.kind == fleet::UpstreamKind::Service) {
-            m_services[upstream.service].push_back(&upstream);
-            continue;
-        }
-        for (const auto &version : upstream.versions) {
-            m_engines[version].push_back(&upstream);
-        }
-    }
-}
+    , m_picker(config)
+{ }
 
 RoutingDecision Router::choose(const RoutingQuery &query, const RoomLookup &room) const
 {
     RoutingDecision decision;
     for (const auto *version : candidates(query, decision)) {
-        const auto engines = m_engines.find(version->id);
-        if (engines == m_engines.end()) {
-            continue;
-        }
-        decision.upstream = pickUpstream(engines->second, query.tried, room, decision);
+        decision.upstream = m_picker.pickEngine(version->id, query.tried, room, decision.leftOut);
         if (!decision.upstream.empty()) {
             decision.version = version->id;
             break;
@@ -55,10 +42,7 @@
                                       const RoomLookup &room) const
 {
     RoutingDecision decision;
-    const auto upstreams = m_services.find(service);
-    if (upstreams != m_services.end()) {
-        decision.upstream = pickUpstream(upstreams->second, tried, room, decision);
-    }
+    decision.upstream = m_picker.pickService(service, tried, room, decision.leftOut);
     return decision;
 }
 
@@ -93,43 +77,4 @@
     return good;
 }
 
-std::string Router::pickUpstream(const std::vector<const fleet::Upstream *> &upstreams,
-                                 const std::vector<std::string> &tried,
-                                 const RoomLookup &room,
-                                 RoutingDecision &decision) const
-{
-    const fleet::Upstream *best = nullptr;
-    std::uint32_t fewest = 0;
-    for (const auto *upstream : upstreams) {
-        if (contains(tried, upstream->id)) {
-            decision.leftOut.push_back({upstream->id, LeftOutReason::Tried});
-            continue;
-        }
-        if (const auto reason = closedReason(*upstream)) {
-            decision.leftOut.push_back({upstream->id, *reason});
-            continue;
-        }
-        const auto there = room(upstream->id);
-        if (there.free == 0) {
-            decision.leftOut.push_back({upstream->id, LeftOutReason::NoRoom});
-        } else if (best == nullptr || there.running < fewest) {
-            best = upstream;
-            fewest = there.running;
-        }
-    }
-    return best == nullptr ? std::string() : best->id;
-}
-
-std::optional<LeftOutReason> Router::closedReason(const fleet::Upstream &upstream) const
-{
-    if (upstream.state == fleet::UpstreamState::Draining) {
-        return LeftOutReason::Draining;
-    }
-    const auto domain = m_config.failureDomains.find(upstream.failureDomain);
-    if (domain != m_config.failureDomains.end() && domain->second.state == fleet::DomainState::TakenOut) {
-        return LeftOutReason::DomainTakenOut;
-    }
-    return std::nullopt;
-}
-
 } // namespace ibisfork::routing
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -1,34 +1,15 @@
 #pragma once
 
-#include <array>
-#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
 
-#include <ibisfork/base/names.h>
 #include <ibisfork/fleet/config.h>
 
-namespace ibisfork::routing {
-
-/// Why a version or an upstream was left out.
-enum class LeftOutReason { NotPermitted, Withdrawn, OtherModel, BelowQuality, DomainTakenOut, Draining, NoRoom, Tried };
-inline constexpr std::array<base::Name<LeftOutReason>, 8> leftOutReasonNames{{
-    {LeftOutReason::NotPermitted, "not-permitted"},
-    {LeftOutReason::Withdrawn, "withdrawn"},
-    {LeftOutReason::OtherModel, "other-model"},
-    {LeftOutReason::BelowQuality, "below-quality"},
-    {LeftOutReason::DomainTakenOut, "domain-taken-out"},
-    {LeftOutReason::Draining, "draining"},
-    {LeftOutReason::NoRoom, "no-room"},
-    {LeftOutReason::Tried, "tried"},
-}};
+#include "routing/decision.h"
+#include "routing/upstreampicker.h"
 
-struct LeftOut
-{
-    std::string candidate;
-    LeftOutReason reason;
-};
+namespace ibisfork::routing {
 
 /// What a request asks of the router.
 struct RoutingQuery
@@ -45,22 +26,6 @@
     std::string failureDomain;
 };
 
-/// The version and upstream chosen, or neither.
-struct RoutingDecision
-{
-    std::optional<fleet::VersionId> version;
-    std::string upstream;
-    std::vector<LeftOut> leftOut;
-};
-
-/// How much room and load an upstream has, asked of the node's own books.
-struct UpstreamRoom
-{
-    std::uint32_t free = 0;
-    std::uint32_t running = 0;
-};
-using RoomLookup = std::function<UpstreamRoom(const std::string &upstream)>;
-
 /// Chooses version and upstream of a request at one revision of the configuration.
 class Router
 {
@@ -76,15 +41,9 @@
 
 private:
     std::vector<const fleet::Version *> candidates(const RoutingQuery &query, RoutingDecision &decision) const;
-    std::string pickUpstream(const std::vector<const fleet::Upstream *> &upstreams,
-                             const std::vector<std::string> &tried,
-                             const RoomLookup &room,
-                             RoutingDecision &decision) const;
-    std::optional<LeftOutReason> closedReason(const fleet::Upstream &upstream) const;
 
     const fleet::Config &m_config;
-    std::map<fleet::VersionId, std::vector<const fleet::Upstream *>> m_engines;
-    std::map<std::string, std::vector<const fleet::Upstream *>> m_services;
+    UpstreamPicker m_picker;
 };
 
 } // namespace ibisfork::routing
