Route calls of plain services

Calls under /v1/services/NAME go to an upstream of the service with method, body and end-to-end headers unchanged. An answer is read whole within a bound before it is sent, so a cut one is never delivered. Only GET, HEAD and OPTIONS are sent again after a byte may have left; other calls are sent at most once, and their refusal says not_run only if no byte left. An answer without a body (HEAD, 304) no longer counts as cut for lack of a length.

--- a/src/net/httpcall.cpp
+++ b/src/net/httpcall.cpp
@@ -78,6 +78,7 @@
     HttpFailureKind failure = HttpFailureKind::Connect;
     bool bytesLeft = false;
     bool headSeen = false;
+    bool bodyless = false;
     bool finished = false;
     bool abandoned = false;
 
@@ -146,7 +147,8 @@
     bool framed() const
     {
         constexpr int noContent = 204;
-        return head.status == noContent || head.headers.find("Content-Length")
+        constexpr int notModified = 304;
+        return bodyless || head.status == noContent || head.status == notModified || head.headers.find("Content-Length")
             || head.headers.find("Transfer-Encoding");
     }
 
@@ -167,6 +169,7 @@
 {
     m_state->base = base;
     m_state->handlers = std::move(handlers);
+    m_state->bodyless = request.method == HttpMethod::Head;
     m_state->connection = evhttp_connection_base_new(base, nullptr, address.ip.c_str(), address.port);
     const timeval timeout = timevalOf(silence);
     evhttp_connection_set_timeout_tv(m_state->connection, &timeout);
--- /dev/null
+++ b/src/serving/serviceexchange.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "caller/refusal.h"
+#include "net/httpserver.h"
+#include "net/timer.h"
+#include "serving/context.h"
+#include "upstream/servicecall.h"
+
+namespace ibisfork::serving {
+
+/// A call of a plain service as a caller asks for it.
+struct ServiceRequest
+{
+    std::string workspace;
+    std::string service;
+    /// Method, path at the service, the caller's headers and body.
+    net::HttpRequest call;
+    base::Duration deadline{};
+};
+
+/// The service and the path behind it in /v1/services/NAME/PATH; an empty service if @p path is not of that form.
+struct ServicePath
+{
+    std::string service;
+    std::string path;
+};
+ServicePath servicePathOf(const std::string &path);
+
+/// Whether a call may be sent again when its outcome is not known.
+bool repeatable(net::HttpMethod method);
+
+/// A call of a plain service from its request to its last byte.
+class ServiceExchange
+{
+public:
+    /// @p done is called once, last; the exchange may be destroyed from it.
+    ServiceExchange(Context &context,
+                    std::string requestId,
+                    ServiceRequest request,
+                    std::shared_ptr<net::HttpReply> reply,
+                    std::function<void()> done);
+    ~ServiceExchange();
+
+    void start();
+
+private:
+    void dispatch();
+    void send(const std::string &upstream);
+    void onOutcome(const upstream::ServiceOutcome &outcome);
+    void onFailed(const net::HttpFailure &failure);
+    void answer(const net::HttpResponse &response);
+    void onGone();
+    void onDeadline();
+    void refuse(caller::RefusalCode code, const std::string &message, int retryAfterSeconds);
+    void logDecision(const routing::RoutingDecision &decision);
+    void release();
+    void finish(const char *outcome);
+
+    Context &m_context;
+    std::string m_requestId;
+    ServiceRequest m_request;
+    std::shared_ptr<net::HttpReply> m_reply;
+    std::function<void()> m_done;
+    net::Timer m_deadline;
+    std::string m_upstream;
+    std::vector<std::string> m_tried;
+    std::unique_ptr<upstream::ServiceCall> m_call;
+    bool m_mayHaveRun = false;
+};
+
+} // namespace ibisfork::serving
--- a/src/serving/servingtask.cpp
+++ b/src/serving/servingtask.cpp
@@ -93,6 +93,8 @@
         startChat(request, *workspace);
     } else if (path == "/v1/models" && request.request.method == net::HttpMethod::Get) {
         listModels(request, *workspace);
+    } else if (!servicePathOf(path).service.empty()) {
+        startService(request, *workspace);
     } else {
         refuse(request, RefusalCode::NotFound, "there is nothing at this path");
     }
@@ -117,6 +119,27 @@
     }
 }
 
+void ServingTask::startService(const net::HttpServerRequest &request, const fleet::Workspace &workspace)
+{
+    if (m_exchanges.size() + m_serviceExchanges.size() >= m_settings.limits.maxRequests) {
+        refuse(request, RefusalCode::Overloaded, "this node bears no more requests");
+        return;
+    }
+    try {
+        const auto path = servicePathOf(request.request.path);
+        ServiceRequest service{workspace.name, path.service, request.request, {}};
+        service.call.path = path.path;
+        service.deadline = deadlineOf(request.request.headers, m_settings.timing.requestDeadline);
+        const auto id = newRequestId();
+        auto exchange = std::make_unique<ServiceExchange>(
+            m_context, id, std::move(service), request.reply, [this, id] { erase(id); });
+        auto &held = *(m_serviceExchanges[id] = std::move(exchange));
+        held.start();
+    } catch (const RequestError &error) {
+        refuse(request, RefusalCode::BadRequest, error.what());
+    }
+}
+
 void ServingTask::listModels(const net::HttpServerRequest &request, const fleet::Workspace &workspace) const
 {
     nlohmann::json models = nlohmann::json::array();
@@ -162,12 +185,13 @@
 void ServingTask::erase(const std::string &requestId)
 {
     m_exchanges.erase(requestId);
+    m_serviceExchanges.erase(requestId);
     checkDrained();
 }
 
 void ServingTask::checkDrained()
 {
-    if (m_draining && m_exchanges.empty() && m_drained) {
+    if (m_draining && m_exchanges.empty() && m_serviceExchanges.empty() && m_drained) {
         std::exchange(m_drained, nullptr)();
     }
 }
--- a/src/serving/servingtask.h
+++ b/src/serving/servingtask.h
@@ -14,6 +14,7 @@
 #include "net/timer.h"
 #include "serving/context.h"
 #include "serving/exchange.h"
+#include "serving/serviceexchange.h"
 #include "settings/settings.h"
 
 namespace ibisfork::serving {
@@ -45,6 +46,7 @@
     void handle(ServingMessage message);
     void onRequest(const net::HttpServerRequest &request);
     void startChat(const net::HttpServerRequest &request, const fleet::Workspace &workspace);
+    void startService(const net::HttpServerRequest &request, const fleet::Workspace &workspace);
     void listModels(const net::HttpServerRequest &request, const fleet::Workspace &workspace) const;
     const fleet::Workspace *authenticate(const net::HttpHeaders &headers) const;
     void refuse(const net::HttpServerRequest &request, caller::RefusalCode code, const std::string &message) const;
@@ -59,6 +61,7 @@
     std::function<void()> m_drained;
     net::HttpServer m_server;
     std::map<std::string, std::unique_ptr<Exchange>> m_exchanges;
+    std::map<std::string, std::unique_ptr<ServiceExchange>> m_serviceExchanges;
     net::Mailbox<ServingMessage> m_mailbox;
 };
 
