Give ibisforkctl its commands, help, completion, JSON output and exit codes

Cause: the tool could check, apply and show a configuration and nothing else. Change: a table of commands with usage and examples; items are changed as rows at a base revision; a change is asked for until its state is final; exit codes tell refused, unknown and pending apart.

--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -1,36 +1,15 @@
-#include <fstream>
 #include <iostream>
 #include <random>
-#include <sstream>
 
 #include <cxxopts.hpp>
 #include <fmt/format.h>
-#include <fmt/ostream.h>
 
-#include <ibisfork/fleet/rows.h>
-#include <ibisfork/fleet/yaml.h>
-
-#include "ctl/nodeclient.h"
+#include "ctl/commandtable.h"
+#include "ctl/invocation.h"
 
 namespace {
 
 using namespace ibisfork;
-using Json = nlohmann::json;
-
-constexpr int exitOk = 0;
-constexpr int exitFailure = 1;
-constexpr int exitUsage = 2;
-constexpr int exitUnknown = 3;
-
-/// What a command line asks for.
-struct Invocation
-{
-    std::vector<std::string> words;
-    net::Address node;
-    std::string reason;
-    std::string author;
-    std::string changeId;
-};
 
 std::string newChangeId()
 {
@@ -38,103 +17,80 @@
     return fmt::format("chg-{:08x}{:08x}", random(), random());
 }
 
-std::string readFile(const std::string &path)
+cxxopts::Options makeOptions()
 {
-    const std::ifstream file(path);
-    if (!file) {
-        throw base::Error(fmt::format("{}: can't be read", path));
-    }
-    std::stringstream text;
-    text << file.rdbuf();
-    return text.str();
+    cxxopts::Options options("ibisforkctl", "Steers a fleet of ibisforkd.");
+    options.custom_help("[OPTIONS]").positional_help("COMMAND [ARGUMENT]");
+    const auto text = [](const char *preset) {
+        return cxxopts::value<std::string>()->default_value(preset);
+    };
+    auto add = options.add_options();
+    add("node", "operators' address of any node", text("127.0.0.1:8081"), "IP:PORT");
+    add("output", "text or json", text("text"), "FORMAT");
+    add("reason", "why the change is made", text(""), "TEXT");
+    add("author", "who makes the change", text("operator"), "NAME");
+    add("change-id", "id of the change, to ask again", text(""), "ID");
+    add("wait",
+        "seconds to wait until a change is in force",
+        cxxopts::value<unsigned>()->default_value("30"),
+        "SECONDS");
+    add("workspace", "workspace of an exception", text(""), "NAME");
+    add("field", "field that an exception sets", text(""), "NAME");
+    add("value", "value that an exception gives it", text(""), "VALUE");
+    add("until", "last day of an exception", text(""), "YYYY-MM-DD");
+    add("words", "", cxxopts::value<std::vector<std::string>>(), "COMMAND");
+    add("h,help", "show this help");
+    options.parse_positional({"words"});
+    return options;
 }
 
-int submit(const Invocation &invocation, const std::vector<coord::RowChange> &rows)
+ctl::Invocation invocationFrom(const cxxopts::ParseResult &arguments)
 {
-    Json list = Json::array();
-    for (const auto &row : rows) {
-        list.push_back({{"key", row.key}, {"value", row.value ? Json(*row.value) : Json()}});
+    ctl::Invocation invocation;
+    invocation.node = net::Address::parse(arguments["node"].as<std::string>());
+    const auto output = base::valueOf(ctl::outputFormatNames, arguments["output"].as<std::string>());
+    if (!output) {
+        throw ctl::UsageError("--output must be text or json");
     }
-    const Json change{
-        {"id", invocation.changeId}, {"author", invocation.author}, {"reason", invocation.reason}, {"rows", list}};
-    const auto answer = ctl::NodeClient(invocation.node).post("/v1/changes", change);
-    const auto state = answer.at("state").get<std::string>();
-    fmt::print(std::cout, "change {} {} at revision {}\n", invocation.changeId, state, answer.at("revision").dump());
-    if (state == "committed" || state == "already-committed") {
-        return exitOk;
+    invocation.output = *output;
+    invocation.reason = arguments["reason"].as<std::string>();
+    invocation.author = arguments["author"].as<std::string>();
+    invocation.changeId = arguments["change-id"].as<std::string>();
+    invocation.wait = std::chrono::seconds(arguments["wait"].as<unsigned>());
+    invocation.workspace = arguments["workspace"].as<std::string>();
+    invocation.field = arguments["field"].as<std::string>();
+    invocation.value = arguments["value"].as<std::string>();
+    invocation.until = arguments["until"].as<std::string>();
+    if (invocation.changeId.empty()) {
+        invocation.changeId = newChangeId();
     }
-    return state == "unknown" ? exitUnknown : exitFailure;
+    return invocation;
 }
 
-int configCheck(const Invocation &invocation)
+int run(int argc, char **argv)
 {
-    fleet::configFromYaml(readFile(invocation.words.at(2)));
-    std::cout << "the configuration is good\n";
-    return exitOk;
-}
-
-int configApply(const Invocation &invocation)
-{
-    const auto wanted = fleet::rowsFromConfig(fleet::configFromYaml(readFile(invocation.words.at(2))));
-    const auto held = ctl::NodeClient(invocation.node).get("/v1/rows").at("rows").get<coord::Rows>();
-    const auto rows = fleet::difference(held, wanted);
-    if (rows.empty()) {
-        std::cout << "nothing to change\n";
-        return exitOk;
+    auto options = makeOptions();
+    const auto arguments = options.parse(argc, argv);
+    if (arguments.count("help") > 0) {
+        std::cout << options.help() << ctl::commandHelp();
+        return ctl::exitcode::ok;
     }
-    return submit(invocation, rows);
-}
-
-int configShow(const Invocation &invocation)
-{
-    const auto answer = ctl::NodeClient(invocation.node).get("/v1/rows");
-    fmt::print(std::cout, "revision {}\n", answer.at("revision").dump());
-    for (const auto &[key, value] : answer.at("rows").items()) {
-        fmt::print(std::cout, "{} {}\n", key, value.get<std::string>());
+    if (arguments.count("words") == 0) {
+        throw ctl::UsageError("a command is required; --help lists them");
     }
-    return exitOk;
-}
-
-struct Command
-{
-    std::string_view group;
-    std::string_view verb;
-    std::size_t words;
-    int (*run)(const Invocation &);
-};
-
-constexpr std::array<Command, 3> commands{{
-    {"config", "check", 3, configCheck},
-    {"config", "apply", 3, configApply},
-    {"config", "show", 2, configShow},
-}};
-
-cxxopts::Options makeOptions()
-{
-    cxxopts::Options options("ibisforkctl",
-                             "Steers a fleet of ibisforkd.\n\nCommands: config check|apply FILE, config show");
-    options.positional_help("COMMAND");
-    auto add = options.add_options();
-    add("node", "operators' address of a node", cxxopts::value<std::string>()->default_value("127.0.0.1:8081"));
-    add("reason", "why the change is made", cxxopts::value<std::string>()->default_value(""));
-    add("author", "who makes the change", cxxopts::value<std::string>()->default_value("operator"));
-    add("change-id", "id of the change, to ask again", cxxopts::value<std::string>()->default_value(""));
-    add("words", "", cxxopts::value<std::vector<std::string>>()->default_value(""));
-    add("h,help", "show this help");
-    options.parse_positional({"words"});
-    return options;
+    const auto words = arguments["words"].as<std::vector<std::string>>();
+    const auto &command = ctl::findCommand(words);
+    auto invocation = invocationFrom(arguments);
+    if (!command.argument.empty()) {
+        invocation.argument = words.back();
+    }
+    return command.run(invocation);
 }
 
-int run(const Invocation &invocation)
+int fail(const std::exception &error, int code)
 {
-    for (const auto &command : commands) {
-        if (invocation.words.size() == command.words && invocation.words[0] == command.group
-            && invocation.words[1] == command.verb) {
-            return command.run(invocation);
-        }
-    }
-    std::cerr << "ibisforkctl: unknown command; see --help\n";
-    return exitUsage;
+    std::cerr << "ibisforkctl: " << error.what() << '\n';
+    return code;
 }
 
 } // namespace
@@ -142,27 +98,12 @@
 int main(int argc, char **argv)
 {
     try {
-        auto options = makeOptions();
-        const auto arguments = options.parse(argc, argv);
-        if (arguments.count("help") > 0) {
-            std::cout << options.help();
-            return exitOk;
-        }
-        Invocation invocation;
-        invocation.words = arguments["words"].as<std::vector<std::string>>();
-        invocation.node = net::Address::parse(arguments["node"].as<std::string>());
-        invocation.reason = arguments["reason"].as<std::string>();
-        invocation.author = arguments["author"].as<std::string>();
-        invocation.changeId = arguments["change-id"].as<std::string>();
-        if (invocation.changeId.empty()) {
-            invocation.changeId = newChangeId();
-        }
-        return run(invocation);
+        return run(argc, argv);
     } catch (const cxxopts::exceptions::exception &error) {
-        std::cerr << "ibisforkctl: " << error.what() << '\n';
-        return exitUsage;
+        return fail(error, ctl::exitcode::usage);
+    } catch (const ctl::UsageError &error) {
+        return fail(error, ctl::exitcode::usage);
     } catch (const std::exception &error) {
-        std::cerr << "ibisforkctl: " << error.what() << '\n';
-        return exitFailure;
+        return fail(error, ctl::exitcode::failure);
     }
 }
--- /dev/null
+++ b/src/ctl/nodecommands.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "ctl/invocation.h"
+
+namespace ibisfork::ctl {
+
+/// Prints why a request, named by the argument, was routed as it was.
+int explain(const Invocation &invocation);
+
+/// Prints a picture of the fleet.
+int status(const Invocation &invocation);
+
+} // namespace ibisfork::ctl
