--- /dev/null
+++ b/src/coord/acceptance.cpp
@@ -0,0 +1,159 @@
+#include <ibisfork/coord/acceptance.h>
+
+#include <algorithm>
+
+namespace ibisfork::coord {
+
+namespace {
+
+/// Part of a bound by which it is drawn out against clocks of unlike rates.
+constexpr int clockDriftDivisor = 100;
+
+} // namespace
+
+Acceptance::Acceptance(base::Duration confirmWithin)
+    : m_lapse(confirmWithin + confirmWithin / clockDriftDivisor)
+    , m_lists{{0, {}}}
+{ }
+
+void Acceptance::restore(Revision accepted, MemberSet members)
+{
+    m_accepted = std::max(m_accepted, accepted);
+    m_newest = std::max(m_newest, accepted);
+    m_lists.clear();
+    m_lists[accepted] = std::move(members);
+}
+
+void Acceptance::membersAt(Revision revision, MemberSet members)
+{
+    m_newest = std::max(m_newest, revision);
+    if (m_lists.empty() || m_lists.rbegin()->second != members) {
+        m_lists[revision] = std::move(members);
+    }
+    prune();
+}
+
+void Acceptance::skippedTo(Revision revision, MemberSet members)
+{
+    m_newest = std::max(m_newest, revision);
+    m_lists.clear();
+    m_lists[revision] = std::move(members);
+}
+
+void Acceptance::acknowledged(const std::string &incarnation, Revision known, base::TimePoint heardAt)
+{
+    auto &heard = m_acknowledged[incarnation];
+    if (known > m_accepted && (heard.empty() || heard.rbegin()->first < known)) {
+        heard.emplace(known, heardAt);
+    }
+}
+
+void Acceptance::ended(const std::string &incarnation, base::TimePoint heardAt)
+{
+    m_ended.emplace(incarnation, heardAt);
+}
+
+void Acceptance::learn(Revision revision)
+{
+    if (revision > m_accepted) {
+        m_accepted = revision;
+        prune();
+    }
+}
+
+Revision Acceptance::accepted(base::TimePoint now)
+{
+    std::set<Revision, std::greater<>> candidates{m_newest};
+    for (const auto &[incarnation, heard] : m_acknowledged) {
+        for (const auto &[revision, at] : heard) {
+            if (revision <= m_newest) {
+                candidates.insert(revision);
+            }
+        }
+    }
+    for (const auto revision : candidates) {
+        if (revision <= m_accepted) {
+            break;
+        }
+        if (holds(revision, now)) {
+            learn(revision);
+            break;
+        }
+    }
+    return m_accepted;
+}
+
+std::vector<std::string> Acceptance::awaited() const
+{
+    std::set<std::string> waiting;
+    if (m_newest <= m_accepted) {
+        return {};
+    }
+    for (const auto &[since, members] : m_lists) {
+        for (const auto &member : members) {
+            if (!m_ended.contains(member) && !acknowledgedAt(member, m_newest)) {
+                waiting.insert(member);
+            }
+        }
+    }
+    return {waiting.begin(), waiting.end()};
+}
+
+bool Acceptance::holds(Revision revision, base::TimePoint now) const
+{
+    // Every list in force from the accepted revision on, up to but without this one, may still confirm somebody.
+    if (m_lists.empty() || m_lists.begin()->first > m_accepted) {
+        return false;
+    }
+    return std::all_of(m_lists.begin(), m_lists.lower_bound(revision), [&](const auto &entry) {
+        return unconfirmable(entry.second, revision, now);
+    });
+}
+
+bool Acceptance::unconfirmable(const MemberSet &members, Revision revision, base::TimePoint now) const
+{
+    std::size_t acknowledged = 0;
+    std::size_t lapsed = 0;
+    for (const auto &member : members) {
+        const auto ended = m_ended.find(member);
+        const auto at = ended != m_ended.end() ? std::optional(ended->second) : acknowledgedAt(member, revision);
+        acknowledged += at ? 1 : 0;
+        // What a member vouched for before may still confirm others for a while.
+        lapsed += at && *at + m_lapse <= now ? 1 : 0;
+    }
+    if (acknowledged == members.size()) {
+        return true;
+    }
+    // No majority is left that could vouch for an older revision, and what those here vouched for before has lapsed.
+    return members.size() - lapsed < majorityOf(members.size());
+}
+
+std::optional<base::TimePoint> Acceptance::acknowledgedAt(const std::string &incarnation, Revision revision) const
+{
+    const auto heard = m_acknowledged.find(incarnation);
+    if (heard == m_acknowledged.end()) {
+        return std::nullopt;
+    }
+    const auto first = heard->second.lower_bound(revision);
+    return first == heard->second.end() ? std::nullopt : std::optional(first->second);
+}
+
+void Acceptance::prune()
+{
+    // The list in force at the accepted revision is still needed for the next one.
+    auto inForce = m_lists.upper_bound(m_accepted);
+    if (inForce != m_lists.begin()) {
+        m_lists.erase(m_lists.begin(), std::prev(inForce));
+    }
+    for (auto &[incarnation, heard] : m_acknowledged) {
+        heard.erase(heard.begin(), heard.upper_bound(m_accepted));
+    }
+    MemberSet listed;
+    for (const auto &[since, members] : m_lists) {
+        listed.insert(members.begin(), members.end());
+    }
+    std::erase_if(m_acknowledged, [&](const auto &entry) { return !listed.contains(entry.first); });
+    std::erase_if(m_ended, [&](const auto &entry) { return !listed.contains(entry.first); });
+}
+
+} // namespace ibisfork::coord
--- /dev/null
+++ b/src/coord/statements.cpp
@@ -0,0 +1,45 @@
+#include <ibisfork/coord/statements.h>
+
+#include <algorithm>
+
+namespace ibisfork::coord {
+
+std::size_t majorityOf(std::size_t members)
+{
+    return members / 2 + 1;
+}
+
+void Statements::note(const std::string &incarnation, Revision known, base::TimePoint asOf)
+{
+    auto &statement = m_statements[incarnation];
+    if (known > statement.known) {
+        statement = {known, asOf};
+    } else if (known == statement.known) {
+        statement.asOf = std::max(statement.asOf, asOf);
+    }
+}
+
+std::optional<base::TimePoint> Statements::majorityAsOf(const MemberSet &members, Revision held) const
+{
+    std::vector<base::TimePoint> instants;
+    for (const auto &member : members) {
+        const auto statement = m_statements.find(member);
+        if (statement != m_statements.end() && statement->second.known <= held) {
+            instants.push_back(statement->second.asOf);
+        }
+    }
+    const auto wanted = majorityOf(members.size());
+    if (instants.size() < wanted) {
+        return std::nullopt;
+    }
+    const auto last = instants.begin() + static_cast<std::ptrdiff_t>(wanted) - 1;
+    std::nth_element(instants.begin(), last, instants.end(), std::greater<>());
+    return *last;
+}
+
+void Statements::keepOnly(const MemberSet &members)
+{
+    std::erase_if(m_statements, [&members](const auto &entry) { return !members.contains(entry.first); });
+}
+
+} // namespace ibisfork::coord
