Let exceptions take effect and check configurations as a whole

Cause: an exception was stored but overrode nothing, and a name that led nowhere or an unreadable row was written to the table as it came. Rows are read one by one, so two changes that are each readable can't make an unreadable revision together; names that lead nowhere are passed over when rows are read.

--- a/include/ibisfork/fleet/config.h
+++ b/include/ibisfork/fleet/config.h
@@ -115,6 +115,15 @@
     bool cascade = true;
 };
 
+/// What the numbers of the rules may be.
+namespace rulelimit {
+inline constexpr double highestCost = 1e12;
+inline constexpr double lowestShare = 0.001;
+inline constexpr double highestShare = 1000.0;
+inline constexpr int lowestPriority = 0;
+inline constexpr int highestPriority = 9;
+} // namespace rulelimit
+
 /// A customer: its keys, the versions and services it may use, and its rules.
 struct Workspace
 {
--- a/include/ibisfork/fleet/rows.h
+++ b/include/ibisfork/fleet/rows.h
@@ -19,10 +19,11 @@
 inline constexpr const char *member = "member/";
 } // namespace rowprefix
 
-/// The typed form of @p snapshot. Throws ConfigError that names the row.
-Config configFromRows(const coord::Snapshot &snapshot);
+/// The typed form of @p snapshot with the exceptions that hold on @p day (YYYY-MM-DD, UTC; all where it is empty).
+/// Names that lead nowhere are passed over; throws ConfigError that names the row for one that can't be read.
+Config configFromRows(const coord::Snapshot &snapshot, const std::string &day = {});
 
-/// The rows that stand for @p config.
+/// The rows that stand for @p config, whose rules must not hold exceptions yet.
 coord::Rows rowsFromConfig(const Config &config);
 
 std::string versionRow(const Version &version);
--- a/src/fleet/rows.cpp
+++ b/src/fleet/rows.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include <ibisfork/fleet/exceptions.h>
+#include <ibisfork/fleet/rules.h>
 
 namespace ibisfork::fleet {
 
@@ -111,12 +112,14 @@
 
 Exception exceptionFrom(const std::string &id, const Json &row)
 {
-    return {id,
-            row.at("workspace").get<std::string>(),
-            row.at("field").get<std::string>(),
-            row.at("value").get<std::string>(),
-            row.at("reason").get<std::string>(),
-            row.value("until", std::string())};
+    Exception exception{id,
+                        row.at("workspace").get<std::string>(),
+                        row.at("field").get<std::string>(),
+                        row.at("value").get<std::string>(),
+                        row.at("reason").get<std::string>(),
+                        row.value("until", std::string())};
+    checkException(exception);
+    return exception;
 }
 
 Member memberFrom(const std::string &node, const Json &row)
@@ -161,7 +164,7 @@
     return {text.substr(0, at), text.substr(at + 1)};
 }
 
-Config configFromRows(const coord::Snapshot &snapshot)
+Config configFromRows(const coord::Snapshot &snapshot, const std::string &day)
 {
     Config config;
     config.revision = snapshot.revision;
@@ -188,6 +191,7 @@
     readRows(rows, rowprefix::member, [&](const std::string &node, const Json &row) {
         config.members[node] = memberFrom(node, row);
     });
+    applyExceptions(config, day);
     return config;
 }
 
--- a/src/fleet/yaml.cpp
+++ b/src/fleet/yaml.cpp
@@ -5,8 +5,10 @@
 #include <fmt/format.h>
 
 #include "yaml/yamlfields.h"
+#include <ibisfork/fleet/check.h>
 #include <ibisfork/fleet/digest.h>
 #include <ibisfork/fleet/exceptions.h>
+#include <ibisfork/fleet/rules.h>
 
 namespace ibisfork::fleet {
 
@@ -98,6 +100,7 @@
     exception.value = fields.required<std::string>("value", "a value of that field");
     exception.reason = fields.required<std::string>("reason", "the written reason");
     exception.until = fields.optional("until", std::string(), "YYYY-MM-DD");
+    checkException(exception);
     return exception;
 }
 
@@ -112,6 +115,18 @@
     }
 }
 
+template<typename Key, typename Value>
+void addOnce(std::map<Key, Value> &values,
+             const Key &key,
+             const std::string &name,
+             const Value &value,
+             const char *kind)
+{
+    if (!values.emplace(key, value).second) {
+        throw ConfigError(fmt::format(errormessage::givenTwice, kind, name));
+    }
+}
+
 Config read(const std::string &text)
 {
     Config config;
@@ -121,25 +136,26 @@
     defaults.refuseUnknown();
     readList(document, "versions", [&](YamlFields &fields) {
         const auto version = versionFrom(fields);
-        config.versions[version.id] = version;
+        addOnce(config.versions, version.id, version.id.text(), version, "version");
     });
     readList(document, "workspaces", [&](YamlFields &fields) {
         const auto workspace = workspaceFrom(fields, config.defaults);
-        config.workspaces[workspace.name] = workspace;
+        addOnce(config.workspaces, workspace.name, workspace.name, workspace, "workspace");
     });
     readList(document, "upstreams", [&](YamlFields &fields) {
         const auto upstream = upstreamFrom(fields);
-        config.upstreams[upstream.id] = upstream;
+        addOnce(config.upstreams, upstream.id, upstream.id, upstream, "upstream");
     });
     readList(document, "failure_domains", [&](YamlFields &fields) {
         const auto domain = failureDomainFrom(fields);
-        config.failureDomains[domain.name] = domain;
+        addOnce(config.failureDomains, domain.name, domain.name, domain, "failure domain");
     });
     readList(document, "exceptions", [&](YamlFields &fields) {
         const auto exception = exceptionFrom(fields);
-        config.exceptions[exception.id] = exception;
+        addOnce(config.exceptions, exception.id, exception.id, exception, "exception");
     });
     document.refuseUnknown();
+    checkWhole(config);
     return config;
 }
 
--- a/src/fleettask/fleettask.cpp
+++ b/src/fleettask/fleettask.cpp
@@ -6,6 +6,7 @@
 #include <ibisfork/base/overloaded.h>
 #include <ibisfork/fleet/exceptions.h>
 #include <ibisfork/fleet/rows.h>
+#include <ibisfork/fleet/rules.h>
 
 namespace ibisfork::fleettask {
 
@@ -60,6 +61,9 @@
     publishConfirmation();
     if (head.revision > m_replica.revision()) {
         catchUp();
+    } else if (m_day != fleet::today()) {
+        // Exceptions end with their day.
+        publishConfig();
     } else {
         joinOnce();
     }
@@ -109,8 +113,9 @@
 void FleetTask::publishConfig()
 {
     m_revisionGauge.set(static_cast<std::int64_t>(m_replica.revision()));
+    m_day = fleet::today();
     try {
-        auto config = std::make_shared<const fleet::Config>(fleet::configFromRows(m_replica.snapshot()));
+        auto config = std::make_shared<const fleet::Config>(fleet::configFromRows(m_replica.snapshot(), m_day));
         LogLine(LogLevel::Info, "config").field("revision", config->revision).field("members", config->members.size());
         m_publish(ConfigUpdate{std::move(config)});
         publishConfirmation();
--- a/src/fleettask/fleettask.h
+++ b/src/fleettask/fleettask.h
@@ -54,6 +54,8 @@
     platform::FleetStore m_store;
     coord::Replica m_replica;
     coord::Confirmation m_confirmation;
+    /// The day whose exceptions hold.
+    std::string m_day;
     bool m_catchingUp = false;
     bool m_joining = false;
     net::Timer m_pollTimer;
--- a/src/operators/operatorstask.cpp
+++ b/src/operators/operatorstask.cpp
@@ -4,6 +4,8 @@
 
 #include <ibisfork/base/log.h>
 #include <ibisfork/base/names.h>
+#include <ibisfork/fleet/check.h>
+#include <ibisfork/fleet/exceptions.h>
 
 namespace ibisfork::operators {
 
@@ -120,10 +122,24 @@
 
 void OperatorsTask::submitChange(const net::HttpServerRequest &request)
 {
-    auto change = changeFrom(request.request.body);
-    const auto id = change.id;
+    const auto change = changeFrom(request.request.body);
     const auto reply = request.reply;
-    m_ports.fleet(fleettask::SubmitChange{std::move(change), [this, id, reply](platform::ChangeOutcome outcome) {
+    m_ports.fleet(fleettask::ReadRows{[this, change, reply](const coord::Snapshot &held) {
+        try {
+            fleet::checkChange(held.rows, change.rows);
+            commitChange(reply, change);
+        } catch (const fleet::ConfigError &error) {
+            m_mailbox.post([reply, text = std::string(error.what())] {
+                sendJson(*reply, statusBadRequest, {{"state", "refused"}, {"error", text}});
+            });
+        }
+    }});
+}
+
+void OperatorsTask::commitChange(const Reply &reply, const coord::Change &change)
+{
+    const auto id = change.id;
+    m_ports.fleet(fleettask::SubmitChange{change, [this, id, reply](platform::ChangeOutcome outcome) {
                                               m_mailbox.post([id, reply, outcome] {
                                                   const Json answer{
                                                       {"id", id},
--- a/src/operators/operatorstask.h
+++ b/src/operators/operatorstask.h
@@ -37,6 +37,7 @@
     void onRequest(const net::HttpServerRequest &request);
     void route(const net::HttpServerRequest &request);
     void submitChange(const net::HttpServerRequest &request);
+    void commitChange(const Reply &reply, const coord::Change &change);
     void readRows(const Reply &reply);
     void readHistory(const Reply &reply, const std::string &after);
     void explain(const Reply &reply, const std::string &requestId);
