--- a/src/caller/refusal.cpp
+++ b/src/caller/refusal.cpp
@@ -14,7 +14,7 @@
     int status;
 };
 
-constexpr std::array<RefusalRow, 15> refusalTable{{
+constexpr std::array<RefusalRow, 18> refusalTable{{
     {RefusalCode::BadRequest, "bad_request", "invalid_request_error", 400},
     {RefusalCode::BadKey, "bad_key", "authentication_error", 401},
     {RefusalCode::NotPermitted, "not_permitted", "permission_error", 403},
@@ -30,6 +30,9 @@
     {RefusalCode::InProgress, "in_progress", "conflict_error", 409},
     {RefusalCode::Poison, "poison", "invalid_request_error", 422},
     {RefusalCode::ClaimsUnavailable, "claims_unavailable", "unavailable_error", 503},
+    {RefusalCode::BadSession, "bad_session", "session_error", 400},
+    {RefusalCode::TooLarge, "too_large", "invalid_request_error", 413},
+    {RefusalCode::Internal, "internal", "server_error", 500},
 }};
 
 const RefusalRow &rowOf(RefusalCode code)
@@ -52,12 +55,13 @@
 std::string refusalBody(const Refusal &refusal)
 {
     const auto &row = rowOf(refusal.code);
+    // Messages may quote what the caller sent, which need not be UTF-8.
     return nlohmann::json{{"error",
                            {{"type", row.type},
                             {"code", row.name},
                             {"message", refusal.message},
                             {"run", base::nameOf(runStateNames, refusal.run)}}}}
-        .dump();
+        .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 void sendRefusal(net::HttpReply &reply, const Refusal &refusal, net::HttpHeaders headers)
--- a/src/caller/refusal.h
+++ b/src/caller/refusal.h
@@ -32,6 +32,9 @@
     InProgress,
     Poison,
     ClaimsUnavailable,
+    BadSession,
+    TooLarge,
+    Internal,
 };
 
 /// An error answer to a caller.
--- a/src/net/httpcall.cpp
+++ b/src/net/httpcall.cpp
@@ -1,5 +1,7 @@
 #include "net/httpcall.h"
 
+#include <cerrno>
+
 #include <sys/queue.h>
 
 #include <event2/keyvalq_struct.h>
@@ -81,11 +83,28 @@
     bool bodyless = false;
     bool finished = false;
     bool abandoned = false;
+    bool connectTimedOut = false;
+    EventPtr connectTimer;
 
     static void onOutput(evbuffer *, const evbuffer_cb_info *info, void *self)
     {
         if (info->n_deleted > 0) {
-            static_cast<State *>(self)->bytesLeft = true;
+            auto *state = static_cast<State *>(self);
+            state->bytesLeft = true;
+            event_del(state->connectTimer.get());
+        }
+    }
+
+    static void onConnectTimeout(evutil_socket_t, short, void *self)
+    {
+        auto *state = static_cast<State *>(self);
+        if (!state->bytesLeft && !state->finished) {
+            state->connectTimedOut = true;
+            // A cancelled request is not called back.
+            if (state->request != nullptr) {
+                evhttp_cancel_request(state->request);
+            }
+            onDone(nullptr, self);
         }
     }
 
@@ -123,13 +142,18 @@
     static void onDone(evhttp_request *request, void *self)
     {
         auto *state = static_cast<State *>(self);
-        state->finished = true;
+        if (std::exchange(state->finished, true)) {
+            return;
+        }
+        // The loop's last socket error is the one of this connect.
+        const int error = errno;
+        event_del(state->connectTimer.get());
         if (state->abandoned || !state->handlers.done) {
             return;
         }
         const auto done = state->handlers.done;
         if (request == nullptr || evhttp_request_get_response_code(request) == 0) {
-            done(HttpFailure{state->failureKind(), state->bytesLeft});
+            done(HttpFailure{state->failureKind(error), state->bytesLeft});
             return;
         }
         if (evbuffer_get_length(evhttp_request_get_input_buffer(request)) > 0) {
@@ -141,7 +165,13 @@
     }
 
     /// A failure before any byte left is one of the connect, whatever libevent calls it.
-    HttpFailureKind failureKind() const { return bytesLeft ? failure : HttpFailureKind::Connect; }
+    HttpFailureKind failureKind(int error) const
+    {
+        if (bytesLeft) {
+            return failure;
+        }
+        return error == ECONNREFUSED && !connectTimedOut ? HttpFailureKind::Refused : HttpFailureKind::Connect;
+    }
 
     /// Without a length or chunks the end of a cut answer looks like the end of a whole one.
     bool framed() const
@@ -163,7 +193,7 @@
 HttpCall::HttpCall(event_base *base,
                    const Address &address,
                    HttpRequest request,
-                   base::Duration silence,
+                   const HttpTimeouts &timeouts,
                    HttpCallHandlers handlers)
     : m_state(new State)
 {
@@ -171,13 +201,17 @@
     m_state->handlers = std::move(handlers);
     m_state->bodyless = request.method == HttpMethod::Head;
     m_state->connection = evhttp_connection_base_new(base, nullptr, address.ip.c_str(), address.port);
-    const timeval timeout = timevalOf(silence);
+    const timeval timeout = timevalOf(timeouts.silence);
     evhttp_connection_set_timeout_tv(m_state->connection, &timeout);
     evhttp_connection_set_retries(m_state->connection, 0);
     evhttp_connection_set_max_headers_size(m_state->connection, maxResponseHeaders);
     evbuffer_add_cb(
         bufferevent_get_output(evhttp_connection_get_bufferevent(m_state->connection)), &State::onOutput, m_state);
 
+    m_state->connectTimer.reset(event_new(base, -1, 0, &State::onConnectTimeout, m_state));
+    const timeval connectTimeout = timevalOf(timeouts.connect);
+    event_add(m_state->connectTimer.get(), &connectTimeout);
+
     m_state->request = evhttp_request_new(&State::onDone, m_state);
     evhttp_request_set_error_cb(m_state->request, &State::onError);
     evhttp_request_set_header_cb(m_state->request, &State::onHeaders);
@@ -189,14 +223,20 @@
     evhttp_add_header(headers, "Host", address.text().c_str());
     evhttp_add_header(headers, "Connection", "close");
     evbuffer_add(evhttp_request_get_output_buffer(m_state->request), request.body.data(), request.body.size());
-    evhttp_make_request(m_state->connection, m_state->request, commandOf(request.method), request.path.c_str());
+    const auto command = commandOf(request.method);
+    if (evhttp_make_request(m_state->connection, m_state->request, command, request.path.c_str()) != 0) {
+        // libevent calls nothing back then, so the failure is told from the loop.
+        m_state->request = nullptr;
+        const timeval now{0, 0};
+        event_add(m_state->connectTimer.get(), &now);
+    }
 }
 
 HttpCall::~HttpCall()
 {
-    // The caller may be inside a callback of the connection, so it is freed from the loop.
+    // The owner may be inside a handler, so the handlers and the connection are freed from the loop.
     m_state->abandoned = true;
-    m_state->handlers = {};
+    event_del(m_state->connectTimer.get());
     const timeval now{0, 0};
     event_base_once(m_state->base, -1, EV_TIMEOUT, &State::destroy, m_state, &now);
 }
@@ -223,7 +263,7 @@
 std::unique_ptr<HttpCall> fetch(event_base *base,
                                 const Address &address,
                                 HttpRequest request,
-                                base::Duration silence,
+                                const HttpTimeouts &timeouts,
                                 std::function<void(const std::variant<HttpResponse, HttpFailure> &)> done)
 {
     const auto body = std::make_shared<std::string>();
@@ -245,7 +285,7 @@
             done(HttpResponse{std::get<HttpHead>(outcome), std::move(*body)});
         }
     };
-    return std::make_unique<HttpCall>(base, address, std::move(request), silence, std::move(handlers));
+    return std::make_unique<HttpCall>(base, address, std::move(request), timeouts, std::move(handlers));
 }
 
 } // namespace ibisfork::net
--- a/src/net/httpcall.h
+++ b/src/net/httpcall.h
@@ -16,6 +16,23 @@
 /// How a call ended: the head of a complete answer, or a failure.
 using HttpOutcome = std::variant<HttpHead, HttpFailure>;
 
+/// Bounds on the connect and on each wait for bytes after it.
+struct HttpTimeouts
+{
+    base::Duration connect{};
+    base::Duration silence{};
+
+    HttpTimeouts(base::Duration connectWithin, base::Duration silenceWithin)
+        : connect(connectWithin)
+        , silence(silenceWithin)
+    { }
+    /// The same bound for both.
+    template<typename Rep, typename Period>
+    HttpTimeouts(std::chrono::duration<Rep, Period> both)
+        : HttpTimeouts(both, both)
+    { }
+};
+
 struct HttpCallHandlers
 {
     std::function<void(const HttpHead &)> head;
@@ -24,15 +41,14 @@
     std::function<void(const HttpOutcome &)> done;
 };
 
-/// One request on a connection of its own. Destroying it cancels it.
+/// One request on a connection of its own. Destroying it cancels it; that may be done from its handlers.
 class HttpCall
 {
 public:
-    /// @p silence bounds the connect and each wait for bytes.
     HttpCall(event_base *base,
              const Address &address,
              HttpRequest request,
-             base::Duration silence,
+             const HttpTimeouts &timeouts,
              HttpCallHandlers handlers);
     ~HttpCall();
     HttpCall(const HttpCall &) = delete;
@@ -53,7 +69,7 @@
 std::unique_ptr<HttpCall> fetch(event_base *base,
                                 const Address &address,
                                 HttpRequest request,
-                                base::Duration silence,
+                                const HttpTimeouts &timeouts,
                                 std::function<void(const std::variant<HttpResponse, HttpFailure> &)> done);
 
 } // namespace ibisfork::net
--- a/src/net/httpmessage.h
+++ b/src/net/httpmessage.h
@@ -45,7 +45,8 @@
     std::string body;
 };
 
-enum class HttpFailureKind { Connect, Timeout, Closed, Malformed, TooLong };
+/// Refused: nobody listens at the address. Connect: the connection was not made for another reason.
+enum class HttpFailureKind { Refused, Connect, Timeout, Closed, Malformed, TooLong };
 
 /// Why no whole answer came, and whether a byte of the request may have left.
 struct HttpFailure
--- a/src/net/libevent.cpp
+++ b/src/net/libevent.cpp
@@ -10,7 +10,11 @@
 
 void EventBaseDeleter::operator()(event_base *base) const
 {
-    event_base_loop(base, EVLOOP_NONBLOCK);
+    // What is put off may put off more.
+    constexpr int rounds = 4;
+    for (int round = 0; round < rounds; ++round) {
+        event_base_loop(base, EVLOOP_NONBLOCK);
+    }
     event_base_free(base);
 }
 
--- a/src/serving/chatanswer.cpp
+++ b/src/serving/chatanswer.cpp
@@ -29,6 +29,7 @@
 void ChatAnswer::begin(const std::string &version, const net::HttpHeaders &headers)
 {
     m_version = version;
+    m_text.clear();
     m_headers = headers;
     m_headers.add("Content-Type", m_stream ? "text/event-stream" : "application/json");
     if (m_stream) {
--- a/src/serving/chatanswer.h
+++ b/src/serving/chatanswer.h
@@ -13,7 +13,7 @@
 public:
     ChatAnswer(net::HttpReply &reply, std::string requestId, bool stream);
 
-    /// Names the version before the first piece and the headers that go with the answer.
+    /// Names the version before the first piece and the headers that go with the answer. A JSON answer may begin anew.
     void begin(const std::string &version, const net::HttpHeaders &headers);
     void piece(const std::string &text);
     void finish(const upstream::EngineUsage &usage);
--- a/src/serving/chatrequest.cpp
+++ b/src/serving/chatrequest.cpp
@@ -9,6 +9,22 @@
 
 using Json = nlohmann::json;
 
+namespace {
+
+template<typename Number>
+Number numberFrom(const std::string &text, const char *message)
+{
+    Number number = 0;
+    const auto *last = text.data() + text.size();
+    const auto result = std::from_chars(text.data(), last, number);
+    if (result.ec != std::errc() || result.ptr != last) {
+        throw RequestError(message);
+    }
+    return number;
+}
+
+} // namespace
+
 ChatRequest parseChatRequest(const std::string &body)
 {
     try {
@@ -37,17 +53,25 @@
     return value.starts_with(prefix) ? value.substr(prefix.size()) : std::string();
 }
 
+int priorityOf(const net::HttpHeaders &headers, int most)
+{
+    const auto text = headers.find("X-Priority");
+    if (!text) {
+        return most;
+    }
+    return std::min(most, numberFrom<int>(*text, "X-Priority must be a whole number"));
+}
+
 base::Duration deadlineOf(const net::HttpHeaders &headers, base::Duration fallback)
 {
     const auto text = headers.find("X-Deadline-Ms");
     if (!text) {
         return fallback;
     }
-    unsigned milliseconds = 0;
-    const auto *last = text->data() + text->size();
-    const auto result = std::from_chars(text->data(), last, milliseconds);
-    if (result.ec != std::errc() || result.ptr != last || milliseconds == 0) {
-        throw RequestError("X-Deadline-Ms must be a positive number of milliseconds");
+    const char *message = "X-Deadline-Ms must be a positive number of milliseconds";
+    const auto milliseconds = numberFrom<std::uint32_t>(*text, message);
+    if (milliseconds == 0) {
+        throw RequestError(message);
     }
     return std::min(fallback, base::Duration(std::chrono::milliseconds(milliseconds)));
 }
--- a/src/serving/chatrequest.h
+++ b/src/serving/chatrequest.h
@@ -34,6 +34,10 @@
 /// The bearer key in @p headers, or an empty text.
 std::string bearerKey(const net::HttpHeaders &headers);
 
+/// The priority that the caller gives, from X-Priority; at most @p most, which also stands where it gives none. Throws
+/// RequestError.
+int priorityOf(const net::HttpHeaders &headers, int most);
+
 /// The time that the caller gives, from X-Deadline-Ms; @p fallback where it gives none. Throws RequestError.
 base::Duration deadlineOf(const net::HttpHeaders &headers, base::Duration fallback);
 
--- a/src/serving/context.h
+++ b/src/serving/context.h
@@ -5,11 +5,14 @@
 
 #include <ibisfork/base/clock.h>
 #include <ibisfork/base/metrics.h>
+#include <ibisfork/coord/retrybudget.h>
 #include <ibisfork/fleet/config.h>
 
 #include "net/libevent.h"
 #include "routing/router.h"
 #include "serving/decisionlog.h"
+#include "serving/requestrecord.h"
+#include "serving/streamcanceller.h"
 #include "settings/settings.h"
 #include "upstream/limitbook.h"
 
@@ -38,8 +41,13 @@
         , settings(nodeSettings)
         , metrics(registry)
         , decisions(log)
+        , canceller(eventBase, upstreamTimeouts())
     { }
 
+    net::HttpTimeouts upstreamTimeouts() const
+    {
+        return {settings.timing.connectTimeout, settings.timing.upstreamSilence};
+    }
     /// Whether new work may be dispatched under the view held.
     bool confirmed(base::TimePoint now) const { return view && now < confirmedUntil; }
 
@@ -50,6 +58,11 @@
     std::shared_ptr<const FleetView> view;
     base::TimePoint confirmedUntil{};
     upstream::LimitBook limits;
+    StreamCanceller canceller;
+    coord::RetryBudget retries;
+    /// Last known incarnation of each engine, by upstream.
+    std::map<std::string, std::string> incarnations;
+    Recorder recorder = recordNothing;
 };
 
 } // namespace ibisfork::serving
--- /dev/null
+++ b/src/serving/enginerun.cpp
@@ -0,0 +1,248 @@
+#include "serving/enginerun.h"
+
+#include <random>
+
+#include <nlohmann/json.hpp>
+
+#include "net/deletelater.h"
+
+namespace ibisfork::serving {
+
+using upstream::EngineFailure;
+using upstream::EngineFailureKind;
+
+namespace {
+
+constexpr int maxBreaks = 16;
+constexpr int maxBreaksSincePiece = 4;
+constexpr std::chrono::milliseconds resumeStep{50};
+
+constexpr int firstClientError = 400;
+constexpr int statusTooMany = 429;
+constexpr int firstServerError = 500;
+constexpr int statusUnavailable = 503;
+
+/// None for the first try, then growing, with jitter so that many streams don't come back at once.
+base::Duration resumeDelay(int breaks)
+{
+    if (breaks <= 1) {
+        return base::Duration::zero();
+    }
+    thread_local std::mt19937 random{std::random_device{}()};
+    const double most = static_cast<double>(resumeStep.count()) * static_cast<double>(1U << (breaks - 2));
+    const auto wait = std::uniform_real_distribution(most / 2, most)(random);
+    return std::chrono::duration_cast<base::Duration>(std::chrono::duration<double, std::milli>(wait));
+}
+
+RunFailureKind kindOfRefusal(int status)
+{
+    if (status >= firstClientError && status < firstServerError && status != statusTooMany) {
+        return RunFailureKind::Rejected;
+    }
+    // Other errors of a server don't say whether the request ran.
+    return status == statusUnavailable || status == statusTooMany ? RunFailureKind::NotRun : RunFailureKind::Unknown;
+}
+
+} // namespace
+
+EngineRun::EngineRun(event_base *base,
+                     StreamCanceller &canceller,
+                     net::Address address,
+                     const upstream::EngineRequest &request,
+                     const net::HttpTimeouts &timeouts,
+                     std::string knownIncarnation,
+                     EngineRunHandlers handlers)
+    : m_base(base)
+    , m_canceller(canceller)
+    , m_address(std::move(address))
+    , m_timeouts(timeouts)
+    , m_knownIncarnation(std::move(knownIncarnation))
+    , m_handlers(std::move(handlers))
+    , m_resumeTimer(base, [this] { resume(); })
+    , m_self(std::make_shared<EngineRun *>(this))
+{
+    m_stream = upstream::EngineStream::start(base, m_address, request, timeouts, streamHandlers());
+}
+
+EngineRun::~EngineRun()
+{
+    stop();
+}
+
+void EngineRun::stop()
+{
+    *m_self = nullptr;
+    m_resumeTimer.stop();
+    m_probe.reset();
+    dropStream();
+}
+
+upstream::EngineStreamHandlers EngineRun::streamHandlers()
+{
+    upstream::EngineStreamHandlers handlers;
+    handlers.greeting = [this](const upstream::EngineGreeting &greeting) {
+        onGreeting(greeting);
+    };
+    handlers.token = [this](std::uint64_t, const std::string &text) {
+        onToken(text);
+    };
+    handlers.end = [this](const upstream::EngineUsage &usage) {
+        onEnd(usage);
+    };
+    handlers.failed = [this](const EngineFailure &failure) {
+        onBroken(failure);
+    };
+    return handlers;
+}
+
+void EngineRun::onGreeting(const upstream::EngineGreeting &greeting)
+{
+    m_point.greeting = greeting;
+    m_knownIncarnation = greeting.incarnation;
+    const auto handler = m_handlers.greeting;
+    handler(greeting.incarnation);
+}
+
+void EngineRun::onToken(const std::string &text)
+{
+    ++m_point.offset;
+    m_breaksSincePiece = 0;
+    const auto handler = m_handlers.token;
+    handler(text);
+}
+
+void EngineRun::onEnd(const upstream::EngineUsage &usage)
+{
+    m_finished = true;
+    const auto handler = m_handlers.end;
+    handler(usage);
+}
+
+void EngineRun::onBroken(const EngineFailure &failure)
+{
+    dropStream();
+    if (m_breaks == 0 && m_point.greeting.streamId.empty()) {
+        onNotStarted(failure);
+    } else {
+        onNotResumed(failure);
+    }
+}
+
+void EngineRun::onNotStarted(const EngineFailure &failure)
+{
+    switch (failure.kind) {
+    case EngineFailureKind::NotSent:
+        fail({RunFailureKind::NotRun, failure.status});
+        return;
+    case EngineFailureKind::Refused:
+        fail({kindOfRefusal(failure.status), failure.status});
+        return;
+    default:
+        probe();
+    }
+}
+
+void EngineRun::onNotResumed(const EngineFailure &failure)
+{
+    if (failure.kind == EngineFailureKind::OtherIncarnation || failure.connectRefused) {
+        fail({RunFailureKind::Crashed, failure.status});
+    } else if (failure.kind == EngineFailureKind::Refused) {
+        probe();
+    } else {
+        scheduleResume();
+    }
+}
+
+void EngineRun::scheduleResume()
+{
+    ++m_breaks;
+    ++m_breaksSincePiece;
+    if (m_breaks > maxBreaks || m_breaksSincePiece > maxBreaksSincePiece) {
+        giveUp();
+        return;
+    }
+    m_resumeTimer.startOnce(resumeDelay(m_breaksSincePiece));
+}
+
+void EngineRun::resume()
+{
+    m_stream = upstream::EngineStream::resume(m_base, m_address, m_point, m_timeouts, streamHandlers());
+    if (m_paused) {
+        m_stream->pauseReading();
+    }
+}
+
+void EngineRun::probe()
+{
+    net::HttpRequest request;
+    request.path = "/v1/load";
+    const net::HttpTimeouts timeouts(m_timeouts.connect, m_timeouts.connect);
+    m_probe = net::fetch(
+        m_base, m_address, std::move(request), timeouts, [this](const auto &outcome) { onProbed(outcome); });
+}
+
+void EngineRun::onProbed(const std::variant<net::HttpResponse, net::HttpFailure> &outcome)
+{
+    if (const auto *failure = std::get_if<net::HttpFailure>(&outcome)) {
+        const bool gone = failure->kind == net::HttpFailureKind::Refused;
+        fail({gone ? RunFailureKind::Crashed : RunFailureKind::Unknown, 0});
+        return;
+    }
+    const auto load = nlohmann::json::parse(std::get<net::HttpResponse>(outcome).body, nullptr, false);
+    const bool named = load.is_object() && load.contains("incarnation") && load.at("incarnation").is_string();
+    const bool other
+        = named && !m_knownIncarnation.empty() && load.at("incarnation").get<std::string>() != m_knownIncarnation;
+    if (other) {
+        fail({RunFailureKind::Crashed, 0});
+    } else if (!m_point.greeting.streamId.empty()) {
+        giveUp();
+    } else {
+        fail({RunFailureKind::Unknown, 0});
+    }
+}
+
+void EngineRun::giveUp()
+{
+    if (m_point.greeting.streamId.empty()) {
+        fail({RunFailureKind::Unknown, 0});
+        return;
+    }
+    m_canceller.cancel(m_address, m_point.greeting.streamId, [self = m_self](bool stopped) {
+        if (*self != nullptr) {
+            (*self)->fail({stopped ? RunFailureKind::Stopped : RunFailureKind::Unknown, 0});
+        }
+    });
+}
+
+void EngineRun::fail(const RunFailure &failure)
+{
+    m_finished = failure.kind != RunFailureKind::Unknown;
+    const auto handler = m_handlers.failed;
+    handler(failure);
+}
+
+void EngineRun::pauseReading()
+{
+    m_paused = true;
+    if (m_stream) {
+        m_stream->pauseReading();
+    }
+}
+
+void EngineRun::resumeReading()
+{
+    m_paused = false;
+    if (m_stream) {
+        m_stream->resumeReading();
+    }
+}
+
+void EngineRun::dropStream()
+{
+    if (m_stream) {
+        m_stream->stop();
+        net::deleteLater(m_base, std::move(m_stream));
+    }
+}
+
+} // namespace ibisfork::serving
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -1,9 +1,13 @@
 #include "serving/exchange.h"
 
+#include <random>
+
 #include <fmt/format.h>
 
 #include <ibisfork/base/log.h>
 
+#include "net/deletelater.h"
+
 namespace ibisfork::serving {
 
 using base::LogLevel;
@@ -15,6 +19,15 @@
 
 constexpr std::size_t maxAttempts = 2;
 constexpr int retryAfterSeconds = 1;
+constexpr std::chrono::milliseconds maxRetryDelay{20};
+
+/// Spread out, so that the requests of a failed upstream don't reach the others in one wave.
+base::Duration retryDelay()
+{
+    thread_local std::mt19937 random{std::random_device{}()};
+    const auto most = base::Duration(maxRetryDelay).count();
+    return base::Duration(std::uniform_int_distribution<base::Duration::rep>(0, most)(random));
+}
 
 std::string leftOutText(const std::vector<routing::LeftOut> &leftOut)
 {
@@ -31,67 +44,88 @@
 } // namespace
 
 Exchange::Exchange(Context &context,
-                   std::string requestId,
-                   std::string workspace,
-                   ChatRequest request,
+                   ExchangeRequest request,
                    std::shared_ptr<net::HttpReply> reply,
-                   base::Duration deadline,
                    std::function<void()> done)
     : m_context(context)
-    , m_requestId(std::move(requestId))
-    , m_workspace(std::move(workspace))
     , m_request(std::move(request))
     , m_reply(std::move(reply))
     , m_done(std::move(done))
-    , m_answer(*m_reply, m_requestId, m_request.stream)
+    , m_answer(*m_reply, m_request.id, m_request.chat.stream)
+    , m_backPressure(context.base,
+                     *m_reply,
+                     context.settings.limits.maxStreamBuffer,
+                     [this](bool paused) { paused ? m_run->pauseReading() : m_run->resumeReading(); })
     , m_deadline(context.base, [this] { onDeadline(); })
-    , m_deadlineAfter(deadline)
+    , m_retryTimer(context.base, [this] { guarded([this] { dispatch(); }); })
     , m_startedAt(base::monotonicNow())
 { }
 
 Exchange::~Exchange()
 {
+    *m_alive = false;
     release();
 }
 
 void Exchange::start()
 {
     m_reply->onGone([this] { onGone(); });
-    m_deadline.startOnce(m_deadlineAfter);
-    dispatch();
+    m_deadline.startOnce(m_request.deadline);
+    m_context.retries.countFresh(m_request.workspace);
+    guarded([this] { dispatch(); });
+}
+
+template<typename Step>
+void Exchange::guarded(Step step)
+{
+    const auto alive = m_alive;
+    try {
+        step();
+    } catch (const std::exception &error) {
+        LogLine(LogLevel::Error, "request-failed").field("error", error.what());
+        if (*alive) {
+            refuse(RefusalCode::Internal, "the request failed inside this node", 0);
+        }
+    }
 }
 
 void Exchange::dispatch()
 {
     // Checked before every dispatch, since the process may have been paused since the last one.
-    const auto now = base::monotonicNow();
-    if (!m_context.confirmed(now)) {
+    if (!m_context.confirmed(base::monotonicNow())) {
         refuse(RefusalCode::Unconfirmed,
-               m_mayHaveRun ? RunState::Unknown : RunState::NotRun,
                "this node can't confirm that its configuration is the newest",
                retryAfterSeconds);
         return;
     }
     const auto view = m_context.view;
-    const auto workspace = view->config->workspaces.find(m_workspace);
+    const auto workspace = view->config->workspaces.find(m_request.workspace);
     if (workspace == view->config->workspaces.end()) {
-        refuse(RefusalCode::BadKey, RunState::NotRun, "the workspace no longer exists", 0);
+        refuse(RefusalCode::BadKey, "the workspace no longer exists", 0);
         return;
     }
+    route(workspace->second);
+}
+
+void Exchange::route(const fleet::Workspace &workspace)
+{
     routing::RoutingQuery query;
-    query.workspace = &workspace->second;
-    query.model = m_request.model;
+    query.workspace = &workspace;
+    query.model = m_request.chat.model;
     query.tried = m_tried;
     query.failureDomain = m_context.settings.node.failureDomain;
-    const auto decision = view->router.choose(query, [&](const std::string &upstream) {
+    const auto now = base::monotonicNow();
+    const auto decision = m_context.view->router.choose(query, [&](const std::string &upstream) {
         return routing::UpstreamRoom{m_context.limits.free(upstream, now), m_context.limits.running(upstream)};
     });
     logDecision(decision);
+    if (!decision.version && !m_tried.empty()) {
+        refuse(
+            RefusalCode::UpstreamFailed, "the upstream that was tried failed and no other has room", retryAfterSeconds);
+        return;
+    }
     if (!decision.version) {
-        refuse(RefusalCode::NoUpstream,
-               m_mayHaveRun ? RunState::Unknown : RunState::NotRun,
-               "no permitted version has an upstream with room",
-               retryAfterSeconds);
+        refuse(RefusalCode::NoUpstream, "no permitted version has an upstream with room", retryAfterSeconds);
         return;
     }
     send(decision);
@@ -99,85 +133,120 @@
 
 void Exchange::send(const routing::RoutingDecision &decision)
 {
-    m_upstream = decision.upstream;
+    const auto address = net::Address::parse(m_context.view->config->upstreams.at(decision.upstream).address);
     m_version = decision.version->text();
+    const auto body = engineBody(m_request.chat, m_version);
+    m_upstream = decision.upstream;
     m_tried.push_back(m_upstream);
     m_context.limits.started(m_upstream);
+    m_run = std::make_unique<EngineRun>(m_context.base,
+                                        m_context.canceller,
+                                        address,
+                                        upstream::EngineRequest{m_request.id, body, m_request.priority},
+                                        m_context.upstreamTimeouts(),
+                                        m_context.incarnations[m_upstream],
+                                        runHandlers());
+}
 
-    upstream::EngineStreamHandlers handlers;
-    handlers.greeting = [this](const upstream::EngineGreeting &greeting) {
-        m_incarnation = greeting.incarnation;
-        m_context.limits.sawIncarnation(m_upstream, greeting.incarnation, base::monotonicNow());
+EngineRunHandlers Exchange::runHandlers()
+{
+    EngineRunHandlers handlers;
+    handlers.greeting = [this](const std::string &incarnation) {
+        m_context.incarnations[m_upstream] = incarnation;
+        m_context.limits.sawIncarnation(m_upstream, incarnation, base::monotonicNow());
     };
-    handlers.token = [this](std::uint64_t, const std::string &text) {
-        onToken(text);
+    handlers.token = [this](const std::string &text) {
+        guarded([&] { onToken(text); });
     };
     handlers.end = [this](const upstream::EngineUsage &usage) {
-        onEnd(usage);
+        guarded([&] { onEnd(usage); });
     };
-    handlers.failed = [this](const upstream::EngineFailure &failure) {
-        onFailed(failure);
+    handlers.failed = [this](const RunFailure &failure) {
+        guarded([&] { onFailed(failure); });
     };
-    const auto &address = m_context.view->config->upstreams.at(m_upstream).address;
-    m_stream = upstream::EngineStream::start(m_context.base,
-                                             net::Address::parse(address),
-                                             {m_requestId, engineBody(m_request, m_version), 1},
-                                             m_context.settings.timing.upstreamSilence,
-                                             std::move(handlers));
+    return handlers;
 }
 
 void Exchange::onToken(const std::string &text)
 {
+    ++m_pieces;
     if (!m_answering) {
         m_answering = true;
         m_context.metrics.histogram("ibisfork_first_token_seconds")
             .observe(base::toSeconds(base::monotonicNow() - m_startedAt));
         net::HttpHeaders headers;
-        headers.add("X-Request-Id", m_requestId);
+        headers.add("X-Request-Id", m_request.id);
         m_answer.begin(m_version, headers);
     }
     m_answer.piece(text);
+    m_backPressure.wrote();
 }
 
 void Exchange::onEnd(const upstream::EngineUsage &usage)
 {
-    m_answer.finish(usage);
-    m_context.metrics.counter("ibisfork_requests_total", {{"outcome", "answered"}}).add();
-    finish();
+    if (usage.completionTokens != m_pieces) {
+        // The engine counts other pieces than came, so this is not the whole answer.
+        onFailed({RunFailureKind::Unknown, 0});
+        return;
+    }
+    record(RequestOutcome::Answered, usage, [this, usage, alive = m_alive] {
+        if (*alive) {
+            m_answer.finish(usage);
+            count("answered");
+            finish();
+        }
+    });
 }
 
-void Exchange::onFailed(const upstream::EngineFailure &failure)
+void Exchange::onFailed(const RunFailure &failure)
 {
     LogLine(LogLevel::Warning, "upstream-failed")
-        .field("request", m_requestId)
+        .field("request", m_request.id)
         .field("upstream", m_upstream)
+        .field("kind", base::nameOf(runFailureKindNames, failure.kind))
         .field("status", failure.status);
-    const bool ran
-        = failure.kind == upstream::EngineFailureKind::Lost || failure.kind == upstream::EngineFailureKind::Malformed;
-    m_mayHaveRun = m_mayHaveRun || ran;
-    if (ran) {
+    if (failure.kind != RunFailureKind::NotRun && failure.kind != RunFailureKind::Rejected) {
+        m_mayHaveRun = true;
+    }
+    if (failure.kind == RunFailureKind::Crashed) {
         m_context.limits.sawColdStart(m_upstream, base::monotonicNow());
     }
     release();
     if (m_reply->started()) {
-        m_context.metrics.counter("ibisfork_requests_total", {{"outcome", "cut"}}).add();
-        m_reply->abort();
-        finish();
-        return;
+        cut();
+    } else if (failure.kind == RunFailureKind::Rejected) {
+        refuse(RefusalCode::BadRequest, fmt::format("the engine refused the request with {}", failure.status), 0);
+    } else if (failure.kind == RunFailureKind::Unknown) {
+        refuse(RefusalCode::UpstreamFailed, "the answer was lost and could not be resumed", retryAfterSeconds);
+    } else {
+        retry();
     }
-    if (m_tried.size() < maxAttempts) {
-        dispatch();
+}
+
+void Exchange::retry()
+{
+    if (m_tried.size() >= maxAttempts || !m_context.retries.take(m_request.workspace)) {
+        refuse(RefusalCode::UpstreamFailed, "the upstreams that were tried failed", retryAfterSeconds);
         return;
     }
-    refuse(RefusalCode::UpstreamFailed,
-           m_mayHaveRun ? RunState::Unknown : RunState::NotRun,
-           "the upstreams that were tried failed",
-           retryAfterSeconds);
+    m_context.metrics.counter("ibisfork_retries_total").add();
+    m_answering = false;
+    m_pieces = 0;
+    m_retryTimer.startOnce(retryDelay());
+}
+
+void Exchange::cut()
+{
+    count("cut");
+    record(RequestOutcome::Cut, {0, m_pieces}, [] {});
+    m_reply->abort();
+    finish();
 }
 
 void Exchange::onGone()
 {
-    m_context.metrics.counter("ibisfork_requests_total", {{"outcome", "caller-gone"}}).add();
+    count("caller-gone");
+    record(RequestOutcome::CallerGone, {0, m_pieces}, [] {});
     m_reply->abort();
     finish();
 }
@@ -185,24 +254,32 @@
 void Exchange::onDeadline()
 {
     if (m_reply->started()) {
-        m_reply->abort();
-        finish();
+        cut();
         return;
     }
-    const bool mayRun = m_mayHaveRun || m_stream != nullptr;
-    refuse(RefusalCode::DeadlinePassed, mayRun ? RunState::Unknown : RunState::NotRun, "the deadline passed", 0);
+    m_mayHaveRun = m_mayHaveRun || m_run != nullptr;
+    refuse(RefusalCode::DeadlinePassed, "the deadline passed", 0);
 }
 
-void Exchange::refuse(RefusalCode code, RunState run, const std::string &message, int retryAfter)
+void Exchange::refuse(RefusalCode code, const std::string &message, int retryAfter)
 {
+    if (m_reply->started()) {
+        cut();
+        return;
+    }
+    const bool mayHaveRun = m_mayHaveRun || m_run != nullptr;
+    const auto run = mayHaveRun ? RunState::Unknown : RunState::NotRun;
     LogLine(LogLevel::Info, "refuse")
-        .field("request", m_requestId)
-        .field("workspace", m_workspace)
+        .field("request", m_request.id)
+        .field("workspace", m_request.workspace)
         .field("code", caller::nameOf(code))
         .field("run", base::nameOf(caller::runStateNames, run));
-    m_context.metrics.counter("ibisfork_requests_total", {{"outcome", "refused"}}).add();
+    count("refused");
+    if (mayHaveRun) {
+        record(RequestOutcome::Refused, {0, m_pieces}, [] {});
+    }
     net::HttpHeaders headers;
-    headers.add("X-Request-Id", m_requestId);
+    headers.add("X-Request-Id", m_request.id);
     caller::sendRefusal(*m_reply, {code, run, message, retryAfter}, headers);
     finish();
 }
@@ -213,26 +290,63 @@
     const auto revision = m_context.view->config->revision;
     const auto leftOut = leftOutText(decision.leftOut);
     LogLine(LogLevel::Info, "route")
-        .field("request", m_requestId)
-        .field("workspace", m_workspace)
+        .field("request", m_request.id)
+        .field("workspace", m_request.workspace)
         .field("version", version)
         .field("upstream", decision.upstream)
         .field("revision", revision)
         .field("left_out", leftOut);
-    m_context.decisions.add(m_requestId,
+    m_context.decisions.add(m_request.id,
                             fmt::format("workspace={} version={} upstream={} revision={} left_out={}",
-                                        m_workspace,
+                                        m_request.workspace,
                                         version,
                                         decision.upstream,
                                         revision,
                                         leftOut));
 }
 
+void Exchange::record(RequestOutcome outcome, const upstream::EngineUsage &usage, std::function<void()> recorded)
+{
+    if (m_tried.empty()) {
+        recorded();
+        return;
+    }
+    const RequestRecord entry{m_request.id,
+                              m_request.workspace,
+                              m_version,
+                              m_tried.back(),
+                              outcome,
+                              usage.promptTokens,
+                              usage.completionTokens};
+    m_context.recorder(entry, std::move(recorded));
+}
+
+void Exchange::count(const char *outcome)
+{
+    m_context.metrics.counter("ibisfork_requests_total", {{"outcome", outcome}}).add();
+}
+
 void Exchange::release()
 {
-    m_stream.reset();
-    if (!m_upstream.empty()) {
-        m_context.limits.ended(std::exchange(m_upstream, {}));
+    m_backPressure.stop();
+    if (m_upstream.empty()) {
+        return;
+    }
+    // Work that may still run counts at its upstream until it is known not to.
+    const auto upstream = std::exchange(m_upstream, {});
+    const auto ended = [&limits = m_context.limits, upstream](bool) {
+        limits.ended(upstream);
+    };
+    if (!m_run || m_run->finished()) {
+        ended(true);
+    } else if (m_run->streamId().empty()) {
+        m_context.canceller.hold(m_context.settings.timing.upstreamSilence, ended);
+    } else {
+        m_context.canceller.cancel(m_run->address(), m_run->streamId(), ended);
+    }
+    if (m_run) {
+        m_run->stop();
+        net::deleteLater(m_context.base, std::move(m_run));
     }
 }
 
@@ -240,6 +354,7 @@
 {
     release();
     m_deadline.stop();
+    m_retryTimer.stop();
     // The owner destroys this object in the callback.
     const auto done = std::exchange(m_done, nullptr);
     if (done) {
--- a/src/serving/exchange.h
+++ b/src/serving/exchange.h
@@ -7,24 +7,32 @@
 #include "caller/refusal.h"
 #include "net/httpserver.h"
 #include "net/timer.h"
+#include "serving/backpressure.h"
 #include "serving/chatanswer.h"
 #include "serving/chatrequest.h"
 #include "serving/context.h"
-#include "upstream/enginestream.h"
+#include "serving/enginerun.h"
 
 namespace ibisfork::serving {
 
+/// A chat completion of a workspace, as it comes in.
+struct ExchangeRequest
+{
+    std::string id;
+    std::string workspace;
+    ChatRequest chat;
+    int priority = 1;
+    base::Duration deadline{};
+};
+
 /// A chat completion from its request to its last byte.
 class Exchange
 {
 public:
     /// @p done is called once, last; the exchange may be destroyed from it.
     Exchange(Context &context,
-             std::string requestId,
-             std::string workspace,
-             ChatRequest request,
+             ExchangeRequest request,
              std::shared_ptr<net::HttpReply> reply,
-             base::Duration deadline,
              std::function<void()> done);
     ~Exchange();
 
@@ -32,34 +40,44 @@
 
 private:
     void dispatch();
+    void route(const fleet::Workspace &workspace);
     void send(const routing::RoutingDecision &decision);
+    EngineRunHandlers runHandlers();
     void onToken(const std::string &text);
     void onEnd(const upstream::EngineUsage &usage);
-    void onFailed(const upstream::EngineFailure &failure);
+    void onFailed(const RunFailure &failure);
+    void retry();
+    void cut();
     void onGone();
     void onDeadline();
-    void refuse(caller::RefusalCode code, caller::RunState run, const std::string &message, int retryAfterSeconds);
+    void refuse(caller::RefusalCode code, const std::string &message, int retryAfterSeconds);
     void logDecision(const routing::RoutingDecision &decision);
+    void record(RequestOutcome outcome, const upstream::EngineUsage &usage, std::function<void()> recorded);
+    void count(const char *outcome);
+    /// Runs @p step; an exception in it ends the request with an error.
+    template<typename Step>
+    void guarded(Step step);
     void release();
     void finish();
 
     Context &m_context;
-    std::string m_requestId;
-    std::string m_workspace;
-    ChatRequest m_request;
+    ExchangeRequest m_request;
     std::shared_ptr<net::HttpReply> m_reply;
     std::function<void()> m_done;
     ChatAnswer m_answer;
+    BackPressure m_backPressure;
     net::Timer m_deadline;
-    base::Duration m_deadlineAfter;
+    net::Timer m_retryTimer;
     base::TimePoint m_startedAt;
     std::string m_upstream;
     std::string m_version;
-    std::string m_incarnation;
+    std::uint64_t m_pieces = 0;
     std::vector<std::string> m_tried;
-    std::unique_ptr<upstream::EngineStream> m_stream;
+    std::unique_ptr<EngineRun> m_run;
     bool m_answering = false;
     bool m_mayHaveRun = false;
+    /// Lets callbacks that come late see whether the exchange is still there.
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
 } // namespace ibisfork::serving
--- a/src/serving/servingtask.cpp
+++ b/src/serving/servingtask.cpp
@@ -9,6 +9,8 @@
 #include <ibisfork/base/overloaded.h>
 #include <ibisfork/fleet/digest.h>
 
+#include "net/deletelater.h"
+
 namespace ibisfork::serving {
 
 using caller::RefusalCode;
@@ -74,6 +76,18 @@
 }
 
 void ServingTask::onRequest(const net::HttpServerRequest &request)
+{
+    try {
+        take(request);
+    } catch (const RequestError &error) {
+        refuse(request, RefusalCode::BadRequest, error.what());
+    } catch (const std::exception &error) {
+        base::LogLine(base::LogLevel::Error, "request-failed").field("error", error.what());
+        refuse(request, RefusalCode::Internal, "the request failed inside this node");
+    }
+}
+
+void ServingTask::take(const net::HttpServerRequest &request)
 {
     if (m_draining) {
         refuse(request, RefusalCode::Draining, "this node is shutting down");
@@ -106,17 +120,18 @@
         refuse(request, RefusalCode::Overloaded, "this node bears no more requests");
         return;
     }
-    try {
-        auto chat = parseChatRequest(request.request.body);
-        const auto deadline = deadlineOf(request.request.headers, m_settings.timing.requestDeadline);
-        const auto id = newRequestId();
-        auto exchange = std::make_unique<Exchange>(
-            m_context, id, workspace.name, std::move(chat), request.reply, deadline, [this, id] { erase(id); });
-        auto &held = *(m_exchanges[id] = std::move(exchange));
-        held.start();
-    } catch (const RequestError &error) {
-        refuse(request, RefusalCode::BadRequest, error.what());
-    }
+    const auto &headers = request.request.headers;
+    ExchangeRequest exchangeRequest;
+    exchangeRequest.id = newRequestId();
+    exchangeRequest.workspace = workspace.name;
+    exchangeRequest.chat = parseChatRequest(request.request.body);
+    exchangeRequest.priority = priorityOf(headers, workspace.rules.priority);
+    exchangeRequest.deadline = deadlineOf(headers, m_settings.timing.requestDeadline);
+    const auto id = exchangeRequest.id;
+    auto exchange
+        = std::make_unique<Exchange>(m_context, std::move(exchangeRequest), request.reply, [this, id] { erase(id); });
+    auto &held = *(m_exchanges[id] = std::move(exchange));
+    held.start();
 }
 
 void ServingTask::startService(const net::HttpServerRequest &request, const fleet::Workspace &workspace)
@@ -184,7 +199,12 @@
 
 void ServingTask::erase(const std::string &requestId)
 {
-    m_exchanges.erase(requestId);
+    const auto entry = m_exchanges.find(requestId);
+    if (entry != m_exchanges.end()) {
+        // The exchange is inside one of its own functions.
+        net::deleteLater(m_task.base(), std::move(entry->second));
+        m_exchanges.erase(entry);
+    }
     m_serviceExchanges.erase(requestId);
     checkDrained();
 }
--- a/src/serving/servingtask.h
+++ b/src/serving/servingtask.h
@@ -45,6 +45,7 @@
 private:
     void handle(ServingMessage message);
     void onRequest(const net::HttpServerRequest &request);
+    void take(const net::HttpServerRequest &request);
     void startChat(const net::HttpServerRequest &request, const fleet::Workspace &workspace);
     void startService(const net::HttpServerRequest &request, const fleet::Workspace &workspace);
     void listModels(const net::HttpServerRequest &request, const fleet::Workspace &workspace) const;
--- /dev/null
+++ b/src/serving/streamcanceller.cpp
@@ -0,0 +1,96 @@
+#include "serving/streamcanceller.h"
+
+#include <fmt/format.h>
+
+#include "net/deletelater.h"
+
+namespace ibisfork::serving {
+
+namespace {
+
+constexpr int maxTries = 3;
+constexpr std::chrono::milliseconds betweenTries{200};
+constexpr int statusOk = 200;
+constexpr int statusNotFound = 404;
+
+} // namespace
+
+struct StreamCanceller::Job
+{
+    std::uint64_t number = 0;
+    net::Address address;
+    std::string path;
+    Done done;
+    int tries = 0;
+    std::unique_ptr<net::HttpCall> call;
+    std::unique_ptr<net::Timer> timer;
+};
+
+StreamCanceller::StreamCanceller(event_base *base, const net::HttpTimeouts &timeouts)
+    : m_base(base)
+    , m_timeouts(timeouts)
+{ }
+
+StreamCanceller::~StreamCanceller() = default;
+
+void StreamCanceller::cancel(const net::Address &address, const std::string &streamId, Done done)
+{
+    auto job = std::make_unique<Job>();
+    job->number = m_nextJob++;
+    job->address = address;
+    job->path = fmt::format("/v1/streams/{}", streamId);
+    job->done = std::move(done);
+    auto &held = *(m_jobs[job->number] = std::move(job));
+    held.timer = std::make_unique<net::Timer>(m_base, [this, &held] { ask(held); });
+    ask(held);
+}
+
+void StreamCanceller::hold(base::Duration time, Done done)
+{
+    auto job = std::make_unique<Job>();
+    job->number = m_nextJob++;
+    job->done = std::move(done);
+    auto &held = *(m_jobs[job->number] = std::move(job));
+    held.timer = std::make_unique<net::Timer>(m_base, [this, &held] { finish(held, false); });
+    held.timer->startOnce(time);
+}
+
+void StreamCanceller::ask(Job &job)
+{
+    ++job.tries;
+    net::HttpRequest request;
+    request.method = net::HttpMethod::Delete;
+    request.path = job.path;
+    job.call = net::fetch(m_base, job.address, std::move(request), m_timeouts, [this, &job](const auto &outcome) {
+        answered(job, outcome);
+    });
+}
+
+void StreamCanceller::answered(Job &job, const std::variant<net::HttpResponse, net::HttpFailure> &outcome)
+{
+    if (const auto *response = std::get_if<net::HttpResponse>(&outcome)) {
+        const int status = response->head.status;
+        finish(job, status == statusOk || status == statusNotFound);
+        return;
+    }
+    if (std::get<net::HttpFailure>(outcome).kind == net::HttpFailureKind::Refused) {
+        // The engine's process is gone and the generation with it.
+        finish(job, true);
+    } else if (job.tries < maxTries) {
+        job.timer->startOnce(betweenTries);
+    } else {
+        finish(job, false);
+    }
+}
+
+void StreamCanceller::finish(Job &job, bool stopped)
+{
+    const auto done = std::move(job.done);
+    const auto entry = m_jobs.find(job.number);
+    auto owned = std::move(entry->second);
+    m_jobs.erase(entry);
+    net::deleteLater(m_base, std::move(owned));
+    done(stopped);
+}
+
+} // namespace ibisfork::serving
--- a/src/upstream/enginestream.cpp
+++ b/src/upstream/enginestream.cpp
@@ -24,11 +24,11 @@
     return out;
 }
 
-net::HttpRequest resumeRequest(const std::string &streamId, std::uint64_t offset)
+net::HttpRequest resumeRequest(const EngineResumePoint &point)
 {
     net::HttpRequest out;
     out.method = net::HttpMethod::Get;
-    out.path = fmt::format("/v1/streams/{}?offset={}", streamId, offset);
+    out.path = fmt::format("/v1/streams/{}?offset={}", point.greeting.streamId, point.offset);
     return out;
 }
 
@@ -48,32 +48,33 @@
 std::unique_ptr<EngineStream> EngineStream::start(event_base *base,
                                                   const net::Address &address,
                                                   const EngineRequest &request,
-                                                  base::Duration silence,
+                                                  const net::HttpTimeouts &timeouts,
                                                   EngineStreamHandlers handlers)
 {
     return std::unique_ptr<EngineStream>(
-        new EngineStream(base, address, startRequest(request), 0, silence, std::move(handlers)));
+        new EngineStream(base, address, startRequest(request), {}, timeouts, std::move(handlers)));
 }
 
 std::unique_ptr<EngineStream> EngineStream::resume(event_base *base,
                                                    const net::Address &address,
-                                                   const std::string &streamId,
-                                                   std::uint64_t offset,
-                                                   base::Duration silence,
+                                                   const EngineResumePoint &point,
+                                                   const net::HttpTimeouts &timeouts,
                                                    EngineStreamHandlers handlers)
 {
     return std::unique_ptr<EngineStream>(
-        new EngineStream(base, address, resumeRequest(streamId, offset), offset, silence, std::move(handlers)));
+        new EngineStream(base, address, resumeRequest(point), point, timeouts, std::move(handlers)));
 }
 
 EngineStream::EngineStream(event_base *base,
                            const net::Address &address,
                            net::HttpRequest request,
-                           std::uint64_t offset,
-                           base::Duration silence,
+                           const EngineResumePoint &point,
+                           const net::HttpTimeouts &timeouts,
                            EngineStreamHandlers handlers)
     : m_handlers(std::move(handlers))
-    , m_nextOffset(offset)
+    , m_requestId(request.headers.find("X-Request-Id").value_or(""))
+    , m_expected(point.greeting)
+    , m_nextOffset(point.offset)
     , m_parser([this](const ServerSentEvent &event) { onEvent(event); })
 {
     net::HttpCallHandlers callHandlers;
@@ -88,15 +89,31 @@
     callHandlers.done = [this](const net::HttpOutcome &outcome) {
         onDone(outcome);
     };
-    m_call = std::make_unique<net::HttpCall>(base, address, std::move(request), silence, std::move(callHandlers));
+    m_call = std::make_unique<net::HttpCall>(base, address, std::move(request), timeouts, std::move(callHandlers));
 }
 
 void EngineStream::onHead(const net::HttpHead &head)
 {
     m_status = head.status;
-    if (m_status == statusOk && m_handlers.greeting) {
-        m_handlers.greeting(
-            {head.headers.find("X-Incarnation").value_or(""), head.headers.find("X-Stream-Id").value_or("")});
+    if (m_status != statusOk || m_finished) {
+        return;
+    }
+    const EngineGreeting greeting{head.headers.find("X-Incarnation").value_or(""),
+                                  head.headers.find("X-Stream-Id").value_or("")};
+    // Stream ids start anew with the engine, so an id alone doesn't tell whose answer this is.
+    const bool resumed = !m_expected.streamId.empty();
+    if (resumed && greeting.incarnation != m_expected.incarnation) {
+        finish(EngineFailure{EngineFailureKind::OtherIncarnation, m_status});
+        return;
+    }
+    const auto answered = head.headers.find("X-Request-Id");
+    const bool otherRequest = answered && !m_requestId.empty() && *answered != m_requestId;
+    if (otherRequest || (resumed && greeting.streamId != m_expected.streamId)) {
+        finish(EngineFailure{EngineFailureKind::OtherStream, m_status});
+        return;
+    }
+    if (m_handlers.greeting) {
+        m_handlers.greeting(greeting);
     }
 }
 
@@ -129,7 +146,7 @@
     }
     if (const auto *failure = std::get_if<net::HttpFailure>(&outcome)) {
         const auto kind = failure->bytesLeft ? EngineFailureKind::Lost : EngineFailureKind::NotSent;
-        finish(EngineFailure{kind, m_status});
+        finish(EngineFailure{kind, m_status, failure->kind == net::HttpFailureKind::Refused});
         return;
     }
     // An answer of 200 that ended without its last event was cut.
--- a/src/upstream/enginestream.h
+++ b/src/upstream/enginestream.h
@@ -45,12 +45,26 @@
     Lost,
     /// The answer broke the protocol.
     Malformed,
+    /// The answer is that of another request or stream.
+    OtherStream,
+    /// The engine has started anew since the stream began.
+    OtherIncarnation,
 };
 
 struct EngineFailure
 {
     EngineFailureKind kind = EngineFailureKind::Lost;
     int status = 0;
+    /// Nobody listens at the engine's address.
+    bool connectRefused = false;
+};
+
+/// Where a broken stream goes on.
+struct EngineResumePoint
+{
+    EngineGreeting greeting;
+    /// Pieces that have come already.
+    std::uint64_t offset = 0;
 };
 
 struct EngineStreamHandlers
@@ -70,25 +84,26 @@
     static std::unique_ptr<EngineStream> start(event_base *base,
                                                const net::Address &address,
                                                const EngineRequest &request,
-                                               base::Duration silence,
+                                               const net::HttpTimeouts &timeouts,
                                                EngineStreamHandlers handlers);
-    /// Goes on with a stream of the engine from @p offset.
+    /// Goes on with a stream of the engine on a new connection.
     static std::unique_ptr<EngineStream> resume(event_base *base,
                                                 const net::Address &address,
-                                                const std::string &streamId,
-                                                std::uint64_t offset,
-                                                base::Duration silence,
+                                                const EngineResumePoint &point,
+                                                const net::HttpTimeouts &timeouts,
                                                 EngineStreamHandlers handlers);
 
     void pauseReading() { m_call->pauseReading(); }
     void resumeReading() { m_call->resumeReading(); }
+    /// No handler is called after this.
+    void stop() { m_finished = true; }
 
 private:
     EngineStream(event_base *base,
                  const net::Address &address,
                  net::HttpRequest request,
-                 std::uint64_t offset,
-                 base::Duration silence,
+                 const EngineResumePoint &point,
+                 const net::HttpTimeouts &timeouts,
                  EngineStreamHandlers handlers);
 
     void onHead(const net::HttpHead &head);
@@ -97,6 +112,8 @@
     void finish(const std::variant<EngineUsage, EngineFailure> &result);
 
     EngineStreamHandlers m_handlers;
+    std::string m_requestId;
+    EngineGreeting m_expected;
     std::uint64_t m_nextOffset;
     int m_status = 0;
     bool m_finished = false;
--- /dev/null
+++ b/tests/serving/exchange_test.cpp
@@ -0,0 +1,341 @@
+#include "serving/exchange.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include "net/httpcall.h"
+#include "serving/fakeengine.h"
+
+namespace ibisfork::serving {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A caller's view of the end of its request.
+struct Seen
+{
+    int status = 0;
+    std::string body;
+    bool cut = false;
+};
+
+struct FaultCase
+{
+    const char *name;
+    std::vector<FakeAnswer> script;
+    /// What a JSON caller gets: the content, or the code and run of the refusal.
+    std::string json;
+    /// What a streaming caller gets: the content, "cut", or the refusal.
+    std::string streamed;
+    std::string loadIncarnation = "i1";
+    unsigned runs = 1;
+};
+
+void PrintTo(const FaultCase &faultCase, std::ostream *out)
+{
+    *out << faultCase.name;
+}
+
+FakeAnswer answer(std::vector<std::string> events, FakeEnd end = FakeEnd::Whole)
+{
+    FakeAnswer out;
+    out.events = std::move(events);
+    out.end = end;
+    return out;
+}
+
+FakeAnswer refusal(int status)
+{
+    FakeAnswer out;
+    out.status = status;
+    return out;
+}
+
+FakeAnswer withoutHead(FakeEnd end)
+{
+    FakeAnswer out;
+    out.withoutHead = true;
+    out.end = end;
+    return out;
+}
+
+FakeAnswer otherIncarnation()
+{
+    auto out = answer({piece(1, "x"), piece(2, "y"), lastEvent(3)});
+    out.incarnation = "i2";
+    return out;
+}
+
+FakeAnswer otherStream()
+{
+    auto out = answer({piece(1, "x"), piece(2, "y"), lastEvent(3)});
+    out.streamId = "s9";
+    return out;
+}
+
+FakeAnswer otherRequest()
+{
+    auto out = answer({piece(0, "x"), lastEvent(1)});
+    out.requestId = "another";
+    return out;
+}
+
+const std::string lost = "upstream_failed unknown";
+
+std::vector<FaultCase> faultCases()
+{
+    const std::vector<std::string> whole{piece(0, "a"), piece(1, "b"), piece(2, "c"), lastEvent(3)};
+    const std::vector<std::string> rest{piece(1, "b"), piece(2, "c"), lastEvent(3)};
+    const auto cut = FakeEnd::Cut;
+    return {
+        {"whole", {answer(whole)}, "abc", "abc"},
+        {"cutAfterFirstPiece", {answer({piece(0, "a")}, cut), answer(rest)}, "abc", "abc"},
+        {"cutInsideAnEvent", {answer({piece(0, "a"), "id: 1\ndata: {\"cho"}, cut), answer(rest)}, "abc", "abc"},
+        {"cutBeforeFirstPiece", {answer({}, cut), answer(whole)}, "abc", "abc"},
+        {"cutTwice",
+         {answer({piece(0, "a")}, cut), answer({piece(1, "b")}, cut), answer({piece(2, "c"), lastEvent(3)})},
+         "abc",
+         "abc"},
+        {"cutBeforeLastEvent", {answer({whole[0], whole[1], whole[2]}, cut), answer({lastEvent(3)})}, "abc", "abc"},
+        {"endWithoutLastEvent", {answer({piece(0, "a")}, FakeEnd::EndWithoutLast), answer(rest)}, "abc", "abc"},
+        {"silentAfterFirstPiece", {answer({piece(0, "a")}, FakeEnd::Silent), answer(rest)}, "abc", "abc"},
+        {"silentTwice",
+         {answer({piece(0, "a")}, FakeEnd::Silent), answer({}, FakeEnd::Silent), answer(rest)},
+         "abc",
+         "abc"},
+        {"duplicatedPiece", {answer({piece(0, "a"), piece(0, "a")}, cut), answer(rest)}, "abc", "abc"},
+        {"missingPiece", {answer({piece(0, "a"), piece(2, "c"), lastEvent(3)}), answer(rest)}, "abc", "abc"},
+        {"corruptedPiece", {answer({piece(0, "a"), "id: 1\ndata: {]\n\n"}), answer(rest)}, "abc", "abc"},
+        {"pieceNotUtf8", {answer({piece(0, "a"), piece(1, "\xff")}), answer(rest)}, "abc", "abc"},
+        {"resumeStartsTooEarly", {answer({piece(0, "a")}, cut), answer(whole), answer(rest)}, "abc", "abc"},
+        {"resumeOfOtherStreamThenRight", {answer({piece(0, "a")}, cut), otherStream(), answer(rest)}, "abc", "abc"},
+        {"engineStartedAnew", {answer({piece(0, "a")}, cut), otherIncarnation()}, lost, "cut", "i2"},
+        {"streamForgotten", {answer({piece(0, "a")}, cut), refusal(404)}, lost, "cut"},
+        {"neverResumed",
+         {answer({piece(0, "a")}, cut), answer({}, cut), answer({}, cut), answer({}, cut), answer({}, cut)},
+         lost,
+         "cut"},
+        {"countTooSmall", {answer({piece(0, "a"), lastEvent(3)})}, lost, "cut"},
+        {"countTooLarge", {answer({piece(0, "a"), piece(1, "b"), lastEvent(1)})}, lost, "cut"},
+        {"refusedNotRun", {refusal(503)}, "upstream_failed not_run", "upstream_failed not_run"},
+        {"refusedForGood", {refusal(400)}, "bad_request not_run", "bad_request not_run"},
+        {"failedInside", {refusal(500)}, lost, lost},
+        {"cutBeforeHead", {withoutHead(cut)}, lost, lost},
+        {"silentBeforeHead", {withoutHead(FakeEnd::Silent)}, lost, lost},
+        {"answerOfOtherRequest", {otherRequest()}, lost, lost},
+    };
+}
+
+} // namespace
+
+class ExchangeTest : public testing::TestWithParam<FaultCase>
+{
+protected:
+    ExchangeTest()
+        : m_base(net::makeEventBase())
+        , m_decisions(10)
+        , m_settings(settings())
+        , m_context(m_base.get(), m_settings, m_metrics, m_decisions)
+        , m_engine(m_base.get())
+        , m_server(m_base.get(), {"127.0.0.1", 0}, {}, [this](const net::HttpServerRequest &request) { take(request); })
+    {
+        m_context.recorder = [this](const RequestRecord &record, const std::function<void()> &recorded) {
+            m_records.push_back(record);
+            recorded();
+        };
+        setUpstreams({m_engine.address()});
+    }
+
+    static settings::Settings settings()
+    {
+        settings::Settings out;
+        out.timing.upstreamSilence = 100ms;
+        out.timing.connectTimeout = 200ms;
+        return out;
+    }
+
+    void setUpstreams(const std::vector<std::string> &addresses)
+    {
+        fleet::Config config;
+        const fleet::VersionId id{"m", "1"};
+        config.versions[id] = {id};
+        config.workspaces["w"] = {"w", {}, {id}, {}, {}};
+        for (const auto &address : addresses) {
+            fleet::Upstream upstream;
+            upstream.id = "e" + std::to_string(config.upstreams.size());
+            upstream.address = address;
+            upstream.versions = {id};
+            upstream.limit = {8, 8, 1ms};
+            config.upstreams[upstream.id] = upstream;
+        }
+        m_context.view = std::make_shared<const FleetView>(std::make_shared<const fleet::Config>(config));
+        m_context.limits.update(config, "n", base::monotonicNow());
+        m_context.confirmedUntil = base::TimePoint::max();
+    }
+
+    void take(const net::HttpServerRequest &request)
+    {
+        ExchangeRequest exchangeRequest;
+        exchangeRequest.id = "r" + std::to_string(m_exchanges.size());
+        exchangeRequest.workspace = "w";
+        exchangeRequest.chat = parseChatRequest(request.request.body);
+        exchangeRequest.deadline = m_deadline;
+        m_exchanges.push_back(
+            std::make_unique<Exchange>(m_context, exchangeRequest, request.reply, [this] { ++m_done; }));
+        m_exchanges.back()->start();
+    }
+
+    /// Sends a chat and runs the loop until its end.
+    Seen chat(bool stream)
+    {
+        Seen seen;
+        net::HttpRequest request;
+        request.method = net::HttpMethod::Post;
+        request.path = "/v1/chat/completions";
+        request.body = nlohmann::json{{"messages", nlohmann::json::array()}, {"stream", stream}}.dump();
+        net::HttpCallHandlers handlers;
+        handlers.chunk = [&](std::string_view bytes) {
+            seen.body += bytes;
+        };
+        handlers.done = [&](const net::HttpOutcome &outcome) {
+            const auto *head = std::get_if<net::HttpHead>(&outcome);
+            seen.status = head != nullptr ? head->status : 0;
+            seen.cut = head == nullptr;
+            event_base_loopbreak(m_base.get());
+        };
+        const net::HttpCall call(m_base.get(), m_server.address(), request, 10s, handlers);
+        event_base_dispatch(m_base.get());
+        return seen;
+    }
+
+    static std::string refusalText(const std::string &body)
+    {
+        const auto json = nlohmann::json::parse(body);
+        return json["error"]["code"].get<std::string>() + " " + json["error"]["run"].get<std::string>();
+    }
+
+    static std::string streamedText(const Seen &seen)
+    {
+        if (!seen.cut && seen.status != 200) {
+            return refusalText(seen.body);
+        }
+        std::string text;
+        bool whole = false;
+        upstream::SseParser parser([&](const upstream::ServerSentEvent &event) {
+            if (event.data == "[DONE]") {
+                whole = true;
+                return;
+            }
+            const auto json = nlohmann::json::parse(event.data);
+            text += json["choices"][0]["delta"].value("content", "");
+        });
+        parser.feed(seen.body);
+        EXPECT_EQ(whole, !seen.cut);
+        // How much had reached the caller before the cut depends on the machine; it must be the beginning of the whole.
+        EXPECT_TRUE(!seen.cut || std::string("abc").starts_with(text)) << text;
+        return seen.cut ? "cut" : text;
+    }
+
+    net::EventBasePtr m_base;
+    base::MetricsRegistry m_metrics;
+    DecisionLog m_decisions;
+    settings::Settings m_settings;
+    Context m_context;
+    FakeEngine m_engine;
+    net::HttpServer m_server;
+    base::Duration m_deadline = 5s;
+    int m_done = 0;
+    std::vector<RequestRecord> m_records;
+    std::vector<std::unique_ptr<Exchange>> m_exchanges;
+};
+
+TEST_P(ExchangeTest, jsonCaller_faultOfEngine_getsWholeAnswerOrRefusal)
+{
+    m_engine.script = GetParam().script;
+    m_engine.loadIncarnation = GetParam().loadIncarnation;
+    const auto seen = chat(false);
+    ASSERT_FALSE(seen.cut);
+    const auto text = seen.status == 200
+        ? nlohmann::json::parse(seen.body)["choices"][0]["message"]["content"].get<std::string>()
+        : refusalText(seen.body);
+    EXPECT_EQ(text, GetParam().json);
+    EXPECT_EQ(m_engine.runs, GetParam().runs);
+    EXPECT_EQ(m_records.size(), text.ends_with("not_run") ? 0U : 1U);
+    EXPECT_EQ(m_done, 1);
+}
+
+TEST_P(ExchangeTest, streamingCaller_faultOfEngine_getsWholeAnswerOrCut)
+{
+    m_engine.script = GetParam().script;
+    m_engine.loadIncarnation = GetParam().loadIncarnation;
+    EXPECT_EQ(streamedText(chat(true)), GetParam().streamed);
+    EXPECT_EQ(m_engine.runs, GetParam().runs);
+    EXPECT_EQ(m_done, 1);
+}
+
+INSTANTIATE_TEST_SUITE_P(Faults, ExchangeTest, testing::ValuesIn(faultCases()), [](const auto &info) {
+    return std::string(info.param.name);
+});
+
+class ExchangeRetryTest : public ExchangeTest
+{
+};
+
+TEST_F(ExchangeRetryTest, nobodyListens_otherUpstreamLives_isAnsweredThere)
+{
+    setUpstreams({"127.0.0.1:1", m_engine.address()});
+    m_engine.script = {answer({piece(0, "a"), lastEvent(1)})};
+    EXPECT_EQ(streamedText(chat(true)), "a");
+    EXPECT_EQ(m_records.size(), 1U);
+}
+
+TEST_F(ExchangeRetryTest, lostBeforeHead_mayHaveRun_isNotSentAgain)
+{
+    FakeEngine other(m_base.get());
+    setUpstreams({m_engine.address(), other.address()});
+    m_engine.script = {withoutHead(FakeEnd::Silent)};
+    EXPECT_EQ(streamedText(chat(true)), lost);
+    EXPECT_EQ(other.runs, 0U);
+}
+
+TEST_F(ExchangeRetryTest, lostForGood_cancelled_isSentToOneOtherUpstream)
+{
+    FakeEngine other(m_base.get());
+    setUpstreams({m_engine.address(), other.address()});
+    m_engine.script = {answer({piece(0, "x")}, FakeEnd::Cut), refusal(404)};
+    other.script = {answer({piece(0, "a"), lastEvent(1)})};
+    const auto seen = chat(false);
+    ASSERT_EQ(seen.status, 200) << seen.body;
+    EXPECT_THAT(seen.body, testing::HasSubstr("\"content\":\"a\""));
+    EXPECT_EQ(m_engine.cancels, 1U);
+    EXPECT_EQ(other.runs, 1U);
+    EXPECT_EQ(m_records.size(), 1U);
+}
+
+TEST_F(ExchangeRetryTest, deadline_engineSlow_isRefusedUnknownAndCancelled)
+{
+    m_deadline = 50ms;
+    m_engine.script = {answer({}, FakeEnd::Silent)};
+    EXPECT_EQ(streamedText(chat(true)), "deadline_passed unknown");
+    EXPECT_EQ(m_context.limits.running("e0"), 1U);
+    while (m_engine.cancels == 0 || m_context.limits.running("e0") > 0) {
+        event_base_loop(m_base.get(), EVLOOP_ONCE);
+    }
+}
+
+TEST_F(ExchangeRetryTest, retryStorm_halfOfUpstreamsFail_attemptsStayWithinBudget)
+{
+    constexpr int fresh = 200;
+    FakeEngine other(m_base.get());
+    setUpstreams({m_engine.address(), other.address()});
+    other.script = std::vector<FakeAnswer>(fresh * 2, refusal(503));
+    m_engine.script = std::vector<FakeAnswer>(fresh * 2, refusal(503));
+    for (int i = 0; i < fresh; ++i) {
+        EXPECT_EQ(streamedText(chat(true)), "upstream_failed not_run");
+    }
+    EXPECT_GE(m_engine.runs + other.runs, unsigned(fresh));
+    EXPECT_LE(m_engine.runs + other.runs, fresh * 12U / 10U);
+}
+
+} // namespace ibisfork::serving
