--- /dev/null
+++ b/src/coord/slotbook.cpp
@@ -0,0 +1,125 @@
+#include <ibisfork/coord/slotbook.h>
+
+#include <algorithm>
+
+namespace ibisfork::coord {
+
+SlotBook::SlotBook(const std::string &node, SlotTimes times)
+    : m_self(holderId(node))
+    , m_times(times)
+{ }
+
+void SlotBook::update(Revision revision,
+                      bool member,
+                      const std::vector<SlotMember> &members,
+                      const std::vector<SlotUpstream> &upstreams,
+                      base::TimePoint now)
+{
+    if (revision <= m_revision && m_revision != 0) {
+        return;
+    }
+    const bool gapless = m_revision != 0 && revision == m_revision + 1;
+    m_revision = revision;
+    m_map.update(members, upstreams);
+    std::unordered_map<std::string, Slots> held;
+    for (const auto &upstream : upstreams) {
+        const auto [known, isNew] = m_known.try_emplace(upstream.id);
+        known->second = {revision, std::nullopt};
+        if (!member) {
+            continue;
+        }
+        const auto before = gapless ? m_held.find(upstream.id) : m_held.end();
+        auto slots = take(upstream.id, before == m_held.end() ? Slots() : before->second, gapless && isNew, now);
+        if (!slots.empty()) {
+            held.emplace(upstream.id, std::move(slots));
+        }
+    }
+    m_held = std::move(held);
+    forgetRemoved(now);
+}
+
+SlotBook::Slots SlotBook::take(const std::string &upstream, const Slots &before, bool fresh, base::TimePoint now) const
+{
+    Slots slots;
+    const auto &holders = m_map.holders(upstream);
+    for (std::uint32_t number = 0; number < holders.size(); ++number) {
+        if (holders[number] != m_self) {
+            continue;
+        }
+        const auto kept
+            = std::find_if(before.begin(), before.end(), [&](const Slot &slot) { return slot.number == number; });
+        if (kept != before.end()) {
+            slots.push_back(*kept);
+        } else {
+            slots.push_back({number, fresh ? std::nullopt : std::optional(now), std::nullopt});
+        }
+    }
+    return slots;
+}
+
+void SlotBook::forgetRemoved(base::TimePoint now)
+{
+    // An upstream that comes back soon may still run what its former holders sent.
+    const auto keep = m_times.confirmWithin + m_times.transit + m_times.longestRun;
+    for (auto &[id, presence] : m_known) {
+        if (presence.seenIn != m_revision && !presence.removedAt) {
+            presence.removedAt = now;
+        }
+    }
+    std::erase_if(m_known, [&](const auto &known) {
+        const auto &removedAt = known.second.removedAt;
+        return removedAt && now - *removedAt >= keep;
+    });
+}
+
+std::uint32_t SlotBook::usable(const std::string &upstream, std::uint32_t limit, base::TimePoint now) const
+{
+    const auto held = m_held.find(upstream);
+    if (held == m_held.end()) {
+        return 0;
+    }
+    std::uint32_t usable = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t leftover = 0;
+    for (const auto &slot : held->second) {
+        if (slot.number >= limit) {
+            continue;
+        }
+        if (settled(slot, now)) {
+            ++usable;
+        } else if (slot.leftover) {
+            ++waiting;
+            leftover = std::max(leftover, *slot.leftover);
+        }
+    }
+    // The runs that are left may all be on these slots.
+    return usable + waiting - std::min(waiting, leftover);
+}
+
+void SlotBook::sawRuns(const std::string &upstream, std::uint32_t runs, base::TimePoint madeAt)
+{
+    const auto held = m_held.find(upstream);
+    if (held == m_held.end()) {
+        return;
+    }
+    for (auto &slot : held->second) {
+        if (slot.gainedAt && madeAt >= *slot.gainedAt + m_times.confirmWithin + m_times.transit) {
+            slot.leftover = std::min(slot.leftover.value_or(runs), runs);
+        }
+    }
+}
+
+bool SlotBook::waits(const std::string &upstream, base::TimePoint now) const
+{
+    const auto held = m_held.find(upstream);
+    return held != m_held.end() && std::any_of(held->second.begin(), held->second.end(), [&](const Slot &slot) {
+               return !settled(slot, now) && slot.leftover.value_or(1) > 0;
+           });
+}
+
+bool SlotBook::settled(const Slot &slot, base::TimePoint now) const
+{
+    return !slot.gainedAt || now >= *slot.gainedAt + m_times.confirmWithin + m_times.transit + m_times.longestRun;
+}
+
+} // namespace ibisfork::coord
--- /dev/null
+++ b/src/coord/slotmap.cpp
@@ -0,0 +1,150 @@
+#include <ibisfork/coord/slotmap.h>
+
+#include <algorithm>
+#include <array>
+
+#include <xxhash.h>
+
+namespace ibisfork::coord {
+
+namespace {
+
+struct Weighed
+{
+    std::uint64_t weight = 0;
+    HolderId holder = 0;
+
+    bool operator<(const Weighed &other) const
+    {
+        return weight != other.weight ? weight < other.weight : holder < other.holder;
+    }
+};
+
+/// Slots that a holder may have over its even share of any prefix. Without it one change of members would push most
+/// slots on to another holder; much more of it would leave holders without slots.
+constexpr std::uint32_t slack = 2;
+
+std::uint64_t mix(std::uint64_t key, std::uint64_t seed)
+{
+    return XXH3_64bits_withSeed(&key, sizeof(key), seed);
+}
+
+/// The members with the highest weights for @p key, heaviest first.
+std::vector<Weighed> chooseHolders(std::uint64_t key, const SlotMap::Holders &members)
+{
+    std::vector<Weighed> weighed;
+    weighed.reserve(members.size());
+    for (const auto member : members) {
+        weighed.push_back({mix(member, key), member});
+    }
+    const auto count = std::min(SlotMap::maxHolders, weighed.size());
+    const auto heavier = [](const Weighed &left, const Weighed &right) {
+        return right < left;
+    };
+    std::partial_sort(weighed.begin(), weighed.begin() + static_cast<std::ptrdiff_t>(count), weighed.end(), heavier);
+    weighed.resize(count);
+    return weighed;
+}
+
+SlotMap::Holders spread(const std::vector<Weighed> &holders, std::uint32_t slots)
+{
+    SlotMap::Holders result;
+    result.reserve(slots);
+    std::array<std::uint32_t, SlotMap::maxHolders> given{};
+    for (std::uint32_t slot = 0; slot < slots; ++slot) {
+        const auto most = slot / static_cast<std::uint32_t>(holders.size()) + slack;
+        Weighed best;
+        std::size_t bestIndex = 0;
+        for (std::size_t index = 0; index < holders.size(); ++index) {
+            const Weighed weighed{mix(holders[index].weight, slot), holders[index].holder};
+            if (given[index] < most && best < weighed) {
+                best = weighed;
+                bestIndex = index;
+            }
+        }
+        ++given[bestIndex];
+        result.push_back(best.holder);
+    }
+    return result;
+}
+
+} // namespace
+
+HolderId holderId(std::string_view name)
+{
+    return XXH3_64bits(name.data(), name.size());
+}
+
+std::vector<std::string> SlotMap::update(const std::vector<SlotMember> &members,
+                                         const std::vector<SlotUpstream> &upstreams)
+{
+    takeMembers(members);
+    ++m_generation;
+    std::vector<std::string> changed;
+    for (const auto &upstream : upstreams) {
+        const auto [found, added] = m_entries.try_emplace(upstream.id);
+        auto &entry = found->second;
+        entry.generation = m_generation;
+        const bool touched = added || entry.region != upstream.region || entry.holders.size() != upstream.slots
+            || poolFor(upstream.region).changed;
+        if (touched && (refresh(entry, upstream) || added)) {
+            changed.push_back(upstream.id);
+        }
+    }
+    std::erase_if(m_entries, [&](const auto &entry) { return entry.second.generation != m_generation; });
+    return changed;
+}
+
+const SlotMap::Holders &SlotMap::holders(const std::string &upstream) const
+{
+    static const Holders none;
+    const auto found = m_entries.find(upstream);
+    return found == m_entries.end() ? none : found->second.holders;
+}
+
+void SlotMap::takeMembers(const std::vector<SlotMember> &members)
+{
+    std::unordered_map<std::string, Holders> byRegion;
+    Holders everyone;
+    for (const auto &member : members) {
+        const auto id = holderId(member.name);
+        byRegion[member.region].push_back(id);
+        everyone.push_back(id);
+    }
+    for (auto &[name, region] : m_regions) {
+        byRegion.try_emplace(name);
+    }
+    const auto take = [](Region &region, Holders &now) {
+        std::sort(now.begin(), now.end());
+        region.changed = region.members != now;
+        region.members = std::move(now);
+    };
+    for (auto &[name, holders] : byRegion) {
+        take(m_regions[name], holders);
+    }
+    take(m_everyone, everyone);
+}
+
+SlotMap::Region &SlotMap::poolFor(const std::string &region)
+{
+    auto &own = m_regions[region];
+    if (!own.members.empty()) {
+        return own;
+    }
+    // The last member of the region may just have gone.
+    m_everyone.changed = m_everyone.changed || own.changed;
+    return m_everyone;
+}
+
+bool SlotMap::refresh(Entry &entry, const SlotUpstream &upstream)
+{
+    const auto key = XXH3_64bits(upstream.id.data(), upstream.id.size());
+    const auto holders = chooseHolders(key, poolFor(upstream.region).members);
+    auto now = holders.empty() ? Holders() : spread(holders, upstream.slots);
+    entry.region = upstream.region;
+    const bool moved = entry.holders != now;
+    entry.holders = std::move(now);
+    return moved;
+}
+
+} // namespace ibisfork::coord
--- /dev/null
+++ b/tests/coord/slotbook_test.cpp
@@ -0,0 +1,286 @@
+#include <ibisfork/coord/slotbook.h>
+
+#include <algorithm>
+#include <random>
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <ibisfork/coord/confirmation.h>
+
+namespace ibisfork::coord {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr base::Duration confirmWithin = 6s;
+constexpr base::Duration longestRun = 10s;
+constexpr base::Duration transit = 1s;
+constexpr std::uint32_t limit = 5;
+constexpr unsigned nodeCount = 4;
+const SlotTimes times{confirmWithin, longestRun, transit};
+
+} // namespace
+
+class SlotBookTest : public testing::Test
+{
+protected:
+    void update(Revision revision, const std::vector<SlotMember> &members, base::Duration at)
+    {
+        m_book.update(revision, true, members, {{"e1", "r1", limit}}, m_start + at);
+    }
+    std::uint32_t usable(base::Duration at) const { return m_book.usable("e1", limit, m_start + at); }
+
+    base::TimePoint m_start{1000s};
+    SlotBook m_book{"a", times};
+};
+
+TEST_F(SlotBookTest, usable_firstRevisionOfAProcess_waitsOutFormerHolderAndItsRuns)
+{
+    update(5, {{"a", "r1"}}, 0s);
+    EXPECT_EQ(usable(16s), 0U);
+    EXPECT_EQ(usable(17s), limit);
+}
+
+TEST_F(SlotBookTest, usable_upstreamAddedBeforeItsEyes_isUsedAtOnce)
+{
+    m_book.update(5, true, {{"a", "r1"}}, {}, m_start);
+    update(6, {{"a", "r1"}}, 1s);
+    EXPECT_EQ(usable(1s), limit);
+}
+
+TEST_F(SlotBookTest, usable_upstreamRemovedAndAddedAgain_waits)
+{
+    m_book.update(5, true, {{"a", "r1"}}, {}, m_start);
+    update(6, {{"a", "r1"}}, 1s);
+    m_book.update(7, true, {{"a", "r1"}}, {}, m_start + 2s);
+    update(8, {{"a", "r1"}}, 3s);
+    EXPECT_EQ(usable(3s), 0U);
+}
+
+TEST_F(SlotBookTest, usable_revisionsSkipped_waits)
+{
+    m_book.update(5, true, {{"a", "r1"}}, {}, m_start);
+    update(6, {{"a", "r1"}}, 1s);
+    update(8, {{"a", "r1"}}, 2s);
+    EXPECT_EQ(usable(2s), 0U);
+}
+
+TEST_F(SlotBookTest, usable_reportAfterTheWait_givesWhatIsSurelyFree)
+{
+    update(5, {{"a", "r1"}}, 0s);
+    m_book.sawRuns("e1", 0, m_start + 6s);
+    EXPECT_EQ(usable(7s), 0U);
+    m_book.sawRuns("e1", 2, m_start + 7s);
+    EXPECT_EQ(usable(7s), limit - 2);
+    m_book.sawRuns("e1", 0, m_start + 8s);
+    EXPECT_EQ(usable(8s), limit);
+}
+
+TEST_F(SlotBookTest, usable_notTheMemberOfItsName_holdsNothing)
+{
+    m_book.update(5, false, {{"a", "r1"}}, {{"e1", "r1", limit}}, m_start);
+    EXPECT_EQ(usable(60s), 0U);
+}
+
+/// Nodes with views of their own before one upstream, in virtual time.
+class SlotBookFleet
+{
+public:
+    SlotBookFleet()
+    {
+        for (unsigned i = 0; i < nodeCount; ++i) {
+            m_nodes.emplace_back(i);
+        }
+        m_history.push_back((1U << nodeCount) - 1);
+    }
+
+    /// Does what @p word stands for: its low bits name the act, the others the node and the amount.
+    void act(std::uint16_t word)
+    {
+        auto &node = m_nodes[(word >> 6) % nodeCount];
+        const auto amount = word >> 8;
+        const auto kind = word % 64;
+        const bool rare = amount % 4 == 0;
+        if (kind == 0 && rare) {
+            m_history.push_back(m_history.back() ^ (1U << (amount % nodeCount)));
+        } else if (kind == 1 && rare) {
+            // The process is replaced; what it sent runs on.
+            node = Node(node.index);
+        } else if (kind < 12) {
+            ask(node);
+        } else if (kind < 22) {
+            hear(node, amount % 16 == 0);
+        } else if (kind < 26) {
+            node.book.sawRuns("e1", running(), m_now);
+        } else if (kind < 36) {
+            advance(std::chrono::milliseconds(amount * 5));
+        } else {
+            dispatch(node, std::chrono::milliseconds(amount * 4));
+        }
+    }
+
+    std::uint32_t mostRunning() const { return m_mostRunning; }
+
+    /// Lets all nodes hear all and all runs end.
+    void settle()
+    {
+        for (auto &node : m_nodes) {
+            ask(node);
+            hear(node, false);
+        }
+        advance(confirmWithin + transit + longestRun);
+    }
+
+    std::uint32_t usable() const
+    {
+        std::uint32_t sum = 0;
+        for (const auto &node : m_nodes) {
+            sum += node.book.usable("e1", limit, m_now);
+        }
+        return sum;
+    }
+    bool anyMember() const { return m_history.back() != 0; }
+
+private:
+    struct Node
+    {
+        explicit Node(unsigned number)
+            : index(number)
+            , book(fmt::format("node-{}", number), times)
+            , confirmation(confirmWithin)
+        { }
+
+        unsigned index;
+        SlotBook book;
+        Confirmation confirmation;
+        Revision revision = 0;
+        Revision answer = 0;
+        base::TimePoint askedAt{};
+        /// When what this process sent ends.
+        std::vector<base::TimePoint> runs;
+    };
+    struct Run
+    {
+        base::TimePoint from;
+        base::TimePoint until;
+    };
+
+    void ask(Node &node) const
+    {
+        node.askedAt = m_now;
+        node.answer = m_history.size();
+    }
+
+    /// The answer may be old by now, or heard twice.
+    void hear(Node &node, bool snapshot)
+    {
+        if (node.answer == 0) {
+            return;
+        }
+        const auto first = snapshot || node.revision == 0 ? node.answer : node.revision + 1;
+        for (auto revision = first; revision <= node.answer && revision > node.revision; ++revision) {
+            take(node, revision);
+        }
+        node.confirmation.learn(node.answer, node.askedAt);
+    }
+
+    void take(Node &node, Revision revision)
+    {
+        const auto mask = m_history[revision - 1];
+        std::vector<SlotMember> members;
+        for (unsigned i = 0; i < nodeCount; ++i) {
+            if ((mask >> i & 1U) != 0) {
+                members.push_back({fmt::format("node-{}", i), "r1"});
+            }
+        }
+        node.revision = revision;
+        node.book.update(revision, (mask >> node.index & 1U) != 0, members, {{"e1", "r1", limit}}, m_now);
+    }
+
+    void dispatch(Node &node, base::Duration delay)
+    {
+        const auto own = static_cast<std::uint32_t>(
+            std::count_if(node.runs.begin(), node.runs.end(), [&](auto until) { return until > m_now; }));
+        if (!node.confirmation.confirmed(node.revision, m_now) || node.book.usable("e1", limit, m_now) <= own) {
+            return;
+        }
+        const auto from = m_now + std::min(delay, transit);
+        const auto until = from + longestRun;
+        node.runs.push_back(until);
+        m_runs.push_back({from, until});
+    }
+
+    void advance(base::Duration by)
+    {
+        // Runs start and end between two instants that are looked at, so each start is looked at.
+        const auto end = m_now + by;
+        for (const auto &run : m_runs) {
+            if (run.from > m_now && run.from <= end) {
+                m_mostRunning = std::max(m_mostRunning, runningAt(run.from));
+            }
+        }
+        m_now = end;
+        m_mostRunning = std::max(m_mostRunning, running());
+    }
+
+    std::uint32_t runningAt(base::TimePoint at) const
+    {
+        return static_cast<std::uint32_t>(std::count_if(
+            m_runs.begin(), m_runs.end(), [&](const Run &run) { return run.from <= at && at < run.until; }));
+    }
+    std::uint32_t running() const { return runningAt(m_now); }
+
+    base::TimePoint m_now{1000s};
+    std::vector<Node> m_nodes;
+    std::vector<Run> m_runs;
+    /// Members by revision, as bits.
+    std::vector<unsigned> m_history;
+    std::uint32_t m_mostRunning = 0;
+};
+
+class SlotBookFleetTest : public testing::Test
+{
+protected:
+    void play(const std::vector<std::uint16_t> &acts)
+    {
+        m_fleet.settle();
+        m_fleet.settle();
+        for (const auto act : acts) {
+            m_fleet.act(act);
+        }
+    }
+
+    SlotBookFleet m_fleet;
+};
+
+const auto anyActs
+    = rc::gen::resize(rc::kNominalSize,
+                      rc::gen::container<std::vector<std::uint16_t>>(8000, rc::gen::inRange<std::uint16_t>(0, 65535)));
+
+RC_GTEST_FIXTURE_PROP(SlotBookFleetTest, dispatch_anyOrderOfFaults_neverPassesTheLimit, ())
+{
+    play(*anyActs);
+    RC_ASSERT(m_fleet.mostRunning() <= limit);
+}
+
+TEST_F(SlotBookFleetTest, dispatch_manyFaults_usesAllSlotsAtTimes)
+{
+    std::mt19937 random(7); // NOLINT(cert-msc32-c,cert-msc51-cpp): the same acts each time
+    std::vector<std::uint16_t> acts(2000);
+    std::generate(acts.begin(), acts.end(), [&] { return static_cast<std::uint16_t>(random()); });
+    play(acts);
+    EXPECT_EQ(m_fleet.mostRunning(), limit);
+}
+
+RC_GTEST_FIXTURE_PROP(SlotBookFleetTest, usable_faultsOver_allSlotsComeBack, ())
+{
+    play(*anyActs);
+    m_fleet.settle();
+    m_fleet.settle();
+    RC_ASSERT(m_fleet.usable() == (m_fleet.anyMember() ? limit : 0U));
+}
+
+} // namespace ibisfork::coord
