Hold slots per upstream in place of a share of its limit

Cause: LimitBook divided by members and rounded down to 0, counted no runs of former holders and took every upstream for cold after a restart. Change: LimitBook stands on SlotBook and Ramp; load reports are polled at a bounded rate from upstreams of which the node holds slots, and tell uptime, incarnation, runs left over and leaving. Revisions reach the serving task one by one. A node is ready once its first slots are past their wait. Requests run at most for longest_run. The engine stand-in ramps, reports uptime and names streams after its incarnation.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -72,8 +72,9 @@
     base::MetricsRegistry metrics;
     serving::DecisionLog decisions(decisionsKept);
     const auto base = net::makeEventBase();
-    serving::ServingTask serving(settings, metrics, decisions);
-    fleettask::FleetTask fleet(settings, metrics, newIncarnation(), [&](const fleettask::FleetUpdate &update) {
+    const auto incarnation = newIncarnation();
+    serving::ServingTask serving(settings, metrics, decisions, incarnation);
+    fleettask::FleetTask fleet(settings, metrics, incarnation, [&](const fleettask::FleetUpdate &update) {
         std::visit([&](const auto &message) { serving.post(message); }, update);
     });
     operators::OperatorPorts ports;
--- a/src/fleettask/fleettask.cpp
+++ b/src/fleettask/fleettask.cpp
@@ -95,9 +95,11 @@
         return;
     }
     for (const auto &change : changes) {
-        m_replica.apply(change);
+        // One by one: a slot may have been another node's at a revision between.
+        if (m_replica.apply(change)) {
+            publishConfig();
+        }
     }
-    publishConfig();
 }
 
 void FleetTask::readSnapshot()
--- a/src/routing/decision.h
+++ b/src/routing/decision.h
@@ -38,11 +38,16 @@
     std::vector<LeftOut> leftOut;
 };
 
+/// Tells which upstreams are of use to a node at all.
+using UpstreamFilter = std::function<bool(const std::string &upstream)>;
+
 /// How much room and load an upstream has, asked of the node's own books.
 struct UpstreamRoom
 {
     std::uint32_t free = 0;
     std::uint32_t running = 0;
+    /// Work of all nodes there as a share of what the upstream bears warm.
+    double occupancy = 0;
 };
 using RoomLookup = std::function<UpstreamRoom(const std::string &upstream)>;
 
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -19,9 +19,9 @@
 
 } // namespace
 
-Router::Router(const fleet::Config &config)
+Router::Router(const fleet::Config &config, const UpstreamFilter &usable)
     : m_config(config)
-    , m_picker(config)
+    , m_picker(config, usable)
 { }
 
 RoutingDecision Router::choose(const RoutingQuery &query, const RoomLookup &room) const
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -30,7 +30,8 @@
 class Router
 {
 public:
-    explicit Router(const fleet::Config &config);
+    /// Upstreams that @p usable says no to are never chosen.
+    explicit Router(const fleet::Config &config, const UpstreamFilter &usable = {});
 
     RoutingDecision choose(const RoutingQuery &query, const RoomLookup &room) const;
 
--- a/src/routing/upstreampicker.cpp
+++ b/src/routing/upstreampicker.cpp
@@ -4,10 +4,13 @@
 
 namespace ibisfork::routing {
 
-UpstreamPicker::UpstreamPicker(const fleet::Config &config)
+UpstreamPicker::UpstreamPicker(const fleet::Config &config, const UpstreamFilter &usable)
     : m_config(config)
 {
     for (const auto &[id, upstream] : config.upstreams) {
+        if (usable && !usable(id)) {
+            continue;
+        }
         if (upstream.kind == fleet::UpstreamKind::Service) {
             m_services[upstream.service].push_back(&upstream);
             continue;
--- a/src/routing/upstreampicker.h
+++ b/src/routing/upstreampicker.h
@@ -15,7 +15,7 @@
 class UpstreamPicker
 {
 public:
-    explicit UpstreamPicker(const fleet::Config &config);
+    UpstreamPicker(const fleet::Config &config, const UpstreamFilter &usable);
 
     /// An engine with room that serves @p version, or an empty text. Adds the others to @p leftOut.
     std::string pickEngine(const fleet::VersionId &version,
--- a/src/serving/context.h
+++ b/src/serving/context.h
@@ -21,9 +21,10 @@
 /// The configuration of one revision and the router built on it.
 struct FleetView
 {
-    explicit FleetView(std::shared_ptr<const fleet::Config> newConfig)
+    /// The router leaves out upstreams that @p limits has no slots of.
+    FleetView(std::shared_ptr<const fleet::Config> newConfig, const upstream::LimitBook &limits)
         : config(std::move(newConfig))
-        , router(*config)
+        , router(*config, [&](const std::string &upstream) { return limits.holds(upstream); })
     { }
 
     std::shared_ptr<const fleet::Config> config;
@@ -36,11 +37,15 @@
     Context(event_base *eventBase,
             const settings::Settings &nodeSettings,
             base::MetricsRegistry &registry,
-            DecisionLog &log)
+            DecisionLog &log,
+            const std::string &incarnation)
         : base(eventBase)
         , settings(nodeSettings)
         , metrics(registry)
         , decisions(log)
+        , limits(nodeSettings.node.name,
+                 incarnation,
+                 {nodeSettings.timing.confirmWithin, nodeSettings.timing.longestRun})
         , canceller(eventBase, upstreamTimeouts())
     { }
 
@@ -51,6 +56,11 @@
     /// Whether new work may be dispatched under the view held.
     bool confirmed(base::TimePoint now) const { return view && now < confirmedUntil; }
 
+    routing::UpstreamRoom roomAt(const std::string &upstream, base::TimePoint now) const
+    {
+        return {limits.free(upstream, now), limits.running(upstream), limits.occupancy(upstream)};
+    }
+
     event_base *base;
     const settings::Settings &settings;
     base::MetricsRegistry &metrics;
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -115,9 +115,8 @@
     query.tried = m_tried;
     query.failureDomain = m_context.settings.node.failureDomain;
     const auto now = base::monotonicNow();
-    const auto decision = m_context.view->router.choose(query, [&](const std::string &upstream) {
-        return routing::UpstreamRoom{m_context.limits.free(upstream, now), m_context.limits.running(upstream)};
-    });
+    const auto decision = m_context.view->router.choose(
+        query, [&](const std::string &upstream) { return m_context.roomAt(upstream, now); });
     logDecision(decision);
     if (!decision.version && !m_tried.empty()) {
         refuse(
@@ -340,9 +339,12 @@
     if (!m_run || m_run->finished()) {
         ended(true);
     } else if (m_run->streamId().empty()) {
-        m_context.canceller.hold(m_context.settings.timing.upstreamSilence, ended);
+        m_context.canceller.hold(m_context.settings.timing.longestRun, ended);
     } else {
-        m_context.canceller.cancel(m_run->address(), m_run->streamId(), ended);
+        const auto cancelled = [&context = m_context, ended](bool stopped) {
+            stopped ? ended(true) : context.canceller.hold(context.settings.timing.longestRun, ended);
+        };
+        m_context.canceller.cancel(m_run->address(), m_run->streamId(), cancelled);
     }
     if (m_run) {
         m_run->stop();
--- a/src/serving/serviceexchange.cpp
+++ b/src/serving/serviceexchange.cpp
@@ -99,10 +99,8 @@
         refuse(RefusalCode::NotPermitted, "the workspace may not use this service", 0);
         return;
     }
-    const auto decision
-        = m_context.view->router.chooseService(m_request.service, m_tried, [&](const std::string &upstream) {
-              return routing::UpstreamRoom{m_context.limits.free(upstream, now), m_context.limits.running(upstream)};
-          });
+    const auto decision = m_context.view->router.chooseService(
+        m_request.service, m_tried, [&](const std::string &upstream) { return m_context.roomAt(upstream, now); });
     logDecision(decision);
     if (decision.upstream.empty()) {
         refuse(RefusalCode::NoUpstream, "no upstream of the service has room", retryAfterSeconds);
--- a/src/serving/servingtask.cpp
+++ b/src/serving/servingtask.cpp
@@ -20,6 +20,7 @@
 
 constexpr int statusOk = 200;
 constexpr int retryAfterSeconds = 1;
+constexpr std::chrono::milliseconds slotsCheckInterval{100};
 
 std::string newRequestId()
 {
@@ -36,10 +37,15 @@
 
 } // namespace
 
-ServingTask::ServingTask(const settings::Settings &settings, base::MetricsRegistry &metrics, DecisionLog &decisions)
+ServingTask::ServingTask(const settings::Settings &settings,
+                         base::MetricsRegistry &metrics,
+                         DecisionLog &decisions,
+                         const std::string &incarnation)
     : m_settings(settings)
     , m_task("serving")
-    , m_context(m_task.base(), settings, metrics, decisions)
+    , m_context(m_task.base(), settings, metrics, decisions, incarnation)
+    , m_slotsTimer(m_task.base(), [this] { checkSlots(); })
+    , m_loadPoller(m_task.base(), m_context.limits, metrics)
     , m_server(m_task.base(),
                settings.listen.callers,
                serverLimits(settings),
@@ -49,15 +55,17 @@
 
 bool ServingTask::ready() const
 {
-    return !m_draining && base::monotonicNow().time_since_epoch().count() < m_confirmedUntil.load();
+    return !m_draining && m_slotsReady && base::monotonicNow().time_since_epoch().count() < m_confirmedUntil.load();
 }
 
 void ServingTask::handle(ServingMessage message)
 {
     std::visit(base::Overloaded{
                    [this](const fleettask::ConfigUpdate &update) {
-                       m_context.view = std::make_shared<const FleetView>(update.config);
-                       m_context.limits.update(*update.config, m_settings.node.name, base::monotonicNow());
+                       m_context.limits.update(*update.config, base::monotonicNow());
+                       m_context.view = std::make_shared<const FleetView>(update.config, m_context.limits);
+                       m_loadPoller.update(*update.config);
+                       checkSlots();
                        m_context.confirmedUntil = {};
                    },
                    [this](const fleettask::ConfirmationUpdate &update) {
@@ -126,7 +134,7 @@
     exchangeRequest.workspace = workspace.name;
     exchangeRequest.chat = parseChatRequest(request.request.body);
     exchangeRequest.priority = priorityOf(headers, workspace.rules.priority);
-    exchangeRequest.deadline = deadlineOf(headers, m_settings.timing.requestDeadline);
+    exchangeRequest.deadline = deadlineFor(headers);
     const auto id = exchangeRequest.id;
     auto exchange
         = std::make_unique<Exchange>(m_context, std::move(exchangeRequest), request.reply, [this, id] { erase(id); });
@@ -134,6 +142,12 @@
     held.start();
 }
 
+base::Duration ServingTask::deadlineFor(const net::HttpHeaders &headers) const
+{
+    const auto asked = deadlineOf(headers, m_settings.timing.requestDeadline);
+    return std::min<base::Duration>(asked, m_settings.timing.longestRun);
+}
+
 void ServingTask::startService(const net::HttpServerRequest &request, const fleet::Workspace &workspace)
 {
     if (m_exchanges.size() + m_serviceExchanges.size() >= m_settings.limits.maxRequests) {
@@ -144,7 +158,7 @@
         const auto path = servicePathOf(request.request.path);
         ServiceRequest service{workspace.name, path.service, request.request, {}};
         service.call.path = path.path;
-        service.deadline = deadlineOf(request.request.headers, m_settings.timing.requestDeadline);
+        service.deadline = deadlineFor(request.request.headers);
         const auto id = newRequestId();
         auto exchange = std::make_unique<ServiceExchange>(
             m_context, id, std::move(service), request.reply, [this, id] { erase(id); });
@@ -209,6 +223,17 @@
     checkDrained();
 }
 
+void ServingTask::checkSlots()
+{
+    if (m_slotsReady) {
+        m_slotsTimer.stop();
+    } else if (m_context.limits.member() && m_context.limits.settled(base::monotonicNow())) {
+        m_slotsReady = true;
+    } else {
+        m_slotsTimer.startOnce(slotsCheckInterval);
+    }
+}
+
 void ServingTask::checkDrained()
 {
     if (m_draining && m_exchanges.empty() && m_serviceExchanges.empty() && m_drained) {
--- a/src/serving/servingtask.h
+++ b/src/serving/servingtask.h
@@ -16,6 +16,7 @@
 #include "serving/exchange.h"
 #include "serving/serviceexchange.h"
 #include "settings/settings.h"
+#include "upstream/loadpoller.h"
 
 namespace ibisfork::serving {
 
@@ -31,14 +32,18 @@
 class ServingTask
 {
 public:
-    ServingTask(const settings::Settings &settings, base::MetricsRegistry &metrics, DecisionLog &decisions);
+    /// @p incarnation names this process in its member row.
+    ServingTask(const settings::Settings &settings,
+                base::MetricsRegistry &metrics,
+                DecisionLog &decisions,
+                const std::string &incarnation);
 
     void start() { m_task.start(); }
     void stop() { m_task.stop(); }
     /// Hands a message to the task, from any thread.
     void post(ServingMessage message) { m_mailbox.post(std::move(message)); }
 
-    /// Whether new work is taken: confirmed and not draining. Any thread.
+    /// Whether new work is taken: confirmed, not draining, and past the first wait for slots. Any thread.
     bool ready() const;
     const net::Address &address() const { return m_server.address(); }
 
@@ -52,7 +57,9 @@
     const fleet::Workspace *authenticate(const net::HttpHeaders &headers) const;
     void refuse(const net::HttpServerRequest &request, caller::RefusalCode code, const std::string &message) const;
     void erase(const std::string &requestId);
+    base::Duration deadlineFor(const net::HttpHeaders &headers) const;
     void checkDrained();
+    void checkSlots();
 
     const settings::Settings &m_settings;
     net::Task m_task;
@@ -60,6 +67,9 @@
     std::atomic<bool> m_draining{false};
     std::atomic<base::TimePoint::rep> m_confirmedUntil{0};
     std::function<void()> m_drained;
+    std::atomic<bool> m_slotsReady{false};
+    net::Timer m_slotsTimer;
+    upstream::LoadPoller m_loadPoller;
     net::HttpServer m_server;
     std::map<std::string, std::unique_ptr<Exchange>> m_exchanges;
     std::map<std::string, std::unique_ptr<ServiceExchange>> m_serviceExchanges;
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -65,6 +65,7 @@
     timing.platformTimeout = fields.optionalMilliseconds("platform_timeout", timing.platformTimeout);
     timing.connectTimeout = fields.optionalMilliseconds("connect_timeout", timing.connectTimeout);
     timing.upstreamSilence = fields.optionalMilliseconds("upstream_silence", timing.upstreamSilence);
+    timing.longestRun = fields.optionalMilliseconds("longest_run", timing.longestRun);
     timing.requestDeadline = fields.optionalMilliseconds("request_deadline", timing.requestDeadline);
     timing.drainWithin = fields.optionalMilliseconds("drain_within", timing.drainWithin);
     fields.refuseUnknown();
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -44,6 +44,8 @@
     std::chrono::milliseconds upstreamSilence{10000};
     /// Deadline of a request whose caller gives none.
     std::chrono::milliseconds requestDeadline{60000};
+    /// Longest time that a request may run at an upstream, whatever deadline its caller gives.
+    std::chrono::milliseconds longestRun{60000};
     /// Longest time that a shutdown waits for running requests.
     std::chrono::milliseconds drainWithin{30000};
 };
--- a/src/upstream/limitbook.cpp
+++ b/src/upstream/limitbook.cpp
@@ -1,70 +1,242 @@
 #include "upstream/limitbook.h"
 
 #include <algorithm>
+#include <utility>
+
+#include <ibisfork/base/log.h>
 
 namespace ibisfork::upstream {
 
-void LimitBook::update(const fleet::Config &config, const std::string &, base::TimePoint now)
+namespace {
+
+constexpr std::chrono::seconds defaultFreshFor{3};
+/// An upstream not heard from for so long gets one request at a time until it answers.
+constexpr std::chrono::seconds probeAfter{1};
+
+coord::RampLimit rampLimit(const fleet::ConcurrencyLimit &limit)
+{
+    return {limit.cold, limit.warm, limit.ramp};
+}
+
+std::string regionOf(const fleet::Config &config, const std::string &failureDomain)
+{
+    const auto domain = config.failureDomains.find(failureDomain);
+    return domain == config.failureDomains.end() ? std::string() : domain->second.region;
+}
+
+std::vector<coord::SlotMember> slotMembers(const fleet::Config &config)
 {
-    m_members = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(config.members.size()));
-    std::erase_if(m_entries, [&](const auto &entry) { return !config.upstreams.contains(entry.first); });
+    std::vector<coord::SlotMember> members;
+    members.reserve(config.members.size());
+    for (const auto &[name, member] : config.members) {
+        members.push_back({name, member.region});
+    }
+    return members;
+}
+
+std::vector<coord::SlotUpstream> slotUpstreams(const fleet::Config &config)
+{
+    std::vector<coord::SlotUpstream> upstreams;
+    upstreams.reserve(config.upstreams.size());
     for (const auto &[id, upstream] : config.upstreams) {
-        auto [entry, added] = m_entries.try_emplace(id);
-        entry->second.limit = upstream.limit;
-        if (added) {
-            entry->second.coldSince = now;
+        const auto slots = std::max(upstream.limit.cold, upstream.limit.warm);
+        upstreams.push_back({id, regionOf(config, upstream.failureDomain), slots});
+    }
+    return upstreams;
+}
+
+} // namespace
+
+LimitBook::LimitBook(const std::string &node, std::string incarnation, coord::SlotTimes times)
+    : m_node(node)
+    , m_incarnation(std::move(incarnation))
+    , m_slots(node, times)
+    , m_freshFor(defaultFreshFor)
+{ }
+
+void LimitBook::update(const fleet::Config &config, base::TimePoint now)
+{
+    const auto self = config.members.find(m_node);
+    m_member = self != config.members.end() && self->second.incarnation == m_incarnation;
+    takeUpstreams(config, now);
+    m_slots.update(config.revision, m_member, slotMembers(config), slotUpstreams(config), now);
+}
+
+void LimitBook::takeUpstreams(const fleet::Config &config, base::TimePoint now)
+{
+    // What still runs at an upstream that is gone counts if it comes back.
+    std::erase_if(m_entries, [&](const auto &entry) {
+        return !config.upstreams.contains(entry.first) && entry.second.running == 0;
+    });
+    for (const auto &[id, upstream] : config.upstreams) {
+        auto &entry = m_entries.try_emplace(id, now).first->second;
+        entry.limit = upstream.limit;
+        entry.engine = upstream.kind == fleet::UpstreamKind::Engine;
+        const bool wasOpen = std::exchange(entry.open, isOpen(config, upstream));
+        if (entry.open && !wasOpen) {
+            sawColdStart(id, now, ColdStartSign::BroughtBack);
         }
     }
 }
 
+bool LimitBook::isOpen(const fleet::Config &config, const fleet::Upstream &upstream)
+{
+    const auto domain = config.failureDomains.find(upstream.failureDomain);
+    const bool domainIn = domain == config.failureDomains.end() || domain->second.state == fleet::DomainState::In;
+    return domainIn && upstream.state == fleet::UpstreamState::Live;
+}
+
 std::uint32_t LimitBook::free(const std::string &upstream, base::TimePoint now) const
 {
-    const auto entry = m_entries.find(upstream);
-    if (entry == m_entries.end()) {
+    const auto *entry = find(upstream);
+    if (entry == nullptr || !entry->open || entry->leaving) {
+        return 0;
+    }
+    if (entry->engine && entry->unanswered > 0 && now - entry->heardAt > probeAfter) {
         return 0;
     }
-    const auto most = allowed(entry->second, now);
-    return most - std::min(most, entry->second.running);
+    const auto most = m_slots.usable(upstream, allowed(*entry, now), now);
+    return most - std::min(most, entry->running);
+}
+
+std::uint32_t LimitBook::allowed(const Entry &entry, base::TimePoint now) const
+{
+    // An upstream that is not heard from may have started afresh.
+    const bool stale = entry.engine && now - entry.heardAt > m_freshFor;
+    return stale ? entry.limit.cold : entry.ramp.allowed(rampLimit(entry.limit), now);
 }
 
 std::uint32_t LimitBook::running(const std::string &upstream) const
 {
-    const auto entry = m_entries.find(upstream);
-    return entry == m_entries.end() ? 0 : entry->second.running;
+    const auto *entry = find(upstream);
+    return entry == nullptr ? 0 : entry->running;
+}
+
+double LimitBook::occupancy(const std::string &upstream) const
+{
+    const auto *entry = find(upstream);
+    if (entry == nullptr) {
+        return 1.0;
+    }
+    // The report lags: this node's own work since then is added, and never less than that is assumed.
+    const auto reported = entry->reportedRunning - std::min(entry->reportedRunning, entry->ownAtReport);
+    return static_cast<double>(reported + entry->running) / std::max<std::uint32_t>(1, entry->limit.warm);
+}
+
+std::vector<std::string> LimitBook::held() const
+{
+    std::vector<std::string> held;
+    for (const auto &[id, entry] : m_entries) {
+        if (m_slots.holds(id)) {
+            held.push_back(id);
+        }
+    }
+    std::sort(held.begin(), held.end());
+    return held;
+}
+
+bool LimitBook::settled(base::TimePoint now) const
+{
+    const auto upstreams = held();
+    const auto waits = [&](const std::string &upstream) {
+        return m_slots.waits(upstream, now);
+    };
+    return upstreams.empty() || !std::all_of(upstreams.begin(), upstreams.end(), waits);
 }
 
 void LimitBook::started(const std::string &upstream)
 {
-    ++m_entries[upstream].running;
+    if (auto *entry = find(upstream)) {
+        ++entry->running;
+        ++entry->unanswered;
+    }
 }
 
 void LimitBook::ended(const std::string &upstream)
 {
-    auto &running = m_entries[upstream].running;
-    running -= std::min<std::uint32_t>(running, 1);
+    if (auto *entry = find(upstream)) {
+        entry->running -= std::min<std::uint32_t>(entry->running, 1);
+        entry->unanswered = std::min(entry->unanswered, entry->running);
+    }
 }
 
 void LimitBook::sawIncarnation(const std::string &upstream, const std::string &incarnation, base::TimePoint now)
 {
-    auto &entry = m_entries[upstream];
-    if (!entry.incarnation.empty() && entry.incarnation != incarnation) {
-        sawColdStart(upstream, now);
+    auto *entry = find(upstream);
+    if (entry == nullptr) {
+        return;
+    }
+    entry->heardAt = now;
+    entry->unanswered -= std::min<std::uint32_t>(entry->unanswered, 1);
+    const auto before = std::exchange(entry->incarnation, incarnation);
+    if (!before.empty() && before != incarnation) {
+        sawColdStart(upstream, now, ColdStartSign::NewIncarnation);
     }
-    entry.incarnation = incarnation;
 }
 
-void LimitBook::sawColdStart(const std::string &upstream, base::TimePoint now)
+void LimitBook::sawColdStart(const std::string &upstream, base::TimePoint now, ColdStartSign sign)
 {
-    m_entries[upstream].coldSince = now;
+    auto *entry = find(upstream);
+    if (entry == nullptr) {
+        return;
+    }
+    entry->ramp.sawColdStart(now);
+    base::LogLine(base::LogLevel::Warning, "cold-start")
+        .field("upstream", upstream)
+        .field("sign", base::nameOf(coldStartSignNames, sign));
+    // Every node sees the change that brings an upstream back, and a notice must not echo.
+    if (m_notice && sign != ColdStartSign::BroughtBack && sign != ColdStartSign::Notice) {
+        m_notice({upstream, entry->incarnation});
+    }
 }
 
-std::uint32_t LimitBook::allowed(const Entry &entry, base::TimePoint now) const
+void LimitBook::sawFirstToken(const std::string &upstream, base::Duration after, base::TimePoint now)
+{
+    auto *entry = find(upstream);
+    if (entry != nullptr && entry->firstTokens.add(after)) {
+        sawColdStart(upstream, now, ColdStartSign::SlowFirstToken);
+    }
+}
+
+void LimitBook::sawLoad(const std::string &upstream,
+                        const LoadReport &report,
+                        base::TimePoint askedAt,
+                        base::TimePoint now)
+{
+    auto *entry = find(upstream);
+    if (entry == nullptr) {
+        return;
+    }
+    const auto madeAt = askedAt - report.age;
+    const bool known = entry->incarnation == report.incarnation;
+    if (!known && !std::exchange(entry->incarnation, report.incarnation).empty()) {
+        sawColdStart(upstream, now, ColdStartSign::NewIncarnation);
+    }
+    if (report.uptime) {
+        entry->ramp.sawUptime(*report.uptime, now);
+    }
+    entry->heardAt = std::max(entry->heardAt, madeAt);
+    entry->leaving = report.leaving;
+    entry->reportedRunning = report.running;
+    entry->ownAtReport = entry->running;
+    m_slots.sawRuns(upstream, report.running, madeAt);
+}
+
+void LimitBook::takeNotice(const Notice &notice, base::TimePoint now)
+{
+    sawColdStart(notice.upstream, now, ColdStartSign::Notice);
+}
+
+LimitBook::Entry *LimitBook::find(const std::string &upstream)
+{
+    const auto found = m_entries.find(upstream);
+    return found == m_entries.end() ? nullptr : &found->second;
+}
+
+const LimitBook::Entry *LimitBook::find(const std::string &upstream) const
 {
-    const auto &limit = entry.limit;
-    const double ramp = std::max(base::toSeconds(limit.ramp), 1e-3);
-    const double warmed = std::clamp(base::toSeconds(now - entry.coldSince) / ramp, 0.0, 1.0);
-    const double whole = limit.cold + warmed * (static_cast<double>(limit.warm) - limit.cold);
-    return static_cast<std::uint32_t>(whole) / m_members;
+    const auto found = m_entries.find(upstream);
+    return found == m_entries.end() ? nullptr : &found->second;
 }
 
 } // namespace ibisfork::upstream
--- /dev/null
+++ b/src/upstream/loadpoller.cpp
@@ -0,0 +1,79 @@
+#include "upstream/loadpoller.h"
+
+#include <algorithm>
+
+namespace ibisfork::upstream {
+
+namespace {
+
+constexpr int statusOk = 200;
+constexpr std::chrono::milliseconds pollTimeout{1000};
+/// Shortest time between two questions to the same upstream, and to any two.
+constexpr std::chrono::milliseconds shortestCycle{1000};
+constexpr std::chrono::milliseconds shortestStep{50};
+/// Cycles without a report after which an upstream may no longer be taken for warm.
+constexpr int freshCycles = 3;
+
+} // namespace
+
+LoadPoller::LoadPoller(event_base *base, LimitBook &limits, base::MetricsRegistry &metrics)
+    : m_base(base)
+    , m_limits(limits)
+    , m_reports(metrics.counter("ibisfork_load_reports_total"))
+    , m_failures(metrics.counter("ibisfork_load_report_failures_total"))
+    , m_timer(base, [this] { pollNext(); })
+{ }
+
+void LoadPoller::update(const fleet::Config &config)
+{
+    m_targets.clear();
+    for (const auto &id : m_limits.held()) {
+        m_targets.push_back({id, net::Address::parse(config.upstreams.at(id).address)});
+    }
+    if (m_targets.empty()) {
+        m_timer.stop();
+        return;
+    }
+    const auto count = static_cast<std::chrono::milliseconds::rep>(m_targets.size());
+    const auto step = std::max(shortestStep, shortestCycle / count);
+    m_limits.setFreshFor(freshCycles * std::max(shortestCycle, step * count));
+    m_timer.startEvery(step);
+}
+
+void LoadPoller::pollNext()
+{
+    m_next = (m_next + 1) % m_targets.size();
+    const auto &target = m_targets[m_next];
+    if (!m_calls.contains(target.upstream)) {
+        poll(target);
+    }
+}
+
+void LoadPoller::poll(const Target &target)
+{
+    const auto askedAt = base::monotonicNow();
+    net::HttpRequest request;
+    request.path = "/v1/load";
+    const auto done = [this, askedAt, upstream = target.upstream](const auto &outcome) {
+        const auto *response = std::get_if<net::HttpResponse>(&outcome);
+        if (response != nullptr && response->head.status == statusOk) {
+            onAnswer(upstream, askedAt, *response);
+        } else {
+            m_failures.add();
+        }
+        m_calls.erase(upstream);
+    };
+    m_calls[target.upstream] = net::fetch(m_base, target.address, std::move(request), pollTimeout, done);
+}
+
+void LoadPoller::onAnswer(const std::string &upstream, base::TimePoint askedAt, const net::HttpResponse &response)
+{
+    if (const auto report = parseLoadReport(response.body)) {
+        m_reports.add();
+        m_limits.sawLoad(upstream, *report, askedAt, base::monotonicNow());
+    } else {
+        m_failures.add();
+    }
+}
+
+} // namespace ibisfork::upstream
--- /dev/null
+++ b/src/upstream/loadpoller.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <ibisfork/base/metrics.h>
+#include <ibisfork/fleet/config.h>
+
+#include "net/address.h"
+#include "net/httpcall.h"
+#include "net/timer.h"
+#include "upstream/limitbook.h"
+
+namespace ibisfork::upstream {
+
+/// Asks the upstreams that this node holds slots of for their load, one after another at a bounded rate.
+class LoadPoller
+{
+public:
+    LoadPoller(event_base *base, LimitBook &limits, base::MetricsRegistry &metrics);
+
+    /// Takes the upstreams of a revision, after the limit book has.
+    void update(const fleet::Config &config);
+
+private:
+    struct Target
+    {
+        std::string upstream;
+        net::Address address;
+    };
+
+    void pollNext();
+    void poll(const Target &target);
+    void onAnswer(const std::string &upstream, base::TimePoint askedAt, const net::HttpResponse &response);
+
+    event_base *m_base;
+    LimitBook &m_limits;
+    base::Counter &m_reports;
+    base::Counter &m_failures;
+    std::vector<Target> m_targets;
+    std::size_t m_next = 0;
+    std::map<std::string, std::unique_ptr<net::HttpCall>> m_calls;
+    net::Timer m_timer;
+};
+
+} // namespace ibisfork::upstream
--- /dev/null
+++ b/src/upstream/loadreport.cpp
@@ -0,0 +1,54 @@
+#include "upstream/loadreport.h"
+
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+
+namespace ibisfork::upstream {
+
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr std::uint64_t mostRuns = 1000000;
+/// Age of a report that doesn't tell its own.
+constexpr std::chrono::milliseconds assumedAge{2000};
+std::uint64_t unsignedFrom(const Json &value)
+{
+    if (!value.is_number_unsigned()) {
+        throw Json::other_error::create(501, "a count is not a whole number", &value);
+    }
+    return value.get<std::uint64_t>();
+}
+
+/// Longer times are as good as this.
+constexpr std::chrono::milliseconds longestTime = std::chrono::hours(24);
+
+/// A count of milliseconds; throws for anything else.
+std::chrono::milliseconds millisecondsFrom(const Json &value)
+{
+    const auto count = std::min<std::uint64_t>(unsignedFrom(value), static_cast<std::uint64_t>(longestTime.count()));
+    return std::chrono::milliseconds(count);
+}
+
+} // namespace
+
+std::optional<LoadReport> parseLoadReport(const std::string &body)
+{
+    try {
+        const Json json = Json::parse(body);
+        LoadReport report;
+        report.incarnation = json.at("incarnation").get<std::string>();
+        report.running = static_cast<std::uint32_t>(std::min<std::uint64_t>(unsignedFrom(json.at("running")), mostRuns));
+        if (json.contains("uptime_ms")) {
+            report.uptime = millisecondsFrom(json["uptime_ms"]);
+        }
+        report.age = json.contains("age_ms") ? millisecondsFrom(json["age_ms"]) : assumedAge;
+        report.leaving = json.value("leaving", false);
+        return report;
+    } catch (const Json::exception &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace ibisfork::upstream
--- a/standin/engine/generation.h
+++ b/standin/engine/generation.h
@@ -17,6 +17,8 @@
     std::chrono::milliseconds betweenTokens{10};
     unsigned tokens = 16;
     unsigned limit = 16;
+    unsigned cold = 2;
+    std::chrono::milliseconds ramp{0};
 };
 
 /// One generation: makes tokens whether somebody reads them or not, until it is cancelled.
--- a/standin/engine/main.cpp
+++ b/standin/engine/main.cpp
@@ -64,12 +64,13 @@
         }
         const auto requestId = request.request.headers.find("X-Request-Id").value_or("");
         ++m_runs[requestId];
-        if (request.request.body.find("crash-the-engine") != std::string::npos || m_running >= m_profile.limit) {
+        if (request.request.body.find("crash-the-engine") != std::string::npos || m_running >= bears()) {
             std::_Exit(exitFellOver);
         }
         ++m_running;
         m_mostRunning = std::max(m_mostRunning, m_running);
-        const auto id = fmt::format("s{}", m_nextStream++);
+        // Named after the incarnation, so that another one's stream is never taken for it.
+        const auto id = fmt::format("{}-{}", m_incarnation, m_nextStream++);
         const Json body = Json::parse(request.request.body, nullptr, false);
         const auto tokens = body.is_object() ? body.value("max_tokens", m_profile.tokens) : m_profile.tokens;
         m_generations[id] = std::make_unique<standin::Generation>(
@@ -121,7 +122,26 @@
         m_generations.erase(id);
     }
 
-    Json load() const { return {{"incarnation", m_incarnation}, {"running", m_running}, {"limit", m_profile.limit}}; }
+    Json load() const
+    {
+        return {{"incarnation", m_incarnation},
+                {"running", m_running},
+                {"limit", bears()},
+                {"uptime_ms", base::toMilliseconds(base::monotonicNow() - m_startedAt)},
+                {"age_ms", 0},
+                {"leaving", m_faults.value("leaving", false)}};
+    }
+
+    /// Requests at once that the engine bears by now.
+    unsigned bears() const
+    {
+        const auto ramp = base::toSeconds(m_profile.ramp);
+        const auto age = base::toSeconds(base::monotonicNow() - m_startedAt);
+        if (age >= ramp) {
+            return m_profile.limit;
+        }
+        return m_profile.cold + static_cast<unsigned>(age / ramp * (m_profile.limit - m_profile.cold));
+    }
 
     static void sendJson(net::HttpReply &reply, int status, const Json &json)
     {
@@ -133,6 +153,7 @@
     event_base *m_base;
     standin::EngineProfile m_profile;
     std::string m_incarnation;
+    base::TimePoint m_startedAt = base::monotonicNow();
     Json m_faults = Json::object();
     std::map<std::string, std::unique_ptr<standin::Generation>> m_generations;
     std::map<std::string, unsigned> m_runs;
@@ -149,6 +170,8 @@
     profile.betweenTokens = std::chrono::milliseconds(arguments["between-tokens-ms"].as<int>());
     profile.tokens = arguments["tokens"].as<unsigned>();
     profile.limit = arguments["limit"].as<unsigned>();
+    profile.ramp = std::chrono::milliseconds(arguments["ramp-ms"].as<int>());
+    profile.cold = std::min(profile.limit, arguments["cold"].as<unsigned>());
     return profile;
 }
 
@@ -164,6 +187,8 @@
         add("between-tokens-ms", "time between tokens", cxxopts::value<int>()->default_value("10"));
         add("tokens", "tokens of an answer", cxxopts::value<unsigned>()->default_value("16"));
         add("limit", "requests at once past which it falls over", cxxopts::value<unsigned>()->default_value("16"));
+        add("cold", "requests at once that it bears when it starts", cxxopts::value<unsigned>()->default_value("2"));
+        add("ramp-ms", "time from its start until it bears its limit", cxxopts::value<int>()->default_value("0"));
         const auto arguments = options.parse(argc, argv);
         const auto base = net::makeEventBase();
         const Engine engine(
--- a/standin/service/main.cpp
+++ b/standin/service/main.cpp
@@ -1,5 +1,6 @@
 #include <iostream>
 #include <map>
+#include <random>
 
 #include <cxxopts.hpp>
 #include <nlohmann/json.hpp>
@@ -37,6 +38,11 @@
             request.reply->send(statusOk, headers, "{}");
             return;
         }
+        if (request.request.path == "/v1/load") {
+            const Json load{{"incarnation", m_incarnation}, {"running", 0}, {"age_ms", 0}};
+            request.reply->send(statusOk, headers, load.dump());
+            return;
+        }
         const auto key = request.request.headers.find("Idempotency-Key").value_or("no-key");
         if (request.request.method != net::HttpMethod::Get) {
             ++m_effects[key];
@@ -50,6 +56,7 @@
     }
 
     Json m_faults = Json::object();
+    std::string m_incarnation = std::to_string(std::random_device{}());
     std::map<std::string, unsigned> m_effects;
     net::HttpServer m_server;
 };
--- a/tests/serving/exchange_test.cpp
+++ b/tests/serving/exchange_test.cpp
@@ -136,7 +136,7 @@
         : m_base(net::makeEventBase())
         , m_decisions(10)
         , m_settings(settings())
-        , m_context(m_base.get(), m_settings, m_metrics, m_decisions)
+        , m_context(m_base.get(), m_settings, m_metrics, m_decisions, "life-1")
         , m_engine(m_base.get())
         , m_server(m_base.get(), {"127.0.0.1", 0}, {}, [this](const net::HttpServerRequest &request) { take(request); })
     {
@@ -144,12 +144,15 @@
             m_records.push_back(record);
             recorded();
         };
+        // This node sees the upstreams being added, so that no other can have held their slots.
+        setUpstreams({});
         setUpstreams({m_engine.address()});
     }
 
     static settings::Settings settings()
     {
         settings::Settings out;
+        out.node.name = "n";
         out.timing.upstreamSilence = 100ms;
         out.timing.connectTimeout = 200ms;
         return out;
@@ -158,6 +161,8 @@
     void setUpstreams(const std::vector<std::string> &addresses)
     {
         fleet::Config config;
+        config.revision = ++m_revision;
+        config.members["n"] = {"n", "life-1", {}, {}, {}};
         const fleet::VersionId id{"m", "1"};
         config.versions[id] = {id};
         config.workspaces["w"] = {"w", {}, {id}, {}, {}};
@@ -169,8 +174,9 @@
             upstream.limit = {8, 8, 1ms};
             config.upstreams[upstream.id] = upstream;
         }
-        m_context.view = std::make_shared<const FleetView>(std::make_shared<const fleet::Config>(config));
-        m_context.limits.update(config, "n", base::monotonicNow());
+        m_context.limits.update(config, base::monotonicNow());
+        m_context.view
+            = std::make_shared<const FleetView>(std::make_shared<const fleet::Config>(config), m_context.limits);
         m_context.confirmedUntil = base::TimePoint::max();
     }
 
@@ -238,6 +244,7 @@
     }
 
     net::EventBasePtr m_base;
+    coord::Revision m_revision = 0;
     base::MetricsRegistry m_metrics;
     DecisionLog m_decisions;
     settings::Settings m_settings;
--- /dev/null
+++ b/tests/upstream/limitbook_test.cpp
@@ -0,0 +1,187 @@
+#include "upstream/limitbook.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+namespace ibisfork::upstream {
+
+using namespace std::chrono_literals;
+
+class LimitBookTest : public testing::Test
+{
+protected:
+    LimitBookTest()
+    {
+        m_config.revision = 1;
+        m_config.members["a"] = {"a", "life-1", "", "d1", "r1"};
+        m_config.failureDomains["d1"] = {"d1", "r1", fleet::DomainState::In};
+        m_book.onNotice([this](const Notice &notice) { m_notices.push_back(notice); });
+        m_book.update(m_config, at(0s));
+        fleet::Upstream upstream;
+        upstream.id = "e1";
+        upstream.failureDomain = "d1";
+        upstream.limit = {2, 10, 30s};
+        m_config.upstreams["e1"] = upstream;
+        update(0s);
+    }
+
+    static base::TimePoint at(base::Duration after) { return base::TimePoint(1000s) + after; }
+    std::uint32_t free(base::Duration after) const { return m_book.free("e1", at(after)); }
+    void update(base::Duration after)
+    {
+        ++m_config.revision;
+        m_book.update(m_config, at(after));
+    }
+    void report(base::Duration after, const std::string &incarnation, base::Duration uptime)
+    {
+        m_book.sawLoad("e1", {incarnation, 0, uptime, 0s, false}, at(after), at(after));
+    }
+
+    fleet::Config m_config;
+    LimitBook m_book{"a", "life-1", {6s, 60s}};
+    std::vector<Notice> m_notices;
+};
+
+TEST_F(LimitBookTest, free_noEvidence_isCold)
+{
+    EXPECT_EQ(free(0s), 2U);
+}
+
+TEST_F(LimitBookTest, free_reportOfLongUptime_isWarm)
+{
+    report(1s, "i1", 3600s);
+    EXPECT_EQ(free(1s), 10U);
+}
+
+TEST_F(LimitBookTest, free_halfTheRamp_isBetween)
+{
+    report(1s, "i1", 15s);
+    EXPECT_EQ(free(1s), 6U);
+}
+
+TEST_F(LimitBookTest, free_newIncarnationInAnAnswer_isColdAndTold)
+{
+    report(1s, "i1", 3600s);
+    m_book.sawIncarnation("e1", "i2", at(2s));
+    EXPECT_EQ(free(2s), 2U);
+    ASSERT_EQ(m_notices.size(), 1U);
+    EXPECT_EQ(m_notices[0].upstream, "e1");
+}
+
+TEST_F(LimitBookTest, free_lateReportOfTheFormerIncarnation_staysCold)
+{
+    report(1s, "i1", 3600s);
+    m_book.sawIncarnation("e1", "i2", at(2s));
+    report(2s, "i1", 3601s);
+    EXPECT_EQ(free(2s), 2U);
+    report(3s, "i2", 3600s);
+    EXPECT_EQ(free(3s), 2U);
+}
+
+TEST_F(LimitBookTest, free_noticeOfAnotherNode_isColdAndNotToldOn)
+{
+    report(1s, "i1", 3600s);
+    m_book.takeNotice({"e1", "i2"}, at(2s));
+    EXPECT_EQ(free(2s), 2U);
+    EXPECT_TRUE(m_notices.empty());
+}
+
+TEST_F(LimitBookTest, free_notHeardFromForLong_isCold)
+{
+    report(1s, "i1", 3600s);
+    EXPECT_EQ(free(60s), 2U);
+    report(60s, "i1", 3660s);
+    EXPECT_EQ(free(60s), 10U);
+}
+
+TEST_F(LimitBookTest, free_notHeardFromAndUnanswered_sendsNoMore)
+{
+    report(1s, "i1", 3600s);
+    m_book.started("e1");
+    EXPECT_EQ(free(1s), 9U);
+    EXPECT_EQ(free(3s), 0U);
+    m_book.sawIncarnation("e1", "i1", at(3s));
+    EXPECT_EQ(free(3s), 9U);
+}
+
+TEST_F(LimitBookTest, free_suddenSlowFirstToken_isCold)
+{
+    report(1s, "i1", 3600s);
+    for (int i = 0; i < 20; ++i) {
+        m_book.sawFirstToken("e1", 50ms, at(1s));
+    }
+    EXPECT_EQ(free(1s), 10U);
+    m_book.sawFirstToken("e1", 2s, at(1s));
+    EXPECT_EQ(free(1s), 2U);
+}
+
+TEST_F(LimitBookTest, free_leavingByItsOwnReport_takesNothing)
+{
+    m_book.sawLoad("e1", {"i1", 0, 3600s, 0s, true}, at(1s), at(1s));
+    EXPECT_EQ(free(1s), 0U);
+}
+
+TEST_F(LimitBookTest, free_domainTakenOutAndBroughtBack_startsCold)
+{
+    report(1s, "i1", 3600s);
+    m_config.failureDomains["d1"].state = fleet::DomainState::TakenOut;
+    update(2s);
+    EXPECT_EQ(free(2s), 0U);
+    m_config.failureDomains["d1"].state = fleet::DomainState::In;
+    update(3s);
+    report(3s, "i1", 3602s);
+    EXPECT_EQ(free(3s), 2U);
+}
+
+TEST_F(LimitBookTest, free_drainedAndBroughtBack_startsCold)
+{
+    report(1s, "i1", 3600s);
+    m_config.upstreams["e1"].state = fleet::UpstreamState::Draining;
+    update(2s);
+    EXPECT_EQ(free(2s), 0U);
+    m_config.upstreams["e1"].state = fleet::UpstreamState::Live;
+    update(3s);
+    EXPECT_EQ(free(3s), 2U);
+}
+
+TEST_F(LimitBookTest, free_rowOfAnotherProcessOfTheSameName_takesNothing)
+{
+    m_config.members["a"].incarnation = "life-2";
+    update(1s);
+    EXPECT_EQ(free(1s), 0U);
+    EXPECT_FALSE(m_book.member());
+}
+
+TEST_F(LimitBookTest, running_upstreamRemovedAndBack_stillCounts)
+{
+    m_book.started("e1");
+    const auto upstreams = std::exchange(m_config.upstreams, {});
+    update(1s);
+    m_config.upstreams = upstreams;
+    update(2s);
+    EXPECT_EQ(m_book.running("e1"), 1U);
+}
+
+TEST_F(LimitBookTest, occupancy_workSentSinceTheReport_isAdded)
+{
+    m_book.sawLoad("e1", {"i1", 3, 3600s, 0s, false}, at(1s), at(1s));
+    m_book.started("e1");
+    EXPECT_DOUBLE_EQ(m_book.occupancy("e1"), 0.4);
+}
+
+TEST(LoadReportTest, parse_anythingElse_isNotTaken)
+{
+    for (const auto *body :
+         {"", "[]", "{}", R"({"incarnation":1,"running":2})", R"({"incarnation":"i","running":-1.5e9})"}) {
+        parseLoadReport(body);
+    }
+    EXPECT_FALSE(parseLoadReport("{}"));
+    EXPECT_FALSE(parseLoadReport(R"({"incarnation":1,"running":2})"));
+    const auto report = parseLoadReport(R"({"incarnation":"i","running":2,"uptime_ms":1500,"leaving":true})");
+    ASSERT_TRUE(report);
+    EXPECT_EQ(report->uptime, 1500ms);
+    EXPECT_EQ(report->age, 2s);
+    EXPECT_TRUE(report->leaving);
+}
+
+} // namespace ibisfork::upstream
