--- a/src/upstream/loadreport.cpp
+++ b/src/upstream/loadreport.cpp
@@ -39,7 +39,8 @@
         const Json json = Json::parse(body);
         LoadReport report;
         report.incarnation = json.at("incarnation").get<std::string>();
-        report.running = static_cast<std::uint32_t>(std::min<std::uint64_t>(unsignedFrom(json.at("running")), mostRuns));
+        report.running
+            = static_cast<std::uint32_t>(std::min<std::uint64_t>(unsignedFrom(json.at("running")), mostRuns));
         if (json.contains("uptime_ms")) {
             report.uptime = millisecondsFrom(json["uptime_ms"]);
         }
--- a/tests/upstream/limitbook_test.cpp
+++ b/tests/upstream/limitbook_test.cpp
@@ -171,12 +171,18 @@
 
 TEST(LoadReportTest, parse_anythingElse_isNotTaken)
 {
-    for (const auto *body :
-         {"", "[]", "{}", R"({"incarnation":1,"running":2})", R"({"incarnation":"i","running":-1.5e9})"}) {
-        parseLoadReport(body);
+    for (const auto *body : {"",
+                             "[]",
+                             "{}",
+                             R"({"incarnation":1,"running":2})",
+                             R"({"incarnation":"i","running":-1})",
+                             R"({"incarnation":"i","running":1,"age_ms":-1})"}) {
+        EXPECT_FALSE(parseLoadReport(body)) << body;
     }
-    EXPECT_FALSE(parseLoadReport("{}"));
-    EXPECT_FALSE(parseLoadReport(R"({"incarnation":1,"running":2})"));
+}
+
+TEST(LoadReportTest, parse_whole_isTaken)
+{
     const auto report = parseLoadReport(R"({"incarnation":"i","running":2,"uptime_ms":1500,"leaving":true})");
     ASSERT_TRUE(report);
     EXPECT_EQ(report->uptime, 1500ms);
