Choose versions from lists made once a revision; begin roll-outs and exposure

Cause: each request sorted all versions, built text for what was left out and compared its key with every workspace's; roll-out share, cost bound and exposure cap were read but not heeded. Change: a list of versions for each workspace and revision, with share by a hash that all nodes agree on, exposure cap, cost bound and the first step of a cascade; an index of keys by digest; the row of a roll-out with an allowance for each incarnation, written with the step, so that neither members that come and go nor a restart gives more than the cap. Test: VersionChooserTest, KeyIndexTest, ExposureTest.

--- a/include/ibisfork/fleet/config.h
+++ b/include/ibisfork/fleet/config.h
@@ -33,6 +33,16 @@
     {VersionState::Withdrawn, "withdrawn"},
 }};
 
+/// A step of a roll-out: its share of the model's fresh requests and how many may run before ratings decide.
+struct RolloutStep
+{
+    double share = 1.0;
+    /// Requests fleet-wide; 0 for no cap.
+    std::uint32_t cap = 0;
+
+    bool operator==(const RolloutStep &) const = default;
+};
+
 /// A model version: what it costs, how good it is expected to be, and whether it may run.
 struct Version
 {
@@ -44,6 +54,29 @@
     double rolloutShare = 1.0;
     /// Requests that may run fleet-wide before ratings decide; 0 for no cap.
     std::uint32_t exposureCap = 0;
+    /// Steps of the roll-out; where empty, one step of rolloutShare and exposureCap.
+    std::vector<RolloutStep> rolloutSteps;
+};
+
+enum class RolloutState { Running, Halted, Done };
+inline constexpr std::array<base::Name<RolloutState>, 3> rolloutStateNames{{
+    {RolloutState::Running, "running"},
+    {RolloutState::Halted, "halted"},
+    {RolloutState::Done, "done"},
+}};
+
+/// How far a roll-out has come.
+struct Rollout
+{
+    VersionId version;
+    RolloutState state = RolloutState::Running;
+    std::uint32_t step = 0;
+    /// Counts the times that this roll-out was started or gone on with, so that evidence of one run is not of the next.
+    std::uint32_t run = 1;
+    /// Requests that each incarnation may give the version in this step, where the step has a cap.
+    std::map<std::string, std::uint32_t> allowances;
+    /// Why it was halted.
+    std::string evidence;
 };
 
 enum class UpstreamKind { Engine, Service };
@@ -167,6 +200,7 @@
     std::map<std::string, Upstream> upstreams;
     std::map<std::string, FailureDomain> failureDomains;
     std::map<std::string, Exception> exceptions;
+    std::map<VersionId, Rollout> rollouts;
     std::map<std::string, Member> members;
 };
 
--- a/include/ibisfork/fleet/rows.h
+++ b/include/ibisfork/fleet/rows.h
@@ -16,6 +16,7 @@
 inline constexpr const char *upstream = "config/upstream/";
 inline constexpr const char *failureDomain = "config/failure-domain/";
 inline constexpr const char *exception = "config/exception/";
+inline constexpr const char *rollout = "config/rollout/";
 inline constexpr const char *member = "member/";
 } // namespace rowprefix
 
@@ -30,9 +31,10 @@
 std::string upstreamRow(const Upstream &upstream);
 std::string failureDomainRow(const FailureDomain &domain);
 std::string exceptionRow(const Exception &exception);
+std::string rolloutRow(const Rollout &rollout);
 std::string memberRow(const Member &member);
 
-/// The changes that turn the configuration rows of @p from into @p to; members are left alone.
+/// The changes that turn the configuration rows of @p from into @p to; members and roll-outs are left alone.
 std::vector<coord::RowChange> difference(const coord::Rows &from, const coord::Rows &to);
 
 } // namespace ibisfork::fleet
--- a/src/fleet/rows.cpp
+++ b/src/fleet/rows.cpp
@@ -74,9 +74,24 @@
     version.expectedQuality = row.value("quality", version.expectedQuality);
     version.rolloutShare = row.value("rollout_share", version.rolloutShare);
     version.exposureCap = row.value("exposure_cap", version.exposureCap);
+    for (const auto &step : row.value("steps", Json::array())) {
+        version.rolloutSteps.push_back({step.at("share").get<double>(), step.value("cap", 0U)});
+    }
     return version;
 }
 
+Rollout rolloutFrom(const std::string &name, const Json &row)
+{
+    Rollout rollout;
+    rollout.version = VersionId::parse(name);
+    rollout.state = enumFrom(rolloutStateNames, row, "state", rollout.state);
+    rollout.step = row.value("step", rollout.step);
+    rollout.run = row.value("run", rollout.run);
+    rollout.allowances = row.value("allowances", rollout.allowances);
+    rollout.evidence = row.value("evidence", rollout.evidence);
+    return rollout;
+}
+
 Workspace workspaceFrom(const std::string &name, const Json &row, const WorkspaceRules &defaults)
 {
     Workspace workspace;
@@ -188,6 +203,10 @@
     readRows(rows, rowprefix::exception, [&](const std::string &id, const Json &row) {
         config.exceptions[id] = exceptionFrom(id, row);
     });
+    readRows(rows, rowprefix::rollout, [&](const std::string &name, const Json &row) {
+        const auto rollout = rolloutFrom(name, row);
+        config.rollouts[rollout.version] = rollout;
+    });
     readRows(rows, rowprefix::member, [&](const std::string &node, const Json &row) {
         config.members[node] = memberFrom(node, row);
     });
@@ -197,7 +216,12 @@
 
 std::string versionRow(const Version &version)
 {
-    return Json{{"state", base::nameOf(versionStateNames, version.state)},
+    Json steps = Json::array();
+    for (const auto &step : version.rolloutSteps) {
+        steps.push_back({{"share", step.share}, {"cap", step.cap}});
+    }
+    return Json{{"steps", steps},
+                {"state", base::nameOf(versionStateNames, version.state)},
                 {"cost", version.costPerRequest},
                 {"quality", version.expectedQuality},
                 {"rollout_share", version.rolloutShare},
@@ -235,6 +259,16 @@
         .dump();
 }
 
+std::string rolloutRow(const Rollout &rollout)
+{
+    return Json{{"state", base::nameOf(rolloutStateNames, rollout.state)},
+                {"step", rollout.step},
+                {"run", rollout.run},
+                {"allowances", rollout.allowances},
+                {"evidence", rollout.evidence}}
+        .dump();
+}
+
 std::string memberRow(const Member &member)
 {
     return Json{{"incarnation", member.incarnation},
@@ -270,7 +304,7 @@
 {
     std::vector<coord::RowChange> changes;
     for (const auto &[key, value] : from) {
-        if (!to.contains(key) && !key.starts_with(rowprefix::member)) {
+        if (!to.contains(key) && !key.starts_with(rowprefix::member) && !key.starts_with(rowprefix::rollout)) {
             changes.push_back({key, std::nullopt});
         }
     }
--- a/src/routing/decision.h
+++ b/src/routing/decision.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <ibisfork/base/names.h>
@@ -12,8 +13,21 @@
 namespace ibisfork::routing {
 
 /// Why a version or an upstream was left out.
-enum class LeftOutReason { NotPermitted, Withdrawn, OtherModel, BelowQuality, DomainTakenOut, Draining, NoRoom, Tried };
-inline constexpr std::array<base::Name<LeftOutReason>, 8> leftOutReasonNames{{
+enum class LeftOutReason {
+    NotPermitted,
+    Withdrawn,
+    OtherModel,
+    BelowQuality,
+    DomainTakenOut,
+    Draining,
+    NoRoom,
+    Tried,
+    NotDrawn,
+    Halted,
+    NotAllowed,
+    OverCost,
+};
+inline constexpr std::array<base::Name<LeftOutReason>, 12> leftOutReasonNames{{
     {LeftOutReason::NotPermitted, "not-permitted"},
     {LeftOutReason::Withdrawn, "withdrawn"},
     {LeftOutReason::OtherModel, "other-model"},
@@ -22,11 +36,16 @@
     {LeftOutReason::Draining, "draining"},
     {LeftOutReason::NoRoom, "no-room"},
     {LeftOutReason::Tried, "tried"},
+    {LeftOutReason::NotDrawn, "not-drawn-for-rollout"},
+    {LeftOutReason::Halted, "rollout-halted"},
+    {LeftOutReason::NotAllowed, "exposure-cap"},
+    {LeftOutReason::OverCost, "over-cost-bound"},
 }};
 
+/// A candidate that was not chosen; its name lives as long as the configuration.
 struct LeftOut
 {
-    std::string candidate;
+    std::string_view candidate;
     LeftOutReason reason;
 };
 
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -8,24 +8,10 @@
 
 #include "routing/decision.h"
 #include "routing/upstreampicker.h"
+#include "routing/versionchooser.h"
 
 namespace ibisfork::routing {
 
-/// What a request asks of the router.
-struct RoutingQuery
-{
-    const fleet::Workspace *workspace = nullptr;
-    /// A model, a model@version, or empty for any that the workspace permits.
-    std::string model;
-    /// The version that the request's session holds.
-    std::optional<fleet::VersionId> sessionVersion;
-    /// Upstreams that this request was already sent to.
-    std::vector<std::string> tried;
-    /// Versions that answered this request too poorly.
-    std::vector<fleet::VersionId> triedVersions;
-    std::string failureDomain;
-};
-
 /// Chooses version and upstream of a request at one revision of the configuration.
 class Router
 {
@@ -41,9 +27,7 @@
                                   const RoomLookup &room) const;
 
 private:
-    std::vector<const fleet::Version *> candidates(const RoutingQuery &query, RoutingDecision &decision) const;
-
-    const fleet::Config &m_config;
+    VersionChooser m_chooser;
     UpstreamPicker m_picker;
 };
 
--- a/src/serving/context.h
+++ b/src/serving/context.h
@@ -9,6 +9,7 @@
 #include <ibisfork/fleet/config.h>
 
 #include "net/libevent.h"
+#include "routing/keyindex.h"
 #include "routing/router.h"
 #include "serving/decisionlog.h"
 #include "serving/requestrecord.h"
@@ -25,10 +26,12 @@
     FleetView(std::shared_ptr<const fleet::Config> newConfig, const upstream::LimitBook &limits)
         : config(std::move(newConfig))
         , router(*config, [&](const std::string &upstream) { return limits.holds(upstream); })
+        , keys(*config)
     { }
 
     std::shared_ptr<const fleet::Config> config;
     routing::Router router;
+    routing::KeyIndex keys;
 };
 
 /// What the requests of a node share. Used on the serving task's thread only.
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -114,6 +114,7 @@
     query.model = m_request.chat.model;
     query.tried = m_tried;
     query.failureDomain = m_context.settings.node.failureDomain;
+    query.affinityKey = m_request.id;
     const auto now = base::monotonicNow();
     const auto decision = m_context.view->router.choose(
         query, [&](const std::string &upstream) { return m_context.roomAt(upstream, now); });
--- a/src/serving/servingtask.cpp
+++ b/src/serving/servingtask.cpp
@@ -7,7 +7,6 @@
 
 #include <ibisfork/base/log.h>
 #include <ibisfork/base/overloaded.h>
-#include <ibisfork/fleet/digest.h>
 
 #include "net/deletelater.h"
 
@@ -186,17 +185,7 @@
 
 const fleet::Workspace *ServingTask::authenticate(const net::HttpHeaders &headers) const
 {
-    const auto digest = fleet::sha256Hex(bearerKey(headers));
-    const fleet::Workspace *found = nullptr;
-    // Every key is compared, so that the time tells nothing about which one matched.
-    for (const auto &[name, workspace] : m_context.view->config->workspaces) {
-        for (const auto &hash : workspace.keyHashes) {
-            if (fleet::equalConstantTime(hash, digest)) {
-                found = &workspace;
-            }
-        }
-    }
-    return found;
+    return m_context.view->keys.find(bearerKey(headers));
 }
 
 void ServingTask::refuse(const net::HttpServerRequest &request, RefusalCode code, const std::string &message) const
