--- a/include/ibisfork/fleet/config.h
+++ b/include/ibisfork/fleet/config.h
@@ -55,7 +55,7 @@
     /// Requests that may run fleet-wide before ratings decide; 0 for no cap.
     std::uint32_t exposureCap = 0;
     /// Steps of the roll-out; where empty, one step of rolloutShare and exposureCap.
-    std::vector<RolloutStep> rolloutSteps;
+    std::vector<RolloutStep> rolloutSteps{};
 };
 
 enum class RolloutState { Running, Halted, Done };
