Detect bad versions and drive roll-outs by conditional changes

Cause: nothing watched a version that is rolled out, and no step followed another. Change: a cumulative-sum test for each sign (errors, crashes, first token, ratings), one for plainly bad and one for slightly bad versions; a guard that keeps a node within its allowance, stops a version at once and names the changes that are due. Any node may make them: the id names the step. Test: ChangeDetectorTest (false alarms as rare as stated, on fixed seeds), RolloutGuardTest. Not hooked into the daemon yet.

--- /dev/null
+++ b/src/policy/changedetector.cpp
@@ -0,0 +1,22 @@
+#include "policy/changedetector.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace ibisfork::policy {
+
+// For a cumulative sum of log-likelihood ratios held at zero from below, the mean time to a false alarm is at least
+// the exponential of the threshold (Lorden 1971), whatever the two rates are.
+ChangeDetector::ChangeDetector(const DetectorBounds &bounds)
+    : m_onFailure(std::log(bounds.badRate / bounds.soundRate))
+    , m_onSuccess(std::log((1.0 - bounds.badRate) / (1.0 - bounds.soundRate)))
+    , m_threshold(std::log(bounds.falseAlarmEvery))
+{ }
+
+void ChangeDetector::observe(bool failed)
+{
+    m_evidence = std::max(0.0, m_evidence + (failed ? m_onFailure : m_onSuccess));
+    m_alarmed = m_alarmed || m_evidence >= m_threshold;
+}
+
+} // namespace ibisfork::policy
--- /dev/null
+++ b/src/policy/rolloutguard.cpp
@@ -0,0 +1,165 @@
+#include "policy/rolloutguard.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include <ibisfork/fleet/rollout.h>
+#include <ibisfork/fleet/rows.h>
+
+namespace ibisfork::policy {
+
+namespace {
+
+/// Least time at one step, so that what shows late can show.
+constexpr std::chrono::seconds stepDwell{60};
+/// Ratings of a step without a cap before the next.
+constexpr std::uint32_t ratingsOfAnOpenStep = 100;
+/// Part of a capped step's requests that must be rated before the next.
+constexpr double ratedPart = 0.5;
+
+std::string stepName(const fleet::Rollout &rollout)
+{
+    return fmt::format("{}/{}", rollout.run, rollout.step);
+}
+
+} // namespace
+
+RolloutGuard::RolloutGuard(std::string node, std::string incarnation)
+    : m_node(std::move(node))
+    , m_book(std::move(incarnation))
+{ }
+
+void RolloutGuard::update(const fleet::Config &config, base::TimePoint now)
+{
+    m_config = config;
+    std::erase_if(m_watched, [&](const auto &entry) { return !config.rollouts.contains(entry.first); });
+    for (const auto &[id, rollout] : config.rollouts) {
+        updateOne(config, rollout, now);
+    }
+}
+
+void RolloutGuard::updateOne(const fleet::Config &config, const fleet::Rollout &rollout, base::TimePoint now)
+{
+    auto [entry, fresh] = m_watched.try_emplace(rollout.version);
+    auto &watched = entry->second;
+    if (fresh || watched.rollout.run != rollout.run) {
+        // Only an operator begins another run; what was found in the one before is not held against it.
+        watched = Watched{};
+    }
+    if (fresh || stepName(watched.rollout) != stepName(rollout)) {
+        watched.stepSince = now;
+        watched.ratingsBefore = watched.watch.observations(Sign::Rating);
+    }
+    watched.rollout = rollout;
+    m_book.update(rollout.version.text(), stepName(rollout), rollout.allowances);
+    if (!watched.stopped.empty() || !config.versions.contains(rollout.version)) {
+        m_book.close(rollout.version.text());
+    }
+}
+
+bool RolloutGuard::mayExpose(const fleet::VersionId &version) const
+{
+    return !stopped(version) && m_book.mayTake(version.text());
+}
+
+bool RolloutGuard::stopped(const fleet::VersionId &version) const
+{
+    const auto watched = m_watched.find(version);
+    return watched != m_watched.end() && !watched->second.stopped.empty();
+}
+
+void RolloutGuard::dispatched(const fleet::VersionId &version)
+{
+    m_book.take(version.text());
+}
+
+bool RolloutGuard::observe(const fleet::VersionId &version, Sign sign, bool failed)
+{
+    const auto watched = m_watched.find(version);
+    if (watched == m_watched.end() || watched->second.rollout.state != fleet::RolloutState::Running
+        || !watched->second.stopped.empty()) {
+        return false;
+    }
+    watched->second.watch.observe(sign, failed);
+    const auto &verdict = watched->second.watch.verdict();
+    if (verdict.empty()) {
+        return false;
+    }
+    stop(version, verdict);
+    return true;
+}
+
+void RolloutGuard::stop(const fleet::VersionId &version, const std::string &evidence)
+{
+    const auto watched = m_watched.find(version);
+    if (watched != m_watched.end() && watched->second.stopped.empty()) {
+        watched->second.stopped = evidence;
+        m_book.close(version.text());
+    }
+}
+
+std::vector<coord::Change> RolloutGuard::due(base::TimePoint now) const
+{
+    std::vector<coord::Change> changes;
+    for (const auto &[id, version] : m_config.versions) {
+        if (auto change = dueFor(version, now)) {
+            changes.push_back(std::move(*change));
+        }
+    }
+    return changes;
+}
+
+std::optional<coord::Change> RolloutGuard::dueFor(const fleet::Version &version, base::TimePoint now) const
+{
+    if (version.state != fleet::VersionState::RollingOut) {
+        return std::nullopt;
+    }
+    const auto entry = m_watched.find(version.id);
+    if (entry == m_watched.end()) {
+        return change({}, fleet::firstStep(m_config, version, m_config.revision), "roll-out begins");
+    }
+    const auto &watched = entry->second;
+    if (watched.rollout.state != fleet::RolloutState::Running) {
+        return std::nullopt;
+    }
+    if (!watched.stopped.empty()) {
+        return change(watched.rollout, fleet::halted(watched.rollout, watched.stopped), watched.stopped);
+    }
+    if (stepPassed(watched, now)) {
+        return change(watched.rollout, fleet::nextStep(m_config, version, watched.rollout), "step passed");
+    }
+    return std::nullopt;
+}
+
+bool RolloutGuard::stepPassed(const Watched &watched, base::TimePoint now) const
+{
+    const auto version = m_config.versions.find(watched.rollout.version);
+    const auto steps = fleet::rolloutStepsOf(version->second);
+    const auto &step = steps[std::min<std::size_t>(watched.rollout.step, steps.size() - 1)];
+    const auto ratings = watched.watch.observations(Sign::Rating) - watched.ratingsBefore;
+    const auto wanted
+        = step.cap > 0 ? std::max(1U, static_cast<std::uint32_t>(step.cap * ratedPart)) : ratingsOfAnOpenStep;
+    return now - watched.stepSince >= stepDwell && ratings >= wanted;
+}
+
+// The id names the row that the change starts from, so that two nodes which find the same make one change.
+coord::Change RolloutGuard::change(const fleet::Rollout &held,
+                                   const fleet::Rollout &next,
+                                   const std::string &reason) const
+{
+    const auto name = next.version.text();
+    const bool begins = held.version.model.empty();
+    coord::Change change;
+    change.id = fmt::format("rollout-{}-{}-{}-{}",
+                            name,
+                            stepName(next),
+                            base::nameOf(fleet::rolloutStateNames, next.state),
+                            begins ? "new" : stepName(held));
+    change.author = m_node;
+    change.reason = reason;
+    change.rows = {{fleet::rowprefix::rollout + name, fleet::rolloutRow(next)}};
+    return change;
+}
+
+} // namespace ibisfork::policy
--- /dev/null
+++ b/src/policy/versionwatch.cpp
@@ -0,0 +1,67 @@
+#include "policy/versionwatch.h"
+
+#include <fmt/format.h>
+
+namespace ibisfork::policy {
+
+namespace {
+
+/// Each of the eight detectors has an eighth of the false alarms of a version.
+constexpr double falseAlarmEvery = 8e6;
+
+struct SignBounds
+{
+    Sign sign;
+    double soundRate;
+    double slightlyBadRate;
+    double badRate;
+};
+
+constexpr std::array<SignBounds, 4> signBounds{{
+    {Sign::Answer, 0.02, 0.06, 0.5},
+    {Sign::Crash, 0.002, 0.02, 0.5},
+    {Sign::FirstToken, 0.05, 0.15, 0.5},
+    {Sign::Rating, 0.05, 0.10, 0.5},
+}};
+
+} // namespace
+
+VersionWatch::VersionWatch()
+{
+    for (const auto &bounds : signBounds) {
+        m_signs.push_back({bounds.sign,
+                           {ChangeDetector({bounds.soundRate, bounds.badRate, falseAlarmEvery}),
+                            ChangeDetector({bounds.soundRate, bounds.slightlyBadRate, falseAlarmEvery})}});
+    }
+}
+
+void VersionWatch::observe(Sign sign, bool failed)
+{
+    auto &entry = watched(sign);
+    ++entry.observations;
+    entry.failures += failed ? 1 : 0;
+    for (auto &detector : entry.detectors) {
+        detector.observe(failed);
+        if (detector.alarmed() && m_verdict.empty()) {
+            m_verdict
+                = fmt::format("{}: {} of {} failed", base::nameOf(signNames, sign), entry.failures, entry.observations);
+        }
+    }
+}
+
+std::uint32_t VersionWatch::observations(Sign sign) const
+{
+    for (const auto &entry : m_signs) {
+        if (entry.sign == sign) {
+            return entry.observations;
+        }
+    }
+    return 0;
+}
+
+VersionWatch::Watched &VersionWatch::watched(Sign sign)
+{
+    return m_signs.at(static_cast<std::size_t>(sign));
+}
+
+} // namespace ibisfork::policy
--- /dev/null
+++ b/src/policy/versionwatch.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <ibisfork/base/names.h>
+
+#include "policy/changedetector.h"
+
+namespace ibisfork::policy {
+
+/// What tells of a version's health.
+enum class Sign { Answer, Crash, FirstToken, Rating };
+inline constexpr std::array<base::Name<Sign>, 4> signNames{{
+    {Sign::Answer, "errors"},
+    {Sign::Crash, "crashes"},
+    {Sign::FirstToken, "first-token"},
+    {Sign::Rating, "ratings"},
+}};
+
+/// Outcomes of one version while it is rolled out. Each sign has a detector of a plainly bad version, which needs few
+/// observations, and one of a slightly bad version.
+class VersionWatch
+{
+public:
+    VersionWatch();
+
+    void observe(Sign sign, bool failed);
+    /// Why the version is bad, or an empty text.
+    const std::string &verdict() const { return m_verdict; }
+    std::uint32_t observations(Sign sign) const;
+
+private:
+    struct Watched
+    {
+        Sign sign;
+        std::vector<ChangeDetector> detectors;
+        std::uint32_t failures = 0;
+        std::uint32_t observations = 0;
+    };
+
+    Watched &watched(Sign sign);
+
+    std::vector<Watched> m_signs;
+    std::string m_verdict;
+};
+
+} // namespace ibisfork::policy
--- /dev/null
+++ b/tests/policy/rolloutguard_test.cpp
@@ -0,0 +1,197 @@
+#include "policy/rolloutguard.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include <fmt/format.h>
+
+#include <ibisfork/fleet/rollout.h>
+#include <ibisfork/fleet/rows.h>
+
+namespace ibisfork::policy {
+
+using namespace std::chrono_literals;
+
+class ChangeDetectorTest : public testing::Test
+{
+protected:
+    /// Observations until the alarm; 0 if there is none within @p most.
+    static int alarmAfter(VersionWatch &watch, double rate, int most, std::mt19937_64 &random)
+    {
+        std::bernoulli_distribution fails(rate);
+        for (int count = 1; count <= most; ++count) {
+            watch.observe(Sign::Rating, fails(random));
+            if (!watch.verdict().empty()) {
+                return count;
+            }
+        }
+        return 0;
+    }
+};
+
+TEST_F(ChangeDetectorTest, observe_soundVersion_alarmsRarerThanStated)
+{
+    // With one false alarm in a million observations, two million bring four or fewer with probability over 0.94.
+    std::mt19937_64 random(7);
+    int alarms = 0;
+    for (int run = 0; run < 20; ++run) {
+        VersionWatch watch;
+        alarms += alarmAfter(watch, 0.05, 100000, random) > 0 ? 1 : 0;
+    }
+    EXPECT_LE(alarms, 4);
+}
+
+TEST_F(ChangeDetectorTest, observe_badAfterManySoundOnes_alarmsAsSoonAsAtTheStart)
+{
+    std::mt19937_64 random(11);
+    std::vector<int> delays;
+    for (int run = 0; run < 200; ++run) {
+        VersionWatch watch;
+        ASSERT_EQ(alarmAfter(watch, 0.05, 2000, random), 0);
+        delays.push_back(alarmAfter(watch, 0.5, 1000, random));
+    }
+    std::sort(delays.begin(), delays.end());
+    EXPECT_GT(delays.front(), 0);
+    EXPECT_LE(delays[100], 30);
+}
+
+class RolloutGuardTest : public testing::Test
+{
+protected:
+    RolloutGuardTest()
+    {
+        m_config.revision = 5;
+        auto &version = m_config.versions[m_id];
+        version.id = m_id;
+        version.state = fleet::VersionState::RollingOut;
+        version.rolloutSteps = {{0.1, 6}, {1.0, 0}};
+        for (const auto *node : {"n1", "n2"}) {
+            m_config.members[node] = {node, fmt::format("{}-inc", node), "", "", ""};
+        }
+    }
+
+    void begin()
+    {
+        m_config.rollouts[m_id] = fleet::firstStep(m_config, m_config.versions.at(m_id), 5);
+        update();
+    }
+
+    void update()
+    {
+        ++m_config.revision;
+        m_guard.update(m_config, m_now);
+    }
+
+    /// Takes the row that a due change writes into the configuration.
+    void take(const coord::Change &change)
+    {
+        coord::Snapshot snapshot{0, {{change.rows.front().key, *change.rows.front().value}}};
+        m_config.rollouts = fleet::configFromRows(snapshot).rollouts;
+        update();
+    }
+
+    fleet::VersionId m_id{"m", "v2"};
+    fleet::Config m_config;
+    base::TimePoint m_now{1000s};
+    RolloutGuard m_guard{"n1", "n1-inc"};
+};
+
+TEST_F(RolloutGuardTest, due_noRow_beginsWithTheCapDivided)
+{
+    m_guard.update(m_config, m_now);
+    const auto changes = m_guard.due(m_now);
+    ASSERT_EQ(changes.size(), 1U);
+    take(changes.front());
+    EXPECT_EQ(m_config.rollouts.at(m_id).allowances, (coord::Allowances{{"n1-inc", 3}, {"n2-inc", 3}}));
+    EXPECT_TRUE(m_guard.due(m_now).empty());
+}
+
+TEST_F(RolloutGuardTest, dispatched_allowanceUsed_exposesNoMore)
+{
+    begin();
+    for (int request = 0; request < 3; ++request) {
+        EXPECT_TRUE(m_guard.mayExpose(m_id));
+        m_guard.dispatched(m_id);
+    }
+    EXPECT_FALSE(m_guard.mayExpose(m_id));
+    update();
+    EXPECT_FALSE(m_guard.mayExpose(m_id));
+}
+
+TEST_F(RolloutGuardTest, observe_plainlyBad_stopsHereAtOnceAndHaltsThroughTheTable)
+{
+    begin();
+    for (int request = 0; request < 10 && !m_guard.stopped(m_id); ++request) {
+        m_guard.observe(m_id, Sign::Crash, true);
+    }
+    EXPECT_TRUE(m_guard.stopped(m_id));
+    EXPECT_FALSE(m_guard.mayExpose(m_id));
+    // The table may be down: the change stays due until the row says halted.
+    EXPECT_EQ(m_guard.due(m_now + 1h).size(), 1U);
+    take(m_guard.due(m_now + 1h).front());
+    EXPECT_EQ(m_config.rollouts.at(m_id).state, fleet::RolloutState::Halted);
+    EXPECT_THAT(m_config.rollouts.at(m_id).evidence, testing::HasSubstr("crashes"));
+    EXPECT_TRUE(m_guard.due(m_now + 2h).empty());
+    EXPECT_TRUE(m_guard.stopped(m_id));
+}
+
+TEST_F(RolloutGuardTest, due_twoNodesFindTheSame_nameOneChange)
+{
+    begin();
+    RolloutGuard other("n2", "n2-inc");
+    other.update(m_config, m_now);
+    m_guard.stop(m_id, "errors: 5 of 5 failed");
+    other.stop(m_id, "ratings: 9 of 12 failed");
+    EXPECT_EQ(m_guard.due(m_now).front().id, other.due(m_now).front().id);
+}
+
+TEST_F(RolloutGuardTest, due_ratingsMissing_staysAtTheStep)
+{
+    begin();
+    EXPECT_TRUE(m_guard.due(m_now + 24h).empty());
+    for (int rating = 0; rating < 3; ++rating) {
+        m_guard.observe(m_id, Sign::Rating, false);
+    }
+    EXPECT_TRUE(m_guard.due(m_now + 59s).empty());
+    take(m_guard.due(m_now + 60s).front());
+    EXPECT_EQ(m_config.rollouts.at(m_id).step, 1U);
+    EXPECT_EQ(m_config.rollouts.at(m_id).state, fleet::RolloutState::Running);
+}
+
+TEST_F(RolloutGuardTest, due_driverDiedAfterTheChange_isGoneOnWithByAnother)
+{
+    begin();
+    RolloutGuard other("n2", "n2-inc");
+    other.update(m_config, m_now);
+    for (int rating = 0; rating < 3; ++rating) {
+        m_guard.observe(m_id, Sign::Rating, false);
+        other.observe(m_id, Sign::Rating, false);
+    }
+    take(m_guard.due(m_now + 60s).front());
+    other.update(m_config, m_now + 60s);
+    for (int rating = 0; rating < 100; ++rating) {
+        other.observe(m_id, Sign::Rating, false);
+    }
+    const auto changes = other.due(m_now + 120s);
+    ASSERT_EQ(changes.size(), 1U);
+    take(changes.front());
+    EXPECT_EQ(m_config.rollouts.at(m_id).state, fleet::RolloutState::Done);
+}
+
+TEST_F(RolloutGuardTest, update_rowRemovedByAnOperator_startsAnewWithoutOldEvidence)
+{
+    begin();
+    m_guard.stop(m_id, "errors");
+    m_config.rollouts.clear();
+    update();
+    EXPECT_FALSE(m_guard.stopped(m_id));
+    const auto changes = m_guard.due(m_now);
+    ASSERT_EQ(changes.size(), 1U);
+    take(changes.front());
+    EXPECT_TRUE(m_guard.mayExpose(m_id));
+    EXPECT_GT(m_config.rollouts.at(m_id).run, 5U);
+}
+
+} // namespace ibisfork::policy
