Guard roll-outs in the daemon by outcomes and ratings

Cause: the guard of roll-outs was not reached by what is served. Change: the serving task counts exposures, first tokens, ends, crashes and the rating service's scores of versions that are rolled out, closes a bad version at once and submits what is due, again until the rows say so. Test: PolicyRolloutTest with two nodes: never more than the cap without ratings; halted through the table at every node after bad ratings.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -77,6 +77,10 @@
     fleettask::FleetTask fleet(settings, metrics, incarnation, [&](const fleettask::FleetUpdate &update) {
         std::visit([&](const auto &message) { serving.post(message); }, update);
     });
+    serving.onChange([&](const coord::Change &change, coord::Revision) {
+        fleet.post(fleettask::SubmitChange{change, [](const platform::ChangeOutcome &) {
+                                           }});
+    });
     operators::OperatorPorts ports;
     ports.fleet = [&](fleettask::FleetRequest request) {
         fleet.post(std::move(request));
--- a/src/policy/rolloutguard.cpp
+++ b/src/policy/rolloutguard.cpp
@@ -69,6 +69,13 @@
     return watched != m_watched.end() && !watched->second.stopped.empty();
 }
 
+bool RolloutGuard::watchesAny() const
+{
+    return std::any_of(m_watched.begin(), m_watched.end(), [](const auto &entry) {
+        return entry.second.rollout.state == fleet::RolloutState::Running;
+    });
+}
+
 void RolloutGuard::dispatched(const fleet::VersionId &version)
 {
     m_book.take(version.text());
--- a/src/policy/rolloutguard.h
+++ b/src/policy/rolloutguard.h
@@ -28,6 +28,8 @@
     bool mayExpose(const fleet::VersionId &version) const;
     /// Whether the version was found bad here and is not to be used, whatever the rows say.
     bool stopped(const fleet::VersionId &version) const;
+    /// Whether the rows hold a roll-out that runs.
+    bool watchesAny() const;
     /// A request is given to @p version.
     void dispatched(const fleet::VersionId &version);
     /// Takes an outcome of a request at any node; returns whether the version is stopped by it.
--- a/src/routing/versionchooser.cpp
+++ b/src/routing/versionchooser.cpp
@@ -106,7 +106,8 @@
     if (candidate.rollingOut && !held && !named && draw(query.affinityKey, candidate.text) >= candidate.share) {
         return LeftOutReason::NotDrawn;
     }
-    if (candidate.capped && !held && !(query.mayExpose && query.mayExpose(version.id))) {
+    const bool capped = candidate.capped && !held;
+    if (candidate.rollingOut && !(query.mayExpose && query.mayExpose(version.id, capped))) {
         return LeftOutReason::NotAllowed;
     }
     return std::nullopt;
--- a/src/routing/versionchooser.h
+++ b/src/routing/versionchooser.h
@@ -13,8 +13,9 @@
 
 namespace ibisfork::routing {
 
-/// Whether a request may still be given to a version whose exposure is capped, asked of the node's own books.
-using ExposureLookup = std::function<bool(const fleet::VersionId &version)>;
+/// Whether a request may be given to a version that is rolled out, asked of the node's own books; @p capped says
+/// whether its step has a cap.
+using ExposureLookup = std::function<bool(const fleet::VersionId &version, bool capped)>;
 
 /// What a request asks of the choice of version.
 struct RoutingQuery
@@ -35,7 +36,7 @@
     double spent = 0.0;
     /// Whether a poor answer can still be replaced by a better version's.
     bool mayEscalate = false;
-    /// None: every version that is rolled out with a cap is closed.
+    /// None: every version that is rolled out is closed.
     ExposureLookup mayExpose;
 };
 
--- a/src/serving/context.h
+++ b/src/serving/context.h
@@ -13,6 +13,7 @@
 #include "routing/router.h"
 #include "serving/decisionlog.h"
 #include "serving/requestrecord.h"
+#include "serving/rolloutsteward.h"
 #include "serving/streamcanceller.h"
 #include "settings/settings.h"
 #include "upstream/limitbook.h"
@@ -50,6 +51,7 @@
                  incarnation,
                  {nodeSettings.timing.confirmWithin, nodeSettings.timing.longestRun})
         , canceller(eventBase, upstreamTimeouts())
+        , rollouts(eventBase, nodeSettings, registry, incarnation)
     { }
 
     net::HttpTimeouts upstreamTimeouts() const
@@ -72,6 +74,7 @@
     base::TimePoint confirmedUntil{};
     upstream::LimitBook limits;
     StreamCanceller canceller;
+    RolloutSteward rollouts;
     coord::RetryBudget retries;
     /// Last known incarnation of each engine, by upstream.
     std::map<std::string, std::string> incarnations;
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -115,6 +115,9 @@
     query.tried = m_tried;
     query.failureDomain = m_context.settings.node.failureDomain;
     query.affinityKey = m_request.id;
+    query.mayExpose = [this](const fleet::VersionId &version, bool capped) {
+        return m_context.rollouts.mayExpose(version, capped);
+    };
     const auto now = base::monotonicNow();
     const auto decision = m_context.view->router.choose(
         query, [&](const std::string &upstream) { return m_context.roomAt(upstream, now); });
@@ -137,6 +140,8 @@
     m_version = decision.version->text();
     const auto body = engineBody(m_request.chat, m_version);
     m_upstream = decision.upstream;
+    m_context.rollouts.dispatched(*decision.version);
+    m_sentAt = base::monotonicNow();
     m_tried.push_back(m_upstream);
     m_context.limits.started(m_upstream);
     m_run = std::make_unique<EngineRun>(m_context.base,
@@ -172,6 +177,7 @@
     ++m_pieces;
     if (!m_answering) {
         m_answering = true;
+        m_context.rollouts.firstToken(m_version, base::monotonicNow() - m_sentAt);
         m_context.metrics.histogram("ibisfork_first_token_seconds")
             .observe(base::toSeconds(base::monotonicNow() - m_startedAt));
         net::HttpHeaders headers;
@@ -189,6 +195,7 @@
         onFailed({RunFailureKind::Unknown, 0});
         return;
     }
+    m_context.rollouts.answered(m_version);
     record(RequestOutcome::Answered, usage, [this, usage, alive = m_alive] {
         if (*alive) {
             m_answer.finish(usage);
@@ -207,6 +214,7 @@
         .field("status", failure.status);
     if (failure.kind != RunFailureKind::NotRun && failure.kind != RunFailureKind::Rejected) {
         m_mayHaveRun = true;
+        m_context.rollouts.failed(m_version, failure.kind == RunFailureKind::Crashed);
     }
     if (failure.kind == RunFailureKind::Crashed) {
         m_context.limits.sawColdStart(m_upstream, base::monotonicNow());
--- a/src/serving/exchange.h
+++ b/src/serving/exchange.h
@@ -69,6 +69,7 @@
     net::Timer m_deadline;
     net::Timer m_retryTimer;
     base::TimePoint m_startedAt;
+    base::TimePoint m_sentAt;
     std::string m_upstream;
     std::string m_version;
     std::uint64_t m_pieces = 0;
--- /dev/null
+++ b/src/serving/rolloutsteward.cpp
@@ -0,0 +1,118 @@
+#include "serving/rolloutsteward.h"
+
+#include <ibisfork/base/log.h>
+#include <ibisfork/fleet/exceptions.h>
+
+namespace ibisfork::serving {
+
+namespace {
+
+constexpr std::chrono::milliseconds tickInterval{500};
+constexpr std::chrono::milliseconds firstTokenBound{310};
+/// A rating below this says that the answer failed.
+constexpr double failingScore = 0.5;
+
+} // namespace
+
+RolloutSteward::RolloutSteward(event_base *base,
+                               const settings::Settings &settings,
+                               base::MetricsRegistry &metrics,
+                               const std::string &incarnation)
+    : m_metrics(metrics)
+    , m_guard(settings.node.name, incarnation)
+    , m_ratings(base, settings.platform, settings.timing.platformTimeout)
+    , m_timer(base, [this] { tick(); })
+{
+    m_timer.startEvery(tickInterval);
+}
+
+void RolloutSteward::update(const fleet::Config &config, base::TimePoint now)
+{
+    m_guard.update(config, now);
+    tick();
+}
+
+bool RolloutSteward::mayExpose(const fleet::VersionId &version, bool capped) const
+{
+    return capped ? m_guard.mayExpose(version) : !m_guard.stopped(version);
+}
+
+void RolloutSteward::firstToken(const std::string &version, base::Duration after)
+{
+    observe(version, policy::Sign::FirstToken, after > firstTokenBound);
+}
+
+void RolloutSteward::answered(const std::string &version)
+{
+    observe(version, policy::Sign::Answer, false);
+    observe(version, policy::Sign::Crash, false);
+}
+
+void RolloutSteward::failed(const std::string &version, bool crashed)
+{
+    observe(version, policy::Sign::Answer, true);
+    observe(version, policy::Sign::Crash, crashed);
+}
+
+void RolloutSteward::observe(const std::string &version, policy::Sign sign, bool failed)
+{
+    const auto id = fleet::VersionId::parse(version);
+    if (m_guard.observe(id, sign, failed)) {
+        base::LogLine(base::LogLevel::Warning, "version-stopped")
+            .field("version", version)
+            .field("sign", base::nameOf(policy::signNames, sign));
+        m_metrics.counter("ibisfork_versions_stopped_total").add();
+        submitDue();
+    }
+}
+
+void RolloutSteward::tick()
+{
+    if (!m_guard.watchesAny()) {
+        // Ratings given before a roll-out begins are not of it.
+        m_ratingsRead.reset();
+        submitDue();
+        return;
+    }
+    readRatings();
+    submitDue();
+}
+
+void RolloutSteward::readRatings()
+{
+    m_ratings.read(m_ratingsRead.value_or(0), [this](const std::optional<platform::RatingsPage> &page) {
+        if (!page) {
+            m_metrics.counter("ibisfork_ratings_unread_total").add();
+            return;
+        }
+        if (m_ratingsRead) {
+            rated(*page);
+        }
+        m_ratingsRead = page->next;
+    });
+}
+
+void RolloutSteward::rated(const platform::RatingsPage &page)
+{
+    for (const auto &rating : page.ratings) {
+        try {
+            observe(rating.version, policy::Sign::Rating, rating.score < failingScore);
+        } catch (const fleet::ConfigError &error) {
+            base::LogLine(base::LogLevel::Warning, "rating-unreadable").field("error", error.what());
+        }
+    }
+}
+
+// Submitted again at each tick until the rows say so: the table may be down, and another node may be first.
+void RolloutSteward::submitDue()
+{
+    if (!m_submit) {
+        return;
+    }
+    for (const auto &change : m_guard.due(base::monotonicNow())) {
+        base::LogLine(base::LogLevel::Info, "rollout").field("change", change.id).field("reason", change.reason);
+        m_submit(change, m_guard.revision());
+    }
+}
+
+} // namespace ibisfork::serving
--- a/src/serving/servingtask.h
+++ b/src/serving/servingtask.h
@@ -40,6 +40,8 @@
 
     void start() { m_task.start(); }
     void stop() { m_task.stop(); }
+    /// Where changes that follow from what is served go to; called before start.
+    void onChange(ChangeSubmitter submit) { m_context.rollouts.onChange(std::move(submit)); }
     /// Hands a message to the task, from any thread.
     void post(ServingMessage message) { m_mailbox.post(std::move(message)); }
 
--- a/standin/platform/main.cpp
+++ b/standin/platform/main.cpp
@@ -89,7 +89,7 @@
             serveObject(request);
         } else if (path == "/v1/vms") {
             serveValue(request, m_vms);
-        } else if (path == "/v1/ratings") {
+        } else if (path.starts_with("/v1/ratings")) {
             serveRatings(request);
         } else if (path == "/counts") {
             answer(*request.reply, statusOk, {{"reads", m_reads}, {"commits", m_commits}});
@@ -136,7 +136,7 @@
         answer(*request.reply, statusOk, value);
     }
 
-    /// POST adds a rating, GET gives all.
+    /// POST adds a rating, GET gives those after the position asked for.
     void serveRatings(const net::HttpServerRequest &request)
     {
         if (request.request.method == net::HttpMethod::Post) {
@@ -144,7 +144,13 @@
             answer(*request.reply, statusOk, Json::object());
             return;
         }
-        answer(*request.reply, statusOk, {{"ratings", m_ratings}});
+        const auto equals = request.request.path.find("after=");
+        const auto after = equals == std::string::npos ? 0 : std::stoul(request.request.path.substr(equals + 6));
+        Json ratings = Json::array();
+        for (auto index = after; index < m_ratings.size(); ++index) {
+            ratings.push_back(m_ratings[index]);
+        }
+        answer(*request.reply, statusOk, {{"ratings", ratings}, {"next", m_ratings.size()}});
     }
 
     event_base *m_base;
--- a/tests/process/policy_test.cpp
+++ b/tests/process/policy_test.cpp
@@ -45,4 +45,84 @@
     EXPECT_TRUE(eventually(9s, [&] { return chat(m_fleet, 0, "secret").status == 200; }));
 }
 
+class PolicyRolloutTest : public testing::Test
+{
+protected:
+    static constexpr unsigned cap = 20;
+
+    void SetUp() override
+    {
+        m_sound = m_fleet.addEngine({"--tokens", "2"});
+        m_fresh = m_fleet.addEngine({"--tokens", "2"});
+        m_fleet.addNode("a");
+        m_fleet.addNode("a");
+        m_fleet.apply(0, config("active"));
+        ASSERT_TRUE(eventually(9s, [&] { return m_fleet.ready(1); }));
+    }
+
+    std::string config(const std::string &state) const
+    {
+        return fmt::format(
+            "failure_domains: [{{name: a, region: r1}}]\n"
+            "versions: [{{model: m, version: v1, cost: 2}}, {{model: m, version: v2, state: {},"
+            " steps: [{{share: 1, cap: {}}}, {{share: 1}}]}}]\n"
+            "workspaces: [{{name: w1, keys: [secret], versions: [m@v1, m@v2]}}]\n"
+            "upstreams: [{{id: e1, address: {}, failure_domain: a, versions: [m@v1], cold: 32, warm: 64}},"
+            " {{id: e2, address: {}, failure_domain: a, versions: [m@v2], cold: 32, warm: 64}}]\n",
+            state,
+            cap,
+            m_sound,
+            m_fresh);
+    }
+
+    std::size_t exposed() const { return Json::parse(get(m_fresh, "/counts").body).at("runs").size(); }
+
+    std::string rolloutState() const
+    {
+        const auto rows = Json::parse(get(m_fleet.operators(1), "/v1/rows").body).at("rows");
+        const auto row = rows.find("config/rollout/m@v2");
+        return row == rows.end() ? "none" : Json::parse(row->get<std::string>()).at("state").get<std::string>();
+    }
+
+    /// One request at each node; rates what the fresh version answered.
+    void serveAndRate(double score)
+    {
+        for (const std::size_t node : {0, 1}) {
+            const auto answer = chat(m_fleet, node, "secret");
+            if (answer.status == 200 && Json::parse(answer.body).at("model") == "m@v2") {
+                post(m_fleet.platform(), "/v1/ratings", {{"version", "m@v2"}, {"judge", "j"}, {"score", score}});
+            }
+        }
+    }
+
+    Fleet m_fleet;
+    std::string m_sound;
+    std::string m_fresh;
+};
+
+TEST_F(PolicyRolloutTest, rollout_noRatings_exposesNoMoreThanTheCapOverAllNodes)
+{
+    m_fleet.apply(0, config("rolling-out"));
+    ASSERT_TRUE(eventually(9s, [&] { return chat(m_fleet, 1, "secret").status == 200 && exposed() > 0; }));
+    for (unsigned request = 0; request < 2 * cap; ++request) {
+        EXPECT_EQ(chat(m_fleet, 0, "secret").status, 200);
+        EXPECT_EQ(chat(m_fleet, 1, "secret").status, 200);
+    }
+    EXPECT_EQ(exposed(), cap);
+    EXPECT_EQ(rolloutState(), "running");
+}
+
+TEST_F(PolicyRolloutTest, rollout_answersRatedBad_isHaltedThroughTheTableAtEveryNode)
+{
+    m_fleet.apply(0, config("rolling-out"));
+    ASSERT_TRUE(eventually(20s, [&] {
+        serveAndRate(0.0);
+        return rolloutState() == "halted";
+    }));
+    EXPECT_LE(exposed(), cap);
+    const auto before = exposed();
+    serveAndRate(0.0);
+    EXPECT_EQ(exposed(), before);
+}
+
 } // namespace ibisfork::process
--- a/tests/routing/versionchooser_test.cpp
+++ b/tests/routing/versionchooser_test.cpp
@@ -29,6 +29,9 @@
         m_config.workspaces["w"] = workspace;
         m_query.workspace = &m_config.workspaces["w"];
         m_query.affinityKey = "s1";
+        m_query.mayExpose = [](const fleet::VersionId &, bool capped) {
+            return !capped;
+        };
     }
 
     fleet::Version &addVersion(const std::string &name, double cost, double quality)
@@ -153,12 +156,23 @@
     rollOut({1.0, 5});
     EXPECT_EQ(choose().front(), "medium");
     EXPECT_EQ(reasonFor("next"), "exposure-cap");
-    m_query.mayExpose = [](const fleet::VersionId &) {
+    m_query.mayExpose = [](const fleet::VersionId &, bool) {
         return true;
     };
     EXPECT_EQ(choose().front(), "next");
 }
 
+TEST_F(VersionChooserTest, choose_rolloutStoppedHere_isClosedToItsSessionsToo)
+{
+    rollOut({1.0, 0});
+    m_query.sessionVersion = fleet::VersionId{"m", "next"};
+    EXPECT_THAT(choose(), ElementsAre("next"));
+    m_query.mayExpose = [](const fleet::VersionId &, bool) {
+        return false;
+    };
+    EXPECT_THAT(choose(), IsEmpty());
+}
+
 TEST_F(VersionChooserTest, choose_rolloutDone_isAsAnyOther)
 {
     rollOut({0.0, 5}, fleet::RolloutState::Done);
