--- a/src/upstream/enginestream.cpp
+++ b/src/upstream/enginestream.cpp
@@ -3,6 +3,8 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "upstream/tokentext.h"
+
 namespace ibisfork::upstream {
 
 using Json = nlohmann::json;
@@ -32,11 +34,6 @@
     return out;
 }
 
-std::string textOf(const Json &event)
-{
-    return event.at("choices").at(0).at("delta").value("content", std::string());
-}
-
 EngineUsage usageOf(const Json &event)
 {
     const auto &usage = event.at("usage");
@@ -123,9 +120,8 @@
         return;
     }
     try {
-        const Json json = Json::parse(event.data);
         if (event.event == endEvent) {
-            finish(usageOf(json));
+            finish(usageOf(Json::parse(event.data)));
             return;
         }
         // A repeated or missing piece would corrupt the answer, so the offsets must be without gaps.
@@ -133,7 +129,12 @@
             finish(EngineFailure{EngineFailureKind::Malformed, m_status});
             return;
         }
-        m_handlers.token(m_nextOffset++, textOf(json));
+        const auto text = tokenText(event.data);
+        if (!text) {
+            finish(EngineFailure{EngineFailureKind::Malformed, m_status});
+            return;
+        }
+        m_handlers.token(m_nextOffset++, *text);
     } catch (const Json::exception &) {
         finish(EngineFailure{EngineFailureKind::Malformed, m_status});
     }
--- /dev/null
+++ b/src/upstream/tokentext.cpp
@@ -0,0 +1,83 @@
+#include "upstream/tokentext.h"
+
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+namespace ibisfork::upstream {
+
+namespace {
+
+using Json = nlohmann::json;
+
+/// Picks the text out while the event is read, since a document for each token is most of a node's work.
+class TextReader
+{
+public:
+    std::optional<std::string> take() { return m_deltaSeen ? std::optional(std::move(m_text)) : std::nullopt; }
+
+    bool null() { return true; }
+    bool boolean(bool) { return true; }
+    bool number_integer(Json::number_integer_t) { return true; }
+    bool number_unsigned(Json::number_unsigned_t) { return true; }
+    bool number_float(Json::number_float_t, const Json::string_t &) { return true; }
+    bool binary(Json::binary_t &) { return true; }
+
+    bool string(Json::string_t &value)
+    {
+        if (inDelta() && m_keys.back() == "content") {
+            m_text = std::move(value);
+        }
+        return true;
+    }
+
+    bool start_object(std::size_t)
+    {
+        m_keys.emplace_back();
+        m_deltaSeen = m_deltaSeen || inDelta();
+        return true;
+    }
+
+    bool key(Json::string_t &name)
+    {
+        m_keys.back() = std::move(name);
+        return true;
+    }
+
+    bool end_object()
+    {
+        m_keys.pop_back();
+        m_firstChoiceRead = m_firstChoiceRead || (m_keys.size() == 1 && m_keys.front() == "choices");
+        return true;
+    }
+
+    bool start_array(std::size_t) { return true; }
+    bool end_array() { return true; }
+    bool parse_error(std::size_t, const std::string &, const Json::exception &) { return false; }
+
+private:
+    /// Whether the object being read is the delta of the first choice.
+    bool inDelta() const
+    {
+        return m_keys.size() == 3 && m_keys[0] == "choices" && m_keys[1] == "delta" && !m_firstChoiceRead;
+    }
+
+    /// The last key read in each open object.
+    std::vector<std::string> m_keys;
+    std::string m_text;
+    bool m_deltaSeen = false;
+    bool m_firstChoiceRead = false;
+};
+
+} // namespace
+
+std::optional<std::string> tokenText(const std::string &event)
+{
+    TextReader reader;
+    if (!Json::sax_parse(event, &reader)) {
+        return std::nullopt;
+    }
+    return reader.take();
+}
+
+} // namespace ibisfork::upstream
