--- a/src/upstream/tokentext.cpp
+++ b/src/upstream/tokentext.cpp
@@ -11,19 +11,19 @@
 using Json = nlohmann::json;
 
 /// Picks the text out while the event is read, since a document for each token is most of a node's work.
-class TextReader
+class TextReader : public nlohmann::json_sax<Json>
 {
 public:
     std::optional<std::string> take() { return m_deltaSeen ? std::optional(std::move(m_text)) : std::nullopt; }
 
-    bool null() { return true; }
-    bool boolean(bool) { return true; }
-    bool number_integer(Json::number_integer_t) { return true; }
-    bool number_unsigned(Json::number_unsigned_t) { return true; }
-    bool number_float(Json::number_float_t, const Json::string_t &) { return true; }
-    bool binary(Json::binary_t &) { return true; }
+    bool null() override { return true; }
+    bool boolean(bool) override { return true; }
+    bool number_integer(Json::number_integer_t) override { return true; }
+    bool number_unsigned(Json::number_unsigned_t) override { return true; }
+    bool number_float(Json::number_float_t, const Json::string_t &) override { return true; }
+    bool binary(Json::binary_t &) override { return true; }
 
-    bool string(Json::string_t &value)
+    bool string(Json::string_t &value) override
     {
         if (inDelta() && m_keys.back() == "content") {
             m_text = std::move(value);
@@ -31,29 +31,29 @@
         return true;
     }
 
-    bool start_object(std::size_t)
+    bool start_object(std::size_t) override
     {
         m_keys.emplace_back();
         m_deltaSeen = m_deltaSeen || inDelta();
         return true;
     }
 
-    bool key(Json::string_t &name)
+    bool key(Json::string_t &name) override
     {
         m_keys.back() = std::move(name);
         return true;
     }
 
-    bool end_object()
+    bool end_object() override
     {
         m_keys.pop_back();
         m_firstChoiceRead = m_firstChoiceRead || (m_keys.size() == 1 && m_keys.front() == "choices");
         return true;
     }
 
-    bool start_array(std::size_t) { return true; }
-    bool end_array() { return true; }
-    bool parse_error(std::size_t, const std::string &, const Json::exception &) { return false; }
+    bool start_array(std::size_t) override { return true; }
+    bool end_array() override { return true; }
+    bool parse_error(std::size_t, const std::string &, const Json::exception &) override { return false; }
 
 private:
     /// Whether the object being read is the delta of the first choice.
