Bill each request once, in groups, before its last byte

The last byte of an answer waits for it. While the table is out of reach answers go out and bills wait in memory, up to limits.max_pending_bills, from which new work is refused as not run.

The exchange's hook takes the bill itself instead of a record of the last upstream only, closes it once also if the caller goes while the bill waits, and stops the deadline once the engine has ended.

--- a/src/serving/context.h
+++ b/src/serving/context.h
@@ -12,7 +12,7 @@
 #include "routing/keyindex.h"
 #include "routing/router.h"
 #include "serving/decisionlog.h"
-#include "serving/requestrecord.h"
+#include "serving/recorder.h"
 #include "serving/rolloutsteward.h"
 #include "serving/streamcanceller.h"
 #include "settings/settings.h"
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -14,6 +14,7 @@
 using base::LogLine;
 using caller::RefusalCode;
 using caller::RunState;
+using ledger::BillOutcome;
 
 namespace {
 
@@ -59,6 +60,7 @@
     , m_deadline(context.base, [this] { onDeadline(); })
     , m_retryTimer(context.base, [this] { guarded([this] { dispatch(); }); })
     , m_startedAt(base::monotonicNow())
+    , m_bill(m_request.id, m_request.workspace, context.settings.node.name)
 { }
 
 Exchange::~Exchange()
@@ -144,6 +146,7 @@
     m_sentAt = base::monotonicNow();
     m_tried.push_back(m_upstream);
     m_context.limits.started(m_upstream);
+    m_bill.sent(m_version, m_upstream, m_context.view->config->versions.at(*decision.version).costPerRequest);
     m_run = std::make_unique<EngineRun>(m_context.base,
                                         m_context.canceller,
                                         address,
@@ -175,6 +178,7 @@
 void Exchange::onToken(const std::string &text)
 {
     ++m_pieces;
+    m_bill.piece();
     if (!m_answering) {
         m_answering = true;
         m_context.rollouts.firstToken(m_version, base::monotonicNow() - m_sentAt);
@@ -196,7 +200,9 @@
         return;
     }
     m_context.rollouts.answered(m_version);
-    record(RequestOutcome::Answered, usage, [this, usage, alive = m_alive] {
+    m_bill.counted(usage.promptTokens, usage.completionTokens);
+    m_deadline.stop();
+    record(BillOutcome::Answered, [this, usage, alive = m_alive] {
         if (*alive) {
             m_answer.finish(usage);
             count("answered");
@@ -215,6 +221,8 @@
     if (failure.kind != RunFailureKind::NotRun && failure.kind != RunFailureKind::Rejected) {
         m_mayHaveRun = true;
         m_context.rollouts.failed(m_version, failure.kind == RunFailureKind::Crashed);
+    } else {
+        m_bill.notRun();
     }
     if (failure.kind == RunFailureKind::Crashed) {
         m_context.limits.sawColdStart(m_upstream, base::monotonicNow());
@@ -246,7 +254,7 @@
 void Exchange::cut()
 {
     count("cut");
-    record(RequestOutcome::Cut, {0, m_pieces}, [] {});
+    record(BillOutcome::Cut, [] {});
     m_reply->abort();
     finish();
 }
@@ -254,7 +262,7 @@
 void Exchange::onGone()
 {
     count("caller-gone");
-    record(RequestOutcome::CallerGone, {0, m_pieces}, [] {});
+    record(BillOutcome::CallerGone, [] {});
     m_reply->abort();
     finish();
 }
@@ -283,9 +291,7 @@
         .field("code", caller::nameOf(code))
         .field("run", base::nameOf(caller::runStateNames, run));
     count("refused");
-    if (mayHaveRun) {
-        record(RequestOutcome::Refused, {0, m_pieces}, [] {});
-    }
+    record(BillOutcome::Refused, [] {});
     net::HttpHeaders headers;
     headers.add("X-Request-Id", m_request.id);
     caller::sendRefusal(*m_reply, {code, run, message, retryAfter}, headers);
@@ -313,20 +319,14 @@
                                         leftOut));
 }
 
-void Exchange::record(RequestOutcome outcome, const upstream::EngineUsage &usage, std::function<void()> recorded)
+void Exchange::record(BillOutcome outcome, std::function<void()> recorded)
 {
-    if (m_tried.empty()) {
+    const auto bill = m_bill.close(outcome);
+    if (bill) {
+        m_context.recorder(*bill, std::move(recorded));
+    } else {
         recorded();
-        return;
     }
-    const RequestRecord entry{m_request.id,
-                              m_request.workspace,
-                              m_version,
-                              m_tried.back(),
-                              outcome,
-                              usage.promptTokens,
-                              usage.completionTokens};
-    m_context.recorder(entry, std::move(recorded));
 }
 
 void Exchange::count(const char *outcome)
--- a/src/serving/exchange.h
+++ b/src/serving/exchange.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "caller/refusal.h"
+#include "ledger/billdraft.h"
 #include "net/httpserver.h"
 #include "net/timer.h"
 #include "serving/backpressure.h"
@@ -52,7 +53,7 @@
     void onDeadline();
     void refuse(caller::RefusalCode code, const std::string &message, int retryAfterSeconds);
     void logDecision(const routing::RoutingDecision &decision);
-    void record(RequestOutcome outcome, const upstream::EngineUsage &usage, std::function<void()> recorded);
+    void record(ledger::BillOutcome outcome, std::function<void()> recorded);
     void count(const char *outcome);
     /// Runs @p step; an exception in it ends the request with an error.
     template<typename Step>
@@ -77,6 +78,7 @@
     std::unique_ptr<EngineRun> m_run;
     bool m_answering = false;
     bool m_mayHaveRun = false;
+    ledger::BillDraft m_bill;
     /// Lets callbacks that come late see whether the exchange is still there.
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/src/serving/servingtask.cpp
+++ b/src/serving/servingtask.cpp
@@ -43,6 +43,8 @@
     : m_settings(settings)
     , m_task("serving")
     , m_context(m_task.base(), settings, metrics, decisions, incarnation)
+    , m_table(m_task.base(), settings.platform, settings.timing.platformTimeout)
+    , m_bills(m_task.base(), m_table, {settings.timing.billWindow, settings.limits.maxPendingBills}, metrics)
     , m_slotsTimer(m_task.base(), [this] { checkSlots(); })
     , m_loadPoller(m_task.base(), m_context.limits, metrics)
     , m_server(m_task.base(),
@@ -50,7 +52,12 @@
                serverLimits(settings),
                [this](const net::HttpServerRequest &request) { onRequest(request); })
     , m_mailbox(m_task.base(), [this](ServingMessage message) { handle(std::move(message)); })
-{ }
+{
+    m_bills.onEmpty([this] { checkDrained(); });
+    m_context.recorder = [this](const ledger::Bill &bill, std::function<void()> recorded) {
+        m_bills.whenSafe(m_bills.record(bill), std::move(recorded));
+    };
+}
 
 bool ServingTask::ready() const
 {
@@ -124,6 +131,10 @@
 
 void ServingTask::startChat(const net::HttpServerRequest &request, const fleet::Workspace &workspace)
 {
+    if (m_bills.full()) {
+        refuse(request, RefusalCode::Overloaded, "too many bills wait for the platform");
+        return;
+    }
     if (m_exchanges.size() >= m_settings.limits.maxRequests) {
         refuse(request, RefusalCode::Overloaded, "this node bears no more requests");
         return;
@@ -226,7 +237,8 @@
 
 void ServingTask::checkDrained()
 {
-    if (m_draining && m_exchanges.empty() && m_serviceExchanges.empty() && m_drained) {
+    const bool idle = m_exchanges.empty() && m_serviceExchanges.empty() && m_bills.empty();
+    if (m_draining && idle && m_drained) {
         std::exchange(m_drained, nullptr)();
     }
 }
--- a/src/serving/servingtask.h
+++ b/src/serving/servingtask.h
@@ -8,6 +8,7 @@
 #include <ibisfork/base/metrics.h>
 
 #include "fleettask/messages.h"
+#include "ledger/billdesk.h"
 #include "net/httpserver.h"
 #include "net/mailbox.h"
 #include "net/task.h"
@@ -66,6 +67,8 @@
     const settings::Settings &m_settings;
     net::Task m_task;
     Context m_context;
+    platform::TableClient m_table;
+    ledger::BillDesk m_bills;
     std::atomic<bool> m_draining{false};
     std::atomic<base::TimePoint::rep> m_confirmedUntil{0};
     std::function<void()> m_drained;
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -68,6 +68,8 @@
     timing.longestRun = fields.optionalMilliseconds("longest_run", timing.longestRun);
     timing.requestDeadline = fields.optionalMilliseconds("request_deadline", timing.requestDeadline);
     timing.drainWithin = fields.optionalMilliseconds("drain_within", timing.drainWithin);
+    timing.billWindow = fields.optionalMilliseconds("bill_window", timing.billWindow);
+    timing.claimWindow = fields.optionalMilliseconds("claim_window", timing.claimWindow);
     fields.refuseUnknown();
     return timing;
 }
@@ -79,6 +81,7 @@
     limits.maxStreamBuffer = fields.optional("max_stream_buffer", limits.maxStreamBuffer, "a count of bytes");
     limits.maxRequests = fields.optional("max_requests", limits.maxRequests, "a count of requests");
     limits.maxQueued = fields.optional("max_queued", limits.maxQueued, "a count of requests");
+    limits.maxPendingBills = fields.optional("max_pending_bills", limits.maxPendingBills, "a count of bills");
     fields.refuseUnknown();
     return limits;
 }
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -48,6 +48,9 @@
     std::chrono::milliseconds longestRun{60000};
     /// Longest time that a shutdown waits for running requests.
     std::chrono::milliseconds drainWithin{30000};
+    /// Shortest time between two groups of bills, and of claims, that go to the table.
+    std::chrono::milliseconds billWindow{50};
+    std::chrono::milliseconds claimWindow{25};
 };
 
 /// Bounds on what a node takes in.
@@ -57,6 +60,8 @@
     std::size_t maxStreamBuffer = 64UL * 1024;
     std::size_t maxRequests = 2000;
     std::size_t maxQueued = 500;
+    /// Bills not yet in the table from which no new work is taken; 0 turns bills off, for measurements only.
+    std::size_t maxPendingBills = 20000;
 };
 
 /// All settings of one daemon.
--- a/tests/serving/exchange_test.cpp
+++ b/tests/serving/exchange_test.cpp
@@ -140,8 +140,8 @@
         , m_engine(m_base.get())
         , m_server(m_base.get(), {"127.0.0.1", 0}, {}, [this](const net::HttpServerRequest &request) { take(request); })
     {
-        m_context.recorder = [this](const RequestRecord &record, const std::function<void()> &recorded) {
-            m_records.push_back(record);
+        m_context.recorder = [this](const ledger::Bill &bill, const std::function<void()> &recorded) {
+            m_records.push_back(bill);
             recorded();
         };
         // This node sees the upstreams being added, so that no other can have held their slots.
@@ -253,7 +253,7 @@
     net::HttpServer m_server;
     base::Duration m_deadline = 5s;
     int m_done = 0;
-    std::vector<RequestRecord> m_records;
+    std::vector<ledger::Bill> m_records;
     std::vector<std::unique_ptr<Exchange>> m_exchanges;
 };
 
