Add the commands on roll-outs

Cause: roll-outs are rows that nodes step and halt, but operators had no command for them. Change: rollout start, status, step and halt; halting needs a written reason, and a halted roll-out is begun again by start only. Conclusion: stopping is one command, starting again another.

--- a/src/ctl/commandtable.cpp
+++ b/src/ctl/commandtable.cpp
@@ -9,6 +9,7 @@
 #include "ctl/configcommands.h"
 #include "ctl/fleetcommands.h"
 #include "ctl/nodecommands.h"
+#include "ctl/rolloutcommands.h"
 
 namespace ibisfork::ctl {
 
@@ -20,7 +21,7 @@
     return exitcode::ok;
 }
 
-constexpr std::array<Command, 20> commands{{
+constexpr std::array<Command, 24> commands{{
     {"config", "check", "FILE", "check a fleet configuration", "config check fleet.yaml", configCheck},
     {"config", "apply", "FILE", "make it the fleet's", "config apply fleet.yaml --reason 'new engine'", configApply},
     {"config", "diff", "FILE", "rows that apply would change", "config diff fleet.yaml", configDiff},
@@ -41,6 +42,15 @@
      "give it no new work",
      "version withdraw report@v7 --reason 'bad scores'",
      versionWithdraw},
+    {"rollout", "start", "MODEL@VERSION", "begin, or begin again", "rollout start report@v8", rolloutStart},
+    {"rollout", "status", "", "how far each has come", "rollout status", rolloutStatus},
+    {"rollout", "step", "MODEL@VERSION", "go to the next step", "rollout step report@v8", rolloutStep},
+    {"rollout",
+     "halt",
+     "MODEL@VERSION",
+     "give it no new work",
+     "rollout halt report@v8 --reason 'judges complain'",
+     rolloutHalt},
     {"domain", "list", "", "failure domains and their states", "domain list", domainList},
     {"domain", "take-out", "NAME", "give it no new work", "domain take-out a --reason 'switch repair'", domainTakeOut},
     {"domain", "bring-back", "NAME", "give it work again", "domain bring-back a", domainBringBack},
--- a/tests/process/ctl_test.cpp
+++ b/tests/process/ctl_test.cpp
@@ -75,6 +75,18 @@
     EXPECT_EQ(row("config/upstream/e1")["state"], "live");
 }
 
+TEST_F(CtlTest, rollout_startedAndHalted_keepsItsEvidence)
+{
+    EXPECT_EQ(m_fleet.ctl(0, {"rollout", "step", "report@v1"}), exitUsage);
+    EXPECT_EQ(m_fleet.ctl(0, {"rollout", "start", "report@v1"}), exitOk);
+    ASSERT_TRUE(eventually(9s, [&] { return row("config/rollout/report@v1")["state"] == "running"; }));
+    EXPECT_EQ(m_fleet.ctl(0, {"rollout", "halt", "report@v1"}), exitUsage);
+    EXPECT_EQ(m_fleet.ctl(0, {"rollout", "halt", "report@v1", "--reason", "judges complain"}), exitOk);
+    ASSERT_TRUE(eventually(9s, [&] { return row("config/rollout/report@v1")["state"] == "halted"; }));
+    EXPECT_EQ(row("config/rollout/report@v1")["evidence"], "judges complain");
+    EXPECT_EQ(m_fleet.ctl(0, {"rollout", "step", "report@v1"}), exitUsage);
+}
+
 TEST_F(CtlTest, command_unknown_exitsWithUsage)
 {
     EXPECT_EQ(m_fleet.ctl(0, {"domain", "destroy", "a"}), exitUsage);
