Add a queue for admission with fair shares and deadlines

Cause: a request that found no room was refused whatever its deadline, and room went to whoever asked next. Change: plain code that orders waiting requests by the shares of workspaces and by priority within one, refuses early by the expected wait and sheds from the workspace that waits most over its share. Not hooked in yet. Test: AdmissionQueueTest.

--- /dev/null
+++ b/src/admission/admissionqueue.cpp
@@ -0,0 +1,180 @@
+#include "admission/admissionqueue.h"
+
+#include <algorithm>
+
+namespace ibisfork::admission {
+
+namespace {
+
+/// Weight of the newest request in the mean service time.
+constexpr double serviceTimeWeight = 0.05;
+
+base::Duration scaled(base::Duration duration, double factor)
+{
+    return base::Duration(static_cast<base::Duration::rep>(static_cast<double>(duration.count()) * factor));
+}
+
+} // namespace
+
+AdmissionQueue::AdmissionQueue(std::size_t mostWaiting)
+    : m_mostWaiting(mostWaiting)
+{ }
+
+std::vector<Refusal> AdmissionQueue::offer(const WaitingRequest &request, base::TimePoint now)
+{
+    const auto wait = expectedWait(request.workspace, request.share, request.priority);
+    if (now + wait + m_serviceTime > request.deadline) {
+        return {{request.id, wait}};
+    }
+    auto &queue = m_workspaces[request.workspace];
+    queue.share = request.share;
+    const Place place{-request.priority, m_nextSequence++};
+    queue.waiting[place] = request;
+    m_places[request.id] = {request.workspace, place};
+    if (m_places.size() <= m_mostWaiting) {
+        return {};
+    }
+    const auto victim = mostOverShare();
+    const auto shed = m_workspaces.at(victim.first).waiting.at(victim.second);
+    take(victim);
+    return {{shed.id, expectedWait(shed.workspace, shed.share, shed.priority)}};
+}
+
+std::vector<Refusal> AdmissionQueue::expire(base::TimePoint now)
+{
+    std::vector<Refusal> refusals;
+    for (const auto &[name, queue] : m_workspaces) {
+        for (const auto &[place, request] : queue.waiting) {
+            if (now + m_serviceTime > request.deadline) {
+                refusals.push_back({request.id, expectedWait(name, queue.share, request.priority)});
+            }
+        }
+    }
+    for (const auto &refusal : refusals) {
+        remove(refusal.id);
+    }
+    return refusals;
+}
+
+void AdmissionQueue::remove(const std::string &id)
+{
+    const auto located = m_places.find(id);
+    if (located != m_places.end()) {
+        take(Located(located->second));
+    }
+}
+
+void AdmissionQueue::serve(const std::function<bool(const std::string &id)> &dispatch)
+{
+    std::set<std::string> kindsWithoutRoom;
+    while (const auto *located = next(kindsWithoutRoom)) {
+        const auto request = m_workspaces.at(located->first).waiting.at(located->second);
+        if (dispatch(request.id)) {
+            remove(request.id);
+        } else {
+            kindsWithoutRoom.insert(request.kind);
+        }
+    }
+}
+
+void AdmissionQueue::started(const std::string &workspace, double share)
+{
+    ++m_running;
+    auto &queue = m_workspaces[workspace];
+    queue.share = share;
+    // A workspace that was idle has saved nothing up.
+    const auto start = std::max(queue.served, m_virtualTime);
+    queue.served = start + 1.0 / share;
+    m_virtualTime = start;
+}
+
+void AdmissionQueue::ended(base::Duration time)
+{
+    m_running -= m_running > 0 ? 1 : 0;
+    m_serviceTime = m_serviceTime.count() == 0
+        ? time
+        : scaled(m_serviceTime, 1.0 - serviceTimeWeight) + scaled(time, serviceTimeWeight);
+}
+
+bool AdmissionQueue::waits(const std::string &workspace, const std::string &kind) const
+{
+    const auto queue = m_workspaces.find(workspace);
+    return queue != m_workspaces.end()
+        && std::any_of(queue->second.waiting.begin(), queue->second.waiting.end(), [&](const auto &entry) {
+               return entry.second.kind == kind;
+           });
+}
+
+// What runs ends at a rate of one in a service time each. The workspace gets its share of that rate, and the whole of
+// it where no other waits.
+base::Duration AdmissionQueue::expectedWait(const std::string &workspace, double share, int priority) const
+{
+    if (m_running == 0) {
+        return {};
+    }
+    const auto queue = m_workspaces.find(workspace);
+    std::size_t ahead = 0;
+    double shares = shareOfWaiting();
+    if (queue != m_workspaces.end()) {
+        // Places are ordered by falling priority.
+        const auto after = queue->second.waiting.lower_bound({-priority + 1, 0});
+        ahead = static_cast<std::size_t>(std::distance(queue->second.waiting.begin(), after));
+    }
+    if (queue == m_workspaces.end() || queue->second.waiting.empty()) {
+        shares += share;
+    }
+    const auto byShare = static_cast<double>(ahead + 1) * shares / share;
+    const auto byAll = static_cast<double>(m_places.size() + 1);
+    return scaled(m_serviceTime, std::min(byShare, byAll) / static_cast<double>(m_running));
+}
+
+const AdmissionQueue::Located *AdmissionQueue::next(const std::set<std::string> &kindsWithoutRoom)
+{
+    const WorkspaceQueue *best = nullptr;
+    for (const auto &[name, queue] : m_workspaces) {
+        if (best != nullptr && std::max(queue.served, m_virtualTime) >= std::max(best->served, m_virtualTime)) {
+            continue;
+        }
+        const auto request = std::find_if(queue.waiting.begin(), queue.waiting.end(), [&](const auto &entry) {
+            return !kindsWithoutRoom.contains(entry.second.kind);
+        });
+        if (request != queue.waiting.end()) {
+            best = &queue;
+            m_next = {name, request->first};
+        }
+    }
+    return best == nullptr ? nullptr : &m_next;
+}
+
+AdmissionQueue::Located AdmissionQueue::mostOverShare() const
+{
+    Located located;
+    double most = -1.0;
+    for (const auto &[name, queue] : m_workspaces) {
+        const auto overShare = static_cast<double>(queue.waiting.size()) / queue.share;
+        if (!queue.waiting.empty() && overShare > most) {
+            most = overShare;
+            located = {name, queue.waiting.rbegin()->first};
+        }
+    }
+    return located;
+}
+
+double AdmissionQueue::shareOfWaiting() const
+{
+    double shares = 0.0;
+    for (const auto &[name, queue] : m_workspaces) {
+        shares += queue.waiting.empty() ? 0.0 : queue.share;
+    }
+    return shares;
+}
+
+void AdmissionQueue::take(const Located &located)
+{
+    auto &queue = m_workspaces.at(located.first);
+    const auto request = queue.waiting.find(located.second);
+    m_places.erase(request->second.id);
+    queue.waiting.erase(request);
+}
+
+} // namespace ibisfork::admission
--- /dev/null
+++ b/tests/admission/admissionqueue_test.cpp
@@ -0,0 +1,147 @@
+#include "admission/admissionqueue.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <fmt/format.h>
+
+namespace ibisfork::admission {
+
+using namespace std::chrono_literals;
+using testing::ElementsAre;
+using testing::IsEmpty;
+
+class AdmissionQueueTest : public testing::Test
+{
+protected:
+    std::vector<std::string> offer(const std::string &id,
+                                   const std::string &workspace,
+                                   int priority = 1,
+                                   base::Duration within = 100s,
+                                   double share = 1.0)
+    {
+        return ids(m_queue.offer({id, workspace, "kind-" + workspace, share, priority, m_now + within}, m_now));
+    }
+
+    static std::vector<std::string> ids(const std::vector<Refusal> &refusals)
+    {
+        std::vector<std::string> names;
+        for (const auto &refusal : refusals) {
+            names.push_back(refusal.id);
+        }
+        return names;
+    }
+
+    /// Requests run now and took a second each so far.
+    void fill(int running)
+    {
+        for (int request = 0; request < running + 1; ++request) {
+            m_queue.started("other", 1.0);
+        }
+        m_queue.ended(1s);
+    }
+
+    /// The next @p count to get room.
+    std::vector<std::string> serve(std::size_t count)
+    {
+        std::vector<std::string> served;
+        m_queue.serve([&](const std::string &id) {
+            if (served.size() == count) {
+                return false;
+            }
+            served.push_back(id);
+            m_queue.started(id.substr(0, 1), m_shares.contains(id.substr(0, 1)) ? m_shares.at(id.substr(0, 1)) : 1.0);
+            return true;
+        });
+        return served;
+    }
+
+    base::TimePoint m_now{1000s};
+    std::map<std::string, double> m_shares;
+    AdmissionQueue m_queue{8};
+};
+
+TEST_F(AdmissionQueueTest, serve_oneWorkspace_isByPriorityThenAge)
+{
+    offer("a1", "a");
+    offer("a2", "a", 5);
+    offer("a3", "a");
+    EXPECT_THAT(serve(3), ElementsAre("a2", "a1", "a3"));
+}
+
+TEST_F(AdmissionQueueTest, serve_largeWorkspace_doesNotStarveASmallOne)
+{
+    for (int request = 0; request < 6; ++request) {
+        offer(fmt::format("a{}", request), "a", 9);
+    }
+    offer("b0", "b");
+    offer("b1", "b");
+    EXPECT_THAT(serve(4), testing::UnorderedElementsAre("a0", "a1", "b0", "b1"));
+}
+
+TEST_F(AdmissionQueueTest, serve_shares_areKept)
+{
+    m_shares = {{"a", 2.0}, {"b", 1.0}};
+    for (int request = 0; request < 4; ++request) {
+        offer(fmt::format("a{}", request), "a", 1, 100s, 2.0);
+        offer(fmt::format("b{}", request), "b");
+    }
+    const auto served = serve(6);
+    EXPECT_EQ(std::count_if(served.begin(), served.end(), [](const auto &id) { return id[0] == 'a'; }), 4);
+}
+
+TEST_F(AdmissionQueueTest, serve_noRoomForOneKind_goesOnWithOthers)
+{
+    offer("a0", "a");
+    offer("b0", "b");
+    std::vector<std::string> served;
+    m_queue.serve([&](const std::string &id) {
+        served.push_back(id);
+        return id == "b0";
+    });
+    EXPECT_THAT(served, ElementsAre("a0", "b0"));
+    EXPECT_TRUE(m_queue.waits("a", "kind-a"));
+    EXPECT_EQ(m_queue.size(), 1U);
+}
+
+TEST_F(AdmissionQueueTest, offer_full_shedsTheLowestOfTheMostOverItsShare)
+{
+    for (int request = 0; request < 7; ++request) {
+        offer(fmt::format("a{}", request), "a", request == 3 ? 0 : 1);
+    }
+    offer("b0", "b", 0);
+    EXPECT_THAT(offer("b1", "b", 0), ElementsAre("a3"));
+    EXPECT_THAT(offer("a7", "a"), ElementsAre("a7"));
+    EXPECT_EQ(m_queue.size(), 8U);
+}
+
+TEST_F(AdmissionQueueTest, offer_deadlineCannotBeMet_isRefusedAtOnceWithTheWait)
+{
+    fill(2);
+    for (int request = 0; request < 4; ++request) {
+        EXPECT_THAT(offer(fmt::format("a{}", request), "a"), IsEmpty());
+    }
+    // Five places at two a second, and a second to be served.
+    EXPECT_THAT(offer("late", "a", 1, 3400ms), ElementsAre("late"));
+    EXPECT_THAT(offer("fits", "a", 1, 3600ms), IsEmpty());
+    EXPECT_EQ(m_queue.expectedWait("a", 1.0, 1), 3s);
+}
+
+TEST_F(AdmissionQueueTest, expire_deadlineTooNear_isGivenUpAtOnce)
+{
+    fill(2);
+    offer("a0", "a", 1, 2s);
+    EXPECT_THAT(ids(m_queue.expire(m_now + 900ms)), IsEmpty());
+    EXPECT_THAT(ids(m_queue.expire(m_now + 1100ms)), ElementsAre("a0"));
+    EXPECT_EQ(m_queue.size(), 0U);
+}
+
+TEST_F(AdmissionQueueTest, remove_callerGone_leavesNoTrace)
+{
+    offer("a0", "a");
+    m_queue.remove("a0");
+    m_queue.remove("a0");
+    EXPECT_THAT(serve(1), IsEmpty());
+}
+
+} // namespace ibisfork::admission
