Let requests wait for room by fair shares and deadlines

Cause: a request was refused at once when no upstream had room. Change: the queue for admission stands in front of dispatch; it is woken when a request leaves its upstream, and looks again every 20 ms for room that comes by ramps and loans.

--- a/src/admission/admissionqueue.cpp
+++ b/src/admission/admissionqueue.cpp
@@ -23,7 +23,7 @@
 std::vector<Refusal> AdmissionQueue::offer(const WaitingRequest &request, base::TimePoint now)
 {
     const auto wait = expectedWait(request.workspace, request.share, request.priority);
-    if (now + wait + m_serviceTime > request.deadline) {
+    if (now + wait + timeToServe() > request.deadline) {
         return {{request.id, wait}};
     }
     auto &queue = m_workspaces[request.workspace];
@@ -45,7 +45,7 @@
     std::vector<Refusal> refusals;
     for (const auto &[name, queue] : m_workspaces) {
         for (const auto &[place, request] : queue.waiting) {
-            if (now + m_serviceTime > request.deadline) {
+            if (now + timeToServe() > request.deadline) {
                 refusals.push_back({request.id, expectedWait(name, queue.share, request.priority)});
             }
         }
@@ -91,9 +91,20 @@
 void AdmissionQueue::ended(base::Duration time)
 {
     m_running -= m_running > 0 ? 1 : 0;
-    m_serviceTime = m_serviceTime.count() == 0
-        ? time
-        : scaled(m_serviceTime, 1.0 - serviceTimeWeight) + scaled(time, serviceTimeWeight);
+    if (m_serviceTime.count() == 0) {
+        m_serviceTime = time;
+        return;
+    }
+    const auto deviation = time > m_serviceTime ? time - m_serviceTime : m_serviceTime - time;
+    m_deviation = scaled(m_deviation, 1.0 - serviceTimeWeight) + scaled(deviation, serviceTimeWeight);
+    m_serviceTime = scaled(m_serviceTime, 1.0 - serviceTimeWeight) + scaled(time, serviceTimeWeight);
+}
+
+// Room that a request can't use to its end is lost to one that could.
+base::Duration AdmissionQueue::timeToServe() const
+{
+    constexpr int deviations = 2;
+    return m_serviceTime + deviations * m_deviation;
 }
 
 bool AdmissionQueue::waits(const std::string &workspace, const std::string &kind) const
--- a/src/admission/admissionqueue.h
+++ b/src/admission/admissionqueue.h
@@ -80,6 +80,7 @@
     const Located *next(const std::set<std::string> &kindsWithoutRoom);
     Located mostOverShare() const;
     double shareOfWaiting() const;
+    base::Duration timeToServe() const;
     void take(const Located &located);
 
     std::size_t m_mostWaiting;
@@ -89,6 +90,7 @@
     double m_virtualTime = 0.0;
     std::uint64_t m_running = 0;
     base::Duration m_serviceTime{};
+    base::Duration m_deviation{};
     Located m_next;
 };
 
--- a/src/routing/decision.h
+++ b/src/routing/decision.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <functional>
 #include <optional>
@@ -55,6 +56,13 @@
     std::optional<fleet::VersionId> version;
     std::string upstream;
     std::vector<LeftOut> leftOut;
+
+    /// Whether an upstream was left out for want of room alone.
+    bool lacksRoom() const
+    {
+        return std::any_of(
+            leftOut.begin(), leftOut.end(), [](const auto &left) { return left.reason == LeftOutReason::NoRoom; });
+    }
 };
 
 /// Tells which upstreams are of use to a node at all.
--- /dev/null
+++ b/src/serving/admissiondesk.cpp
@@ -0,0 +1,79 @@
+#include "serving/admissiondesk.h"
+
+namespace ibisfork::serving {
+
+namespace {
+
+constexpr std::size_t mostWaiting = 1000;
+/// Room also comes by ramps, loans and new revisions, of which nobody tells.
+constexpr std::chrono::milliseconds pollInterval{20};
+
+} // namespace
+
+AdmissionDesk::AdmissionDesk(event_base *base, base::MetricsRegistry &metrics)
+    : m_queue(mostWaiting)
+    , m_refused(metrics.counter("ibisfork_admission_refused_total"))
+    , m_waiting(metrics.gauge("ibisfork_admission_waiting"))
+    , m_wake(base, [this] { serve(); })
+    , m_poll(base, [this] { serve(); })
+{ }
+
+void AdmissionDesk::wait(const admission::WaitingRequest &request, WaitingHandlers handlers)
+{
+    m_handlers[request.id] = std::move(handlers);
+    refuse(m_queue.offer(request, base::monotonicNow()));
+    schedule();
+}
+
+void AdmissionDesk::leave(const std::string &id)
+{
+    m_queue.remove(id);
+    m_handlers.erase(id);
+    m_waiting.set(static_cast<std::int64_t>(m_queue.size()));
+}
+
+void AdmissionDesk::ended(base::Duration time)
+{
+    m_queue.ended(time);
+    if (m_queue.size() > 0) {
+        // Not from inside the request that ends.
+        m_wake.startOnce({});
+    }
+}
+
+void AdmissionDesk::serve()
+{
+    refuse(m_queue.expire(base::monotonicNow()));
+    m_queue.serve([this](const std::string &id) {
+        const auto dispatch = m_handlers.at(id).dispatch;
+        const bool served = dispatch();
+        if (served) {
+            m_handlers.erase(id);
+        }
+        return served;
+    });
+    schedule();
+}
+
+void AdmissionDesk::refuse(const std::vector<admission::Refusal> &refusals)
+{
+    for (const auto &refusal : refusals) {
+        const auto handlers = m_handlers.extract(refusal.id);
+        if (!handlers.empty()) {
+            m_refused.add();
+            handlers.mapped().refuse(refusal.retryAfter);
+        }
+    }
+}
+
+void AdmissionDesk::schedule()
+{
+    m_waiting.set(static_cast<std::int64_t>(m_queue.size()));
+    if (m_queue.size() > 0) {
+        m_poll.startOnce(pollInterval);
+    } else {
+        m_poll.stop();
+    }
+}
+
+} // namespace ibisfork::serving
--- a/src/serving/context.h
+++ b/src/serving/context.h
@@ -11,6 +11,7 @@
 #include "net/libevent.h"
 #include "routing/keyindex.h"
 #include "routing/router.h"
+#include "serving/admissiondesk.h"
 #include "serving/decisionlog.h"
 #include "serving/recorder.h"
 #include "serving/rolloutsteward.h"
@@ -50,6 +51,7 @@
         , limits(nodeSettings.node.name,
                  incarnation,
                  {nodeSettings.timing.confirmWithin, nodeSettings.timing.longestRun})
+        , admission(eventBase, registry)
         , canceller(eventBase, upstreamTimeouts())
         , rollouts(eventBase, nodeSettings, registry, incarnation)
     { }
@@ -73,6 +75,7 @@
     std::shared_ptr<const FleetView> view;
     base::TimePoint confirmedUntil{};
     upstream::LimitBook limits;
+    AdmissionDesk admission;
     StreamCanceller canceller;
     RolloutSteward rollouts;
     coord::RetryBudget retries;
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -66,6 +66,7 @@
 Exchange::~Exchange()
 {
     *m_alive = false;
+    m_context.admission.leave(m_request.id);
     release();
 }
 
@@ -111,6 +112,10 @@
 
 void Exchange::route(const fleet::Workspace &workspace)
 {
+    if (!m_waiting && m_tried.empty() && m_context.admission.waits(workspace.name, m_request.chat.model)) {
+        wait(workspace);
+        return;
+    }
     routing::RoutingQuery query;
     query.workspace = &workspace;
     query.model = m_request.chat.model;
@@ -123,7 +128,15 @@
     const auto now = base::monotonicNow();
     const auto decision = m_context.view->router.choose(
         query, [&](const std::string &upstream) { return m_context.roomAt(upstream, now); });
+    const bool full = !decision.version && m_tried.empty() && decision.lacksRoom();
+    if (full && m_waiting) {
+        return;
+    }
     logDecision(decision);
+    if (full) {
+        wait(workspace);
+        return;
+    }
     if (!decision.version && !m_tried.empty()) {
         refuse(
             RefusalCode::UpstreamFailed, "the upstream that was tried failed and no other has room", retryAfterSeconds);
@@ -133,9 +146,34 @@
         refuse(RefusalCode::NoUpstream, "no permitted version has an upstream with room", retryAfterSeconds);
         return;
     }
+    m_waiting = false;
+    m_context.admission.started(workspace.name, workspace.rules.share);
     send(decision);
 }
 
+void Exchange::wait(const fleet::Workspace &workspace)
+{
+    m_waiting = true;
+    WaitingHandlers handlers;
+    handlers.dispatch = [this, alive = m_alive] {
+        guarded([this] { dispatch(); });
+        return !*alive || !m_waiting;
+    };
+    handlers.refuse = [this](base::Duration retryAfter) {
+        const auto seconds = std::chrono::ceil<std::chrono::seconds>(retryAfter).count();
+        refuse(RefusalCode::Overloaded,
+               "the request would not be served before its deadline",
+               std::max(retryAfterSeconds, static_cast<int>(seconds)));
+    };
+    const admission::WaitingRequest request{m_request.id,
+                                            workspace.name,
+                                            m_request.chat.model,
+                                            workspace.rules.share,
+                                            m_request.priority,
+                                            m_startedAt + m_request.deadline};
+    m_context.admission.wait(request, std::move(handlers));
+}
+
 void Exchange::send(const routing::RoutingDecision &decision)
 {
     const auto address = net::Address::parse(m_context.view->config->upstreams.at(decision.upstream).address);
@@ -342,8 +380,9 @@
     }
     // Work that may still run counts at its upstream until it is known not to.
     const auto upstream = std::exchange(m_upstream, {});
-    const auto ended = [&limits = m_context.limits, upstream](bool) {
-        limits.ended(upstream);
+    const auto ended = [&context = m_context, upstream, sentAt = m_sentAt](bool) {
+        context.limits.ended(upstream);
+        context.admission.ended(base::monotonicNow() - sentAt);
     };
     if (!m_run || m_run->finished()) {
         ended(true);
@@ -364,6 +403,8 @@
 void Exchange::finish()
 {
     release();
+    m_waiting = false;
+    m_context.admission.leave(m_request.id);
     m_deadline.stop();
     m_retryTimer.stop();
     // The owner destroys this object in the callback.
--- a/src/serving/exchange.h
+++ b/src/serving/exchange.h
@@ -42,6 +42,7 @@
 private:
     void dispatch();
     void route(const fleet::Workspace &workspace);
+    void wait(const fleet::Workspace &workspace);
     void send(const routing::RoutingDecision &decision);
     EngineRunHandlers runHandlers();
     void onToken(const std::string &text);
@@ -76,6 +77,7 @@
     std::uint64_t m_pieces = 0;
     std::vector<std::string> m_tried;
     std::unique_ptr<EngineRun> m_run;
+    bool m_waiting = false;
     bool m_answering = false;
     bool m_mayHaveRun = false;
     ledger::BillDraft m_bill;
