Confirm through relays and peers, accept changes fleet-wide, let nodes leave and be removed

Cause: each node polled the table by itself, a commit was called done before other nodes had it, and an outage of the table stopped all service. Change: two relays a failure domain read the table and exchange; the others listen to them, with ages that add up from the asker's own question. With the table out of reach a majority of the members confirms. A change is accepted once no node can be confirmed at an older revision; POST /v1/changes answers with the state and GET /v1/changes/ID finds it again. base_revision makes a conflict of two operators on one row a refusal that names it. Nodes leave when drained; relays remove those that the VM list calls gone or nobody hears.

--- a/include/ibisfork/coord/confirmation.h
+++ b/include/ibisfork/coord/confirmation.h
@@ -23,6 +23,9 @@
     /// The instant from which @p held is no longer confirmed; nothing if it is not confirmed at all.
     std::optional<base::TimePoint> confirmedUntil(Revision held) const;
 
+    /// Since when the newest revision heard of is known to be the newest; nothing if that is not known.
+    std::optional<base::TimePoint> newestAsOf() const;
+
     /// The newest revision heard of.
     Revision newestKnown() const { return m_newest; }
 
--- a/src/coord/confirmation.cpp
+++ b/src/coord/confirmation.cpp
@@ -34,4 +34,9 @@
     return m_askedAt + m_confirmWithin;
 }
 
+std::optional<base::TimePoint> Confirmation::newestAsOf() const
+{
+    return m_askedAt == base::TimePoint{} ? std::nullopt : std::optional(m_askedAt);
+}
+
 } // namespace ibisfork::coord
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -35,9 +35,10 @@
 class Shutdown
 {
 public:
-    Shutdown(event_base *base, serving::ServingTask &serving, base::Duration within)
+    Shutdown(event_base *base, serving::ServingTask &serving, fleettask::FleetTask &fleet, base::Duration within)
         : m_base(base)
         , m_serving(serving)
+        , m_fleet(fleet)
         , m_within(within)
         , m_terminate(evsignal_new(base, SIGTERM, &Shutdown::onSignal, this))
         , m_interrupt(evsignal_new(base, SIGINT, &Shutdown::onSignal, this))
@@ -54,13 +55,16 @@
     {
         base::LogLine(base::LogLevel::Info, "drain").field("within_ms", base::toMilliseconds(m_within));
         m_timeout.startOnce(m_within);
-        m_serving.post(serving::BeginDrain{[base = m_base] {
-            event_base_loopbreak(base);
+        m_serving.post(serving::BeginDrain{[this] {
+            m_fleet.post(fleettask::LeaveFleet{[base = m_base] {
+                event_base_loopbreak(base);
+            }});
         }});
     }
 
     event_base *m_base;
     serving::ServingTask &m_serving;
+    fleettask::FleetTask &m_fleet;
     base::Duration m_within;
     net::EventPtr m_terminate;
     net::EventPtr m_interrupt;
@@ -92,7 +96,7 @@
         return decisions.find(requestId);
     };
     operators::OperatorsTask operatorsTask(settings, metrics, std::move(ports));
-    const Shutdown shutdown(base.get(), serving, settings.timing.drainWithin);
+    const Shutdown shutdown(base.get(), serving, fleet, settings.timing.drainWithin);
 
     serving.start();
     fleet.start();
--- a/src/fleettask/fleettask.cpp
+++ b/src/fleettask/fleettask.cpp
@@ -4,6 +4,7 @@
 
 #include <ibisfork/base/log.h>
 #include <ibisfork/base/overloaded.h>
+#include <ibisfork/coord/rendezvous.h>
 #include <ibisfork/fleet/exceptions.h>
 #include <ibisfork/fleet/rows.h>
 #include <ibisfork/fleet/rules.h>
@@ -15,58 +16,117 @@
 
 namespace {
 
-/// Tries to commit a change while others commit theirs.
-constexpr int submitTries = 5;
+/// Rounds of questions in a poll interval while a new revision is not accepted yet.
+constexpr std::uint64_t ticksPerPoll = 4;
+/// Time for which nodes ask more often after a new revision.
+constexpr std::chrono::seconds hurryFor{3};
+/// Polls between two looks at who is gone.
+constexpr std::uint64_t pollsPerMemberCheck = 5;
+/// Polls without an answer after which relays, or the table, count as out of reach; in halves.
+constexpr int outOfReachHalfPolls = 5;
 
 } // namespace
 
+FleetMetrics::FleetMetrics(base::MetricsRegistry &metrics)
+    : polls(metrics.counter("ibisfork_fleet_polls_total"))
+    , pollFailures(metrics.counter("ibisfork_fleet_poll_failures_total"))
+    , revision(metrics.gauge("ibisfork_fleet_revision"))
+    , accepted(metrics.gauge("ibisfork_fleet_accepted_revision"))
+    , members(metrics.gauge("ibisfork_fleet_members"))
+    , relay(metrics.gauge("ibisfork_fleet_relay"))
+    , confirmed(metrics.gauge("ibisfork_fleet_confirmed"))
+{ }
+
 FleetTask::FleetTask(const settings::Settings &settings,
                      base::MetricsRegistry &metrics,
                      std::string incarnation,
                      std::function<void(FleetUpdate)> publish)
     : m_settings(settings)
-    , m_incarnation(std::move(incarnation))
     , m_publish(std::move(publish))
-    , m_polls(metrics.counter("ibisfork_fleet_polls_total"))
-    , m_revisionGauge(metrics.gauge("ibisfork_fleet_revision"))
+    , m_metrics(metrics)
     , m_task("fleet")
     , m_table(m_task.base(), settings.platform, settings.timing.platformTimeout)
     , m_store(m_table)
-    , m_confirmation(settings.timing.confirmWithin)
-    , m_pollTimer(m_task.base(), [this] { poll(); })
+    , m_vms(m_task.base(), settings.platform, settings.timing.platformTimeout)
+    , m_state(std::move(incarnation), settings.timing.confirmWithin)
+    , m_desk(m_store, m_state, [this] { poll(); })
+    , m_membership(settings, m_state, m_desk, m_vms)
+    , m_exchange(m_task.base(), settings, metrics, m_state, [this] { learnt(); })
+    , m_tickTimer(m_task.base(), [this] { tick(); })
     , m_mailbox(m_task.base(), [this](FleetRequest request) { handle(std::move(request)); })
 { }
 
 void FleetTask::start()
 {
+    // One revision by one: what moves between nodes may have been another node's at a revision between.
+    m_state.setAdvanced([this] { publishConfig(); });
     poll();
-    m_pollTimer.startEvery(m_settings.timing.pollInterval);
+    m_tickTimer.startEvery(m_settings.timing.pollInterval / ticksPerPoll);
     m_task.start();
 }
 
+void FleetTask::tick()
+{
+    const auto now = base::monotonicNow();
+    const bool wholeRound = ++m_ticks % ticksPerPoll == 0;
+    const bool pending = m_state.newest() > m_state.accepted();
+    const bool hurry = pending && now - m_newestSince < hurryFor;
+    if (wholeRound || hurry) {
+        m_exchange.ask(pending || tableOutOfReach(now) || m_membership.suspects(now));
+    }
+    if (wholeRound && needsTable(now)) {
+        poll();
+    }
+    if (m_ticks % (ticksPerPoll * pollsPerMemberCheck) == 0) {
+        m_membership.removeDead(now);
+    }
+    m_state.evaluate(now);
+    learnt();
+}
+
+bool FleetTask::needsTable(base::TimePoint now) const
+{
+    const auto silence = m_settings.timing.pollInterval * outOfReachHalfPolls / 2;
+    return m_state.isRelay() || !m_state.isMember() || m_state.behind()
+        || now - m_exchange.lastConfirmingAnswer() > silence;
+}
+
+bool FleetTask::tableOutOfReach(base::TimePoint now) const
+{
+    const auto asOf = m_state.newestAsOf();
+    const auto silence = m_settings.timing.pollInterval * outOfReachHalfPolls / 2;
+    return now - m_tableHeardAt > silence && (m_state.isRelay() || !asOf || now - *asOf > silence);
+}
+
 void FleetTask::poll()
 {
-    m_polls.add();
+    if (std::exchange(m_polling, true)) {
+        return;
+    }
+    m_metrics.polls.add();
     const auto askedAt = base::monotonicNow();
     m_store.readHead([this, askedAt](const std::optional<platform::FleetHead> &head) {
+        m_polling = false;
         if (head) {
             onHead(*head, askedAt);
+        } else {
+            m_metrics.pollFailures.add();
         }
     });
 }
 
 void FleetTask::onHead(const platform::FleetHead &head, base::TimePoint askedAt)
 {
-    m_confirmation.learn(head.revision, askedAt);
-    publishConfirmation();
-    if (head.revision > m_replica.revision()) {
+    m_tableHeardAt = askedAt;
+    m_state.confirmNewest(head.revision, askedAt);
+    if (m_state.behind()) {
         catchUp();
-    } else if (m_day != fleet::today()) {
+    } else if (m_state.revision() > 0 && m_day != fleet::today()) {
         // Exceptions end with their day.
         publishConfig();
-    } else {
-        joinOnce();
     }
+    learnt();
+    m_membership.joinOnce();
 }
 
 void FleetTask::catchUp()
@@ -74,11 +134,11 @@
     if (std::exchange(m_catchingUp, true)) {
         return;
     }
-    if (m_replica.revision() == 0) {
-        readSnapshot();
+    if (m_state.revision() == 0) {
+        readFleet();
         return;
     }
-    m_store.readChanges(m_replica.revision(), [this](const std::optional<std::vector<coord::Change>> &changes) {
+    m_store.readChanges(m_state.revision(), [this](const std::optional<std::vector<coord::Change>> &changes) {
         m_catchingUp = false;
         if (changes) {
             onChanges(*changes);
@@ -88,92 +148,136 @@
 
 void FleetTask::onChanges(const std::vector<coord::Change> &changes)
 {
-    if (!changes.empty() && changes.front().revision > m_replica.revision() + 1) {
+    if (!changes.empty() && changes.front().revision > m_state.revision() + 1) {
         // The log no longer reaches back to the revision held.
         m_catchingUp = true;
-        readSnapshot();
+        readFleet();
         return;
     }
-    for (const auto &change : changes) {
-        // One by one: a slot may have been another node's at a revision between.
-        if (m_replica.apply(change)) {
-            publishConfig();
-        }
-    }
+    m_state.apply(changes, base::monotonicNow());
+    learnt();
 }
 
-void FleetTask::readSnapshot()
+void FleetTask::readFleet()
 {
-    m_store.readSnapshot([this](std::optional<coord::Snapshot> snapshot) {
-        m_catchingUp = false;
-        if (snapshot && m_replica.apply(std::move(*snapshot))) {
-            publishConfig();
+    m_store.readFleet([this](const std::optional<platform::StoredFleet> &stored) {
+        if (stored) {
+            startFrom(*stored);
+        } else {
+            m_catchingUp = false;
         }
     });
 }
 
+void FleetTask::startFrom(const platform::StoredFleet &stored)
+{
+    // The members since the accepted revision tell who could still be confirmed at an older one.
+    m_store.readChanges(stored.accepted.revision,
+                        [this, stored](const std::optional<std::vector<coord::Change>> &changes) {
+                            m_catchingUp = false;
+                            if (changes) {
+                                m_state.start(stored, *changes, base::monotonicNow());
+                                learnt();
+                            }
+                        });
+}
+
+void FleetTask::learnt()
+{
+    const auto now = base::monotonicNow();
+    m_state.evaluate(now);
+    const bool news = m_state.newest() > m_newestSeen;
+    if (news) {
+        m_newestSeen = m_state.newest();
+        m_newestSince = now;
+    }
+    publishConfirmation();
+    keepAccepted();
+    if (m_state.revision() > m_announced) {
+        m_announced = m_state.revision();
+        m_exchange.followMembers();
+        m_exchange.hint();
+        m_exchange.ask(true);
+        m_membership.joinOnce();
+    }
+}
+
 void FleetTask::publishConfig()
 {
-    m_revisionGauge.set(static_cast<std::int64_t>(m_replica.revision()));
     m_day = fleet::today();
+    m_metrics.revision.set(static_cast<std::int64_t>(m_state.revision()));
     try {
-        auto config = std::make_shared<const fleet::Config>(fleet::configFromRows(m_replica.snapshot(), m_day));
+        auto config = std::make_shared<const fleet::Config>(fleet::configFromRows(m_state.replica().snapshot(), m_day));
+        m_metrics.members.set(static_cast<std::int64_t>(config->members.size()));
         LogLine(LogLevel::Info, "config").field("revision", config->revision).field("members", config->members.size());
         m_publish(ConfigUpdate{std::move(config)});
-        publishConfirmation();
+        m_lastUpdate = {};
     } catch (const fleet::ConfigError &error) {
         LogLine(LogLevel::Error, "config-unreadable")
-            .field("revision", m_replica.revision())
+            .field("revision", m_state.revision())
             .field("error", error.what());
     }
-    joinOnce();
 }
 
 void FleetTask::publishConfirmation()
 {
-    const auto until = m_confirmation.confirmedUntil(m_replica.revision());
-    m_publish(ConfirmationUpdate{m_replica.revision(), until.value_or(base::TimePoint{})});
+    const auto until = m_membership.left() ? std::nullopt : m_state.confirmedUntil();
+    ConfirmationUpdate update{m_state.revision(), until.value_or(base::TimePoint{}), m_state.accepted(), {}};
+    const bool same = update.revision == m_lastUpdate.revision && update.until == m_lastUpdate.until
+        && update.accepted == m_lastUpdate.accepted;
+    if (same && m_state.served() == m_state.newest()) {
+        return;
+    }
+    m_lastUpdate = update;
+    update.taken = [this, newest = m_state.newest()] {
+        post(UpdateTaken{newest});
+    };
+    m_metrics.accepted.set(static_cast<std::int64_t>(update.accepted));
+    m_metrics.relay.set(m_state.isRelay() ? 1 : 0);
+    m_metrics.confirmed.set(update.until > base::monotonicNow() ? 1 : 0);
+    m_publish(std::move(update));
 }
 
-void FleetTask::joinOnce()
+void FleetTask::keepAccepted()
 {
-    const fleet::Member self{m_settings.node.name,
-                             m_incarnation,
-                             m_settings.listen.peers.text(),
-                             m_settings.node.failureDomain,
-                             m_settings.node.region};
-    const auto key = fleet::rowprefix::member + self.node;
-    const auto row = fleet::memberRow(self);
-    const auto held = m_replica.rows().find(key);
-    if (m_joining || (held != m_replica.rows().end() && held->second == row)) {
+    // One relay writes; if it fails, nodes that start read a longer log.
+    if (m_state.accepted() != m_state.revision() || m_state.accepted() <= m_acceptedKept || !m_state.isRelay()) {
         return;
     }
-    m_joining = true;
-    const coord::Change change{0, "join-" + m_incarnation, self.node, "node joins", {{key, row}}};
-    m_store.commit(change, [this](platform::ChangeOutcome) {
-        m_joining = false;
-        poll();
-    });
+    m_acceptedKept = m_state.accepted();
+    std::vector<std::string> relays;
+    for (const auto &incarnation : m_state.members().incarnations()) {
+        if (m_state.relays().isRelay(incarnation)) {
+            relays.push_back(incarnation);
+        }
+    }
+    if (coord::rendezvousChoose("accepted", relays, 1).front() == m_state.incarnation()) {
+        m_store.writeAccepted({m_state.accepted(), m_state.members().rows()});
+    }
 }
 
-void FleetTask::submit(const SubmitChange &request, int triesLeft)
+void FleetTask::leave(const LeaveFleet &request)
 {
-    m_store.commit(request.change, [this, request, triesLeft](platform::ChangeOutcome outcome) {
-        if (outcome.state == platform::ChangeState::Conflict && triesLeft > 1) {
-            submit(request, triesLeft - 1);
-            return;
-        }
-        request.reply(outcome);
-        poll();
-    });
+    m_membership.leave(request.left);
+    publishConfirmation();
 }
 
 void FleetTask::handle(FleetRequest request)
 {
     std::visit(base::Overloaded{
-                   [this](const SubmitChange &change) { submit(change, submitTries); },
-                   [this](const ReadRows &read) { read.reply(m_replica.snapshot()); },
+                   [this](const SubmitChange &change) { m_desk.submit(change); },
+                   [this](const FindChange &question) { m_desk.find(question); },
+                   [this](const ReadRows &read) { read.reply(m_state.replica().snapshot()); },
                    [this](const ReadHistory &read) { m_store.readChanges(read.after, read.reply); },
+                   [this](const LeaveFleet &request) { leave(request); },
+                   [this](const UpdateTaken &taken) {
+                       const bool newer = taken.newest > m_state.served();
+                       m_state.noteServed(taken.newest, base::monotonicNow());
+                       if (newer) {
+                           m_exchange.ask(true);
+                           learnt();
+                       }
+                   },
                },
                request);
 }
--- a/src/fleettask/fleettask.h
+++ b/src/fleettask/fleettask.h
@@ -4,19 +4,36 @@
 #include <memory>
 
 #include <ibisfork/base/metrics.h>
-#include <ibisfork/coord/confirmation.h>
-#include <ibisfork/coord/replica.h>
 
+#include "fleettask/changedesk.h"
+#include "fleettask/fleetstate.h"
+#include "fleettask/membership.h"
 #include "fleettask/messages.h"
+#include "fleettask/peerexchange.h"
 #include "net/mailbox.h"
 #include "net/task.h"
 #include "net/timer.h"
 #include "platform/fleetstore.h"
 #include "platform/tableclient.h"
+#include "platform/vmlist.h"
 #include "settings/settings.h"
 
 namespace ibisfork::fleettask {
 
+/// Metrics of the fleet task.
+struct FleetMetrics
+{
+    explicit FleetMetrics(base::MetricsRegistry &metrics);
+
+    base::Counter &polls;
+    base::Counter &pollFailures;
+    base::Gauge &revision;
+    base::Gauge &accepted;
+    base::Gauge &members;
+    base::Gauge &relay;
+    base::Gauge &confirmed;
+};
+
 /// Keeps this node's copy of the fleet's state current and tells the other tasks of it.
 class FleetTask
 {
@@ -33,32 +50,48 @@
     void post(FleetRequest request) { m_mailbox.post(std::move(request)); }
 
 private:
+    void tick();
+    bool needsTable(base::TimePoint now) const;
+    bool tableOutOfReach(base::TimePoint now) const;
     void poll();
     void onHead(const platform::FleetHead &head, base::TimePoint askedAt);
     void catchUp();
     void onChanges(const std::vector<coord::Change> &changes);
-    void readSnapshot();
+    void readFleet();
+    void startFrom(const platform::StoredFleet &stored);
+    void learnt();
     void publishConfig();
     void publishConfirmation();
-    void joinOnce();
-    void submit(const SubmitChange &request, int triesLeft);
+    void keepAccepted();
+    void leave(const LeaveFleet &request);
     void handle(FleetRequest request);
 
     const settings::Settings &m_settings;
-    std::string m_incarnation;
     std::function<void(FleetUpdate)> m_publish;
-    base::Counter &m_polls;
-    base::Gauge &m_revisionGauge;
+    FleetMetrics m_metrics;
     net::Task m_task;
     platform::TableClient m_table;
     platform::FleetStore m_store;
-    coord::Replica m_replica;
-    coord::Confirmation m_confirmation;
+    platform::VmList m_vms;
+    FleetState m_state;
+    ChangeDesk m_desk;
+    Membership m_membership;
+    PeerExchange m_exchange;
     /// The day whose exceptions hold.
     std::string m_day;
     bool m_catchingUp = false;
-    bool m_joining = false;
-    net::Timer m_pollTimer;
+    bool m_polling = false;
+    std::uint64_t m_ticks = 0;
+    base::TimePoint m_tableHeardAt{};
+    /// When the newest revision was first heard of, and which one it was.
+    base::TimePoint m_newestSince{};
+    coord::Revision m_newestSeen = 0;
+    /// The revision that other nodes were told of.
+    coord::Revision m_announced = 0;
+    coord::Revision m_acceptedKept = 0;
+    /// The last instants and revisions published, so that nothing is published twice.
+    ConfirmationUpdate m_lastUpdate;
+    net::Timer m_tickTimer;
     net::Mailbox<FleetRequest> m_mailbox;
 };
 
--- a/src/operators/operatorstask.cpp
+++ b/src/operators/operatorstask.cpp
@@ -18,14 +18,6 @@
 constexpr int statusNotFound = 404;
 constexpr int statusUnavailable = 503;
 
-constexpr std::array<base::Name<platform::ChangeState>, 5> changeStateNames{{
-    {platform::ChangeState::Committed, "committed"},
-    {platform::ChangeState::AlreadyCommitted, "already-committed"},
-    {platform::ChangeState::Conflict, "conflict"},
-    {platform::ChangeState::Unknown, "unknown"},
-    {platform::ChangeState::NotSent, "not-sent"},
-}};
-
 void sendJson(net::HttpReply &reply, int status, const Json &json)
 {
     net::HttpHeaders headers;
@@ -58,10 +50,19 @@
             {"rows", rowChangesJson(change.rows)}};
 }
 
-coord::Change changeFrom(const std::string &body)
+Json statusJson(const fleettask::ChangeStatus &status)
+{
+    return {{"id", status.id},
+            {"state", base::nameOf(fleettask::changeProgressNames, status.progress)},
+            {"revision", status.revision},
+            {"message", status.message}};
+}
+
+platform::ChangeRequest changeFrom(const std::string &body)
 {
     const Json json = Json::parse(body);
-    coord::Change change;
+    platform::ChangeRequest request;
+    auto &change = request.change;
     change.id = json.at("id").get<std::string>();
     change.author = json.value("author", std::string());
     change.reason = json.value("reason", std::string());
@@ -70,7 +71,10 @@
         change.rows.push_back({row.at("key").get<std::string>(),
                                value.is_null() ? std::nullopt : std::optional<std::string>(value.get<std::string>())});
     }
-    return change;
+    if (json.contains("base_revision")) {
+        request.baseRevision = json.at("base_revision").get<coord::Revision>();
+    }
+    return request;
 }
 
 } // namespace
@@ -99,6 +103,7 @@
 {
     const auto &path = request.request.path;
     const std::string explainPath = "/v1/explain/";
+    const std::string changePath = "/v1/changes/";
     const std::string historyPath = "/v1/changes?after=";
     if (path == "/metrics") {
         sendText(*request.reply, statusOk, m_metrics.render());
@@ -109,6 +114,8 @@
         sendText(*request.reply, ready ? statusOk : statusUnavailable, ready ? "ready\n" : "not ready\n");
     } else if (path == "/v1/changes" && request.request.method == net::HttpMethod::Post) {
         submitChange(request);
+    } else if (path.starts_with(changePath)) {
+        findChange(request.reply, path.substr(changePath.size()));
     } else if (path.starts_with(historyPath)) {
         readHistory(request.reply, path.substr(historyPath.size()));
     } else if (path == "/v1/rows") {
@@ -126,8 +133,8 @@
     const auto reply = request.reply;
     m_ports.fleet(fleettask::ReadRows{[this, change, reply](const coord::Snapshot &held) {
         try {
-            fleet::checkChange(held.rows, change.rows);
-            commitChange(reply, change);
+            fleet::checkChange(held.rows, change.change.rows);
+            m_ports.fleet(fleettask::SubmitChange{change, statusReply(reply)});
         } catch (const fleet::ConfigError &error) {
             m_mailbox.post([reply, text = std::string(error.what())] {
                 sendJson(*reply, statusBadRequest, {{"state", "refused"}, {"error", text}});
@@ -136,18 +143,16 @@
     }});
 }
 
-void OperatorsTask::commitChange(const Reply &reply, const coord::Change &change)
+void OperatorsTask::findChange(const Reply &reply, const std::string &id)
 {
-    const auto id = change.id;
-    m_ports.fleet(fleettask::SubmitChange{change, [this, id, reply](platform::ChangeOutcome outcome) {
-                                              m_mailbox.post([id, reply, outcome] {
-                                                  const Json answer{
-                                                      {"id", id},
-                                                      {"state", base::nameOf(changeStateNames, outcome.state)},
-                                                      {"revision", outcome.revision}};
-                                                  sendJson(*reply, statusOk, answer);
-                                              });
-                                          }});
+    m_ports.fleet(fleettask::FindChange{id, statusReply(reply)});
+}
+
+std::function<void(fleettask::ChangeStatus)> OperatorsTask::statusReply(const Reply &reply)
+{
+    return [this, reply](const fleettask::ChangeStatus &status) {
+        m_mailbox.post([reply, status] { sendJson(*reply, statusOk, statusJson(status)); });
+    };
 }
 
 void OperatorsTask::readRows(const Reply &reply)
--- a/src/operators/operatorstask.h
+++ b/src/operators/operatorstask.h
@@ -37,7 +37,8 @@
     void onRequest(const net::HttpServerRequest &request);
     void route(const net::HttpServerRequest &request);
     void submitChange(const net::HttpServerRequest &request);
-    void commitChange(const Reply &reply, const coord::Change &change);
+    void findChange(const Reply &reply, const std::string &id);
+    std::function<void(fleettask::ChangeStatus)> statusReply(const Reply &reply);
     void readRows(const Reply &reply);
     void readHistory(const Reply &reply, const std::string &after);
     void explain(const Reply &reply, const std::string &requestId);
--- a/src/platform/fleetstore.cpp
+++ b/src/platform/fleetstore.cpp
@@ -1,5 +1,7 @@
 #include "platform/fleetstore.h"
 
+#include <algorithm>
+
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -10,6 +12,7 @@
 namespace {
 
 constexpr const char *headKey = "fleet/head";
+constexpr const char *acceptedKey = "fleet/accepted";
 constexpr const char *rowPrefix = "fleet/row/";
 constexpr const char *changePrefix = "fleet/change/";
 constexpr const char *changeIdPrefix = "fleet/change-id/";
@@ -60,6 +63,51 @@
     return {std::stoull(head->second.value), head->second.version};
 }
 
+AcceptedRevision acceptedFrom(const StoredRows &rows)
+{
+    const auto row = rows.find(acceptedKey);
+    if (row == rows.end()) {
+        return {};
+    }
+    const Json json = Json::parse(row->second.value);
+    return {json.at("revision").get<coord::Revision>(), json.at("members").get<coord::Rows>()};
+}
+
+bool touchesSameRow(const coord::Change &left, const coord::RowChange &row)
+{
+    return std::any_of(left.rows.begin(), left.rows.end(), [&row](const auto &other) { return other.key == row.key; });
+}
+
+/// The row for which @p request must not take effect on @p rows, or nothing.
+std::optional<std::string> conflictingRow(const ChangeRequest &request, const StoredRows &rows)
+{
+    if (request.expected) {
+        const auto row = rows.find(rowPrefix + request.expected->key);
+        if (row == rows.end() || row->second.value != request.expected->value) {
+            return request.expected->key;
+        }
+    }
+    if (!request.baseRevision) {
+        return std::nullopt;
+    }
+    const std::string prefix = changePrefix;
+    auto next = *request.baseRevision + 1;
+    for (auto row = rows.lower_bound(prefix); row != rows.end() && row->first.starts_with(prefix); ++row) {
+        const auto other = changeFrom(row->second.value);
+        if (other.revision != next++) {
+            break;
+        }
+        for (const auto &wanted : request.change.rows) {
+            if (touchesSameRow(other, wanted)) {
+                return wanted.key;
+            }
+        }
+    }
+    // Where the log does not reach back, nobody can tell which rows were touched.
+    const bool logReaches = next == headFrom(rows).revision + 1;
+    return logReaches || request.change.rows.empty() ? std::nullopt : std::optional(request.change.rows.front().key);
+}
+
 } // namespace
 
 FleetStore::FleetStore(TableClient &table)
@@ -90,43 +138,81 @@
     });
 }
 
-void FleetStore::readSnapshot(std::function<void(std::optional<coord::Snapshot>)> done)
+void FleetStore::readFleet(std::function<void(std::optional<StoredFleet>)> done)
 {
-    const ReadQuery query{{headKey}, rowPrefix, ""};
+    const ReadQuery query{{headKey, acceptedKey}, rowPrefix, ""};
     m_table.read(query, [done = std::move(done)](const std::optional<StoredRows> &rows) {
         if (!rows) {
             done(std::nullopt);
             return;
         }
-        coord::Snapshot snapshot;
-        snapshot.revision = headFrom(*rows).revision;
+        StoredFleet stored;
+        stored.snapshot.revision = headFrom(*rows).revision;
+        stored.accepted = acceptedFrom(*rows);
         const std::string prefix = rowPrefix;
         for (const auto &[key, row] : *rows) {
             if (key.starts_with(prefix)) {
-                snapshot.rows[key.substr(prefix.size())] = row.value;
+                stored.snapshot.rows[key.substr(prefix.size())] = row.value;
             }
         }
-        done(std::move(snapshot));
+        done(std::move(stored));
     });
 }
 
-void FleetStore::commit(const coord::Change &change, std::function<void(ChangeOutcome)> done)
+void FleetStore::commit(const ChangeRequest &request, std::function<void(ChangeOutcome)> done)
 {
-    const ReadQuery query{{headKey, changeIdPrefix + change.id}, "", ""};
-    m_table.read(query, [this, change, done = std::move(done)](const std::optional<StoredRows> &rows) {
+    ReadQuery query{{headKey, changeIdPrefix + request.change.id}, "", ""};
+    if (request.expected) {
+        query.keys.push_back(rowPrefix + request.expected->key);
+    }
+    if (request.baseRevision) {
+        query.prefix = changePrefix;
+        query.after = changeKey(*request.baseRevision);
+    }
+    m_table.read(query, [this, request, done = std::move(done)](const std::optional<StoredRows> &rows) {
         if (!rows) {
-            done({ChangeState::NotSent, 0});
+            done({ChangeState::NotSent, 0, {}});
             return;
         }
-        const auto earlier = rows->find(changeIdPrefix + change.id);
-        if (earlier != rows->end()) {
-            done({ChangeState::AlreadyCommitted, std::stoull(earlier->second.value)});
+        commitOnRows(request, *rows, done);
+    });
+}
+
+void FleetStore::commitOnRows(const ChangeRequest &request,
+                              const StoredRows &rows,
+                              std::function<void(ChangeOutcome)> done)
+{
+    const auto earlier = rows.find(changeIdPrefix + request.change.id);
+    if (earlier != rows.end()) {
+        done({ChangeState::AlreadyCommitted, std::stoull(earlier->second.value), {}});
+        return;
+    }
+    if (const auto row = conflictingRow(request, rows)) {
+        done({ChangeState::Conflict, 0, *row});
+        return;
+    }
+    commitAfter(headFrom(rows), request.change, std::move(done));
+}
+
+void FleetStore::findChange(const std::string &id, std::function<void(std::optional<coord::Revision>)> done)
+{
+    const auto key = changeIdPrefix + id;
+    m_table.read({{key}, "", ""}, [key, done = std::move(done)](const std::optional<StoredRows> &rows) {
+        if (!rows) {
+            done(std::nullopt);
             return;
         }
-        commitAfter(headFrom(*rows), change, done);
+        const auto row = rows->find(key);
+        done(row == rows->end() ? 0 : std::stoull(row->second.value));
     });
 }
 
+void FleetStore::writeAccepted(const AcceptedRevision &accepted)
+{
+    const Json json{{"revision", accepted.revision}, {"members", accepted.memberRows}};
+    m_table.commit({{}, {{acceptedKey, json.dump()}}}, [](CommitOutcome) {});
+}
+
 void FleetStore::commitAfter(const FleetHead &head, coord::Change change, std::function<void(ChangeOutcome)> done)
 {
     change.revision = head.revision + 1;
@@ -145,16 +231,16 @@
     m_table.commit(transaction, [revision, done = std::move(done)](CommitOutcome outcome) {
         switch (outcome) {
         case CommitOutcome::Committed:
-            done({ChangeState::Committed, revision});
+            done({ChangeState::Committed, revision, {}});
             return;
         case CommitOutcome::Refused:
-            done({ChangeState::Conflict, 0});
+            done({ChangeState::HeadMoved, 0, {}});
             return;
         case CommitOutcome::Unknown:
-            done({ChangeState::Unknown, 0});
+            done({ChangeState::Unknown, 0, {}});
             return;
         case CommitOutcome::NotSent:
-            done({ChangeState::NotSent, 0});
+            done({ChangeState::NotSent, 0, {}});
             return;
         }
     });
--- a/src/serving/servingtask.cpp
+++ b/src/serving/servingtask.cpp
@@ -79,6 +79,9 @@
                        const bool held = m_context.view && m_context.view->config->revision == update.revision;
                        m_context.confirmedUntil = held ? update.until : base::TimePoint{};
                        m_confirmedUntil = m_context.confirmedUntil.time_since_epoch().count();
+                       if (update.taken) {
+                           update.taken();
+                       }
                    },
                    [this](const BeginDrain &drain) {
                        m_draining = true;
--- a/tests/peer/peerhub_test.cpp
+++ b/tests/peer/peerhub_test.cpp
@@ -30,7 +30,7 @@
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         socklen_t length = sizeof(address);
-        bind(socket, reinterpret_cast<sockaddr *>(&address), length);
+        EXPECT_EQ(bind(socket, reinterpret_cast<sockaddr *>(&address), length), 0);
         getsockname(socket, reinterpret_cast<sockaddr *>(&address), &length);
         close(socket);
         return ntohs(address.sin_port);
