Explore the orders of events around a commit exhaustively on the plain decision code

Cause: the rule of acceptance must hold for every order of questions, answers, pauses and time. Change: InterleavingTest drives Confirmation, Statements and Acceptance of three nodes with a table and an operator through every order up to a depth, for an unchanged member list and for changes that remove one or two members. Conclusion: no node may dispatch under the older revision once any node calls the change accepted.

--- a/src/fleettask/fleetstate.h
+++ b/src/fleettask/fleetstate.h
@@ -76,7 +76,8 @@
     void advance();
 
     std::string m_incarnation;
-    std::function<void()> m_advanced = [] {};
+    std::function<void()> m_advanced = [] {
+    };
     coord::Replica m_replica;
     coord::Confirmation m_confirmation;
     coord::Acceptance m_acceptance;
--- /dev/null
+++ b/tests/coord/interleaving_test.cpp
@@ -0,0 +1,352 @@
+#include <array>
+#include <set>
+#include <sstream>
+#include <unordered_map>
+
+#include <gtest/gtest.h>
+
+#include <ibisfork/coord/acceptance.h>
+#include <ibisfork/coord/confirmation.h>
+#include <ibisfork/coord/statements.h>
+
+namespace ibisfork::coord {
+
+namespace {
+
+using Clock = std::chrono::seconds;
+
+constexpr std::size_t nodeCount = 3;
+/// A confirmation lasts two steps of time.
+constexpr Clock confirmWithin{2};
+const MemberSet everyone{"0", "1", "2"};
+
+std::string nameOf(std::size_t node)
+{
+    return std::to_string(node);
+}
+
+/// A question or an answer on its way between two nodes, or between a node and the table.
+struct Message
+{
+    bool answer = false;
+    std::size_t from = 0;
+    std::size_t to = 0;
+    int askedAt = 0;
+    Revision known = 0;
+    Revision floor = 0;
+    /// Since when the answering node knew what it says to be the newest, as an age in steps; -1: it does not.
+    int age = -1;
+};
+
+/// One node: the plain decision code, and what it keeps between calls.
+struct Node
+{
+    Confirmation confirmation{confirmWithin};
+    Statements statements;
+    Acceptance acceptance{confirmWithin};
+    Revision held = 1;
+    bool paused = false;
+    int confirmedAsOf = -1;
+    std::map<std::string, std::pair<Revision, int>> heard;
+    std::map<std::string, std::map<Revision, int>> acknowledged;
+};
+
+/// Three nodes that start at revision 1, a table and an operator who commits revision 2.
+struct World
+{
+    std::array<Node, nodeCount> nodes;
+    std::vector<Message> messages;
+    Revision committed = 1;
+    MemberSet membersAtTwo = everyone;
+    bool tableReachable = true;
+    int now = 10;
+
+    World()
+    {
+        for (auto &node : nodes) {
+            node.acceptance.restore(1, everyone);
+            node.confirmation.learn(1, instant(now));
+            node.confirmedAsOf = now;
+        }
+    }
+
+    static base::TimePoint instant(int step) { return base::TimePoint{} + Clock(step); }
+
+    MemberSet membersOf(Revision revision) const { return revision < 2 ? everyone : membersAtTwo; }
+
+    bool mayDispatch(std::size_t node) const
+    {
+        const auto &self = nodes[node];
+        return !self.paused && membersOf(self.held).contains(nameOf(node))
+            && self.confirmation.confirmed(self.held, instant(now));
+    }
+
+    /// A node that learns of the newer revision takes its rows at once.
+    void learn(std::size_t node, Revision newest, int asOf)
+    {
+        auto &self = nodes[node];
+        self.confirmation.learn(newest, asOf < 0 ? base::TimePoint{} : instant(asOf));
+        if (newest > self.held) {
+            self.held = newest;
+            self.confirmedAsOf = -1;
+            self.acceptance.membersAt(newest, membersOf(newest));
+        }
+        if (newest == self.held) {
+            self.confirmedAsOf = std::max(self.confirmedAsOf, asOf);
+        }
+    }
+
+    void hear(std::size_t node, std::size_t other, Revision known, int asOf)
+    {
+        auto &self = nodes[node];
+        const auto name = nameOf(other);
+        self.statements.note(name, known, asOf < 0 ? base::TimePoint{} : instant(asOf));
+        self.acceptance.acknowledged(name, known, instant(now));
+        auto &heard = self.heard[name];
+        heard = known > heard.first ? std::pair(known, asOf) : std::pair(heard.first, std::max(heard.second, asOf));
+        self.acknowledged[name].emplace(known, now);
+        if (known > self.confirmation.newestKnown()) {
+            learn(node, known, -1);
+        }
+    }
+
+    void evaluate(std::size_t node)
+    {
+        auto &self = nodes[node];
+        hear(node, node, self.held, now);
+        if (const auto asOf = self.statements.majorityAsOf(membersOf(self.held), self.held)) {
+            const auto step = std::chrono::duration_cast<Clock>(asOf->time_since_epoch()).count();
+            if (step > 0) {
+                learn(node, self.held, static_cast<int>(step));
+            }
+        }
+        self.acceptance.accepted(instant(now));
+    }
+
+    void passTime()
+    {
+        ++now;
+        for (std::size_t node = 0; node < nodeCount; ++node) {
+            if (!nodes[node].paused) {
+                evaluate(node);
+            }
+        }
+    }
+
+    Revision accepted() const
+    {
+        Revision accepted = 0;
+        for (const auto &node : nodes) {
+            accepted = std::max(accepted, node.acceptance.lastAccepted());
+        }
+        return accepted;
+    }
+
+    /// All that decides what may happen next, with instants as ages.
+    std::string key() const
+    {
+        std::ostringstream key;
+        key << committed << tableReachable << membersAtTwo.size();
+        for (const auto &node : nodes) {
+            key << '|' << node.held << node.paused << ',' << std::min(now - node.confirmedAsOf, 9) << ','
+                << node.acceptance.lastAccepted();
+            for (const auto &[name, heard] : node.heard) {
+                key << ';' << name << heard.first << ',' << std::min(now - heard.second, 9);
+            }
+            for (const auto &[name, revisions] : node.acknowledged) {
+                for (const auto &[revision, at] : revisions) {
+                    key << '+' << name << revision << ',' << std::min(now - at, 9);
+                }
+            }
+        }
+        std::multiset<std::string> inFlight;
+        for (const auto &message : messages) {
+            std::ostringstream text;
+            text << message.answer << message.from << message.to << ',' << now - message.askedAt << ',' << message.known
+                 << message.floor << ',' << message.age;
+            inFlight.insert(text.str());
+        }
+        for (const auto &text : inFlight) {
+            key << '/' << text;
+        }
+        return key.str();
+    }
+};
+
+} // namespace
+
+/// Explores every order of asking, delivering, dropping, duplicating, pausing and time passing up to a depth.
+class InterleavingTest : public testing::Test
+{
+protected:
+    static constexpr int plainDepth = 7;
+    static constexpr int faultDepth = 6;
+    static constexpr std::size_t messagesInFlight = 2;
+
+    void explore(const World &world, int depth)
+    {
+        if (!m_failure.empty()) {
+            return;
+        }
+        const auto [seen, isNew] = m_seen.try_emplace(world.key(), depth);
+        if (!isNew && seen->second >= depth) {
+            return;
+        }
+        seen->second = depth;
+        if (world.accepted() >= 2) {
+            ++m_acceptedStates;
+            for (std::size_t node = 0; node < nodeCount; ++node) {
+                if (world.nodes[node].held < 2 && world.mayDispatch(node)) {
+                    m_failure = world.key();
+                    return;
+                }
+            }
+        }
+        if (depth == 0) {
+            return;
+        }
+        operatorSteps(world, depth);
+        nodeSteps(world, depth);
+        messageSteps(world, depth);
+        World later = world;
+        later.passTime();
+        explore(later, depth - 1);
+    }
+
+    void operatorSteps(const World &world, int depth)
+    {
+        if (world.committed == 1 && world.tableReachable) {
+            World next = world;
+            next.committed = 2;
+            next.membersAtTwo = m_membersAtTwo;
+            // The node that commits learns of it from the table's answer.
+            next.learn(0, 2, next.now);
+            next.evaluate(0);
+            explore(next, depth - 1);
+        }
+        if (m_outages) {
+            World next = world;
+            next.tableReachable = !next.tableReachable;
+            explore(next, depth - 1);
+        }
+    }
+
+    void nodeSteps(const World &world, int depth)
+    {
+        for (std::size_t node = 0; node < nodeCount; ++node) {
+            World toggled = world;
+            toggled.nodes[node].paused = !toggled.nodes[node].paused;
+            if (m_pauses) {
+                explore(toggled, depth - 1);
+            }
+            if (world.nodes[node].paused) {
+                continue;
+            }
+            if (world.messages.size() >= messagesInFlight) {
+                continue;
+            }
+            for (std::size_t other = 0; other < nodeCount; ++other) {
+                if (other != node) {
+                    World asked = world;
+                    asked.messages.push_back({false, node, other, world.now, world.nodes[node].held, 0, -1});
+                    explore(asked, depth - 1);
+                }
+            }
+            if (world.tableReachable) {
+                // The table answers with what is committed; the answer may come late.
+                World asked = world;
+                asked.messages.push_back({true, nodeCount, node, world.now, world.committed, 0, 0});
+                explore(asked, depth - 1);
+            }
+        }
+    }
+
+    void messageSteps(const World &world, int depth)
+    {
+        for (std::size_t i = 0; i < world.messages.size(); ++i) {
+            World dropped = world;
+            dropped.messages.erase(dropped.messages.begin() + static_cast<std::ptrdiff_t>(i));
+            explore(dropped, depth - 1);
+            if (world.nodes[world.messages[i].to].paused) {
+                continue;
+            }
+            World delivered = dropped;
+            deliver(delivered, world.messages[i]);
+            explore(delivered, depth - 1);
+            // The message stays on its way, to be delivered again.
+            World duplicated = world;
+            deliver(duplicated, world.messages[i]);
+            if (duplicated.messages.size() <= messagesInFlight) {
+                explore(duplicated, depth - 1);
+            }
+        }
+    }
+
+    static void deliver(World &world, const Message &message)
+    {
+        auto &receiver = world.nodes[message.to];
+        if (!message.answer) {
+            world.hear(message.to, message.from, message.known, -1);
+            world.evaluate(message.to);
+            const int asOf = receiver.confirmedAsOf;
+            world.messages.push_back({true,
+                                      message.to,
+                                      message.from,
+                                      message.askedAt,
+                                      receiver.held,
+                                      receiver.acceptance.lastAccepted(),
+                                      asOf < 0 ? -1 : world.now - asOf});
+            return;
+        }
+        if (message.from < nodeCount) {
+            world.hear(message.to, message.from, message.known, message.askedAt);
+        }
+        world.learn(message.to, message.known, message.age < 0 ? -1 : message.askedAt - message.age);
+        receiver.acceptance.learn(message.floor);
+        world.evaluate(message.to);
+    }
+
+    MemberSet m_membersAtTwo = everyone;
+    bool m_pauses = false;
+    bool m_outages = false;
+    /// The greatest depth to which each state was explored.
+    std::unordered_map<std::string, int> m_seen;
+    std::size_t m_acceptedStates = 0;
+    std::string m_failure;
+};
+
+TEST_F(InterleavingTest, dispatch_afterAccepted_isNeverUnderAnOlderRevision)
+{
+    explore(World(), plainDepth);
+    EXPECT_EQ(m_failure, "");
+    EXPECT_GT(m_acceptedStates, 0U);
+    RecordProperty("states", static_cast<int>(m_seen.size()));
+}
+
+TEST_F(InterleavingTest, dispatch_afterAcceptedWithOutagesAndPauses_isNeverUnderAnOlderRevision)
+{
+    m_outages = true;
+    m_pauses = true;
+    explore(World(), faultDepth);
+    EXPECT_EQ(m_failure, "");
+    EXPECT_GT(m_acceptedStates, 0U);
+    RecordProperty("states", static_cast<int>(m_seen.size()));
+}
+
+TEST_F(InterleavingTest, dispatch_changeRemovesAMember_isNeverUnderAnOlderRevision)
+{
+    m_membersAtTwo = {"0", "1"};
+    m_outages = true;
+    explore(World(), faultDepth);
+    EXPECT_EQ(m_failure, "");
+    EXPECT_GT(m_acceptedStates, 0U);
+}
+
+TEST_F(InterleavingTest, dispatch_changeLeavesOneMember_isNeverUnderAnOlderRevision)
+{
+    m_membersAtTwo = {"0"};
+    explore(World(), plainDepth);
+    EXPECT_EQ(m_failure, "");
+}
+
+} // namespace ibisfork::coord
