Submit the roll-out guard's changes with the revision that they were drawn from

Cause: changes now may carry the revision on which they rest. Conclusion: a guard's change that crosses an operator's on the same row is refused.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -81,8 +81,8 @@
     fleettask::FleetTask fleet(settings, metrics, incarnation, [&](const fleettask::FleetUpdate &update) {
         std::visit([&](const auto &message) { serving.post(message); }, update);
     });
-    serving.onChange([&](const coord::Change &change, coord::Revision) {
-        fleet.post(fleettask::SubmitChange{change, [](const platform::ChangeOutcome &) {
+    serving.onChange([&](const coord::Change &change, coord::Revision base) {
+        fleet.post(fleettask::SubmitChange{{change, base, std::nullopt}, [](const fleettask::ChangeStatus &) {
                                            }});
     });
     operators::OperatorPorts ports;
