--- a/include/ibisfork/fleet/config.h
+++ b/include/ibisfork/fleet/config.h
@@ -180,6 +180,20 @@
     std::string until;
 };
 
+enum class SessionKeyState { Signing, Accepting };
+inline constexpr std::array<base::Name<SessionKeyState>, 2> sessionKeyStateNames{{
+    {SessionKeyState::Signing, "signing"},
+    {SessionKeyState::Accepting, "accepting"},
+}};
+
+/// A key that session tokens are signed with, or that is still accepted.
+struct SessionKey
+{
+    std::string id;
+    std::string secret;
+    SessionKeyState state = SessionKeyState::Accepting;
+};
+
 /// A node of the fleet: one process, known by its incarnation.
 struct Member
 {
@@ -201,6 +215,7 @@
     std::map<std::string, FailureDomain> failureDomains;
     std::map<std::string, Exception> exceptions;
     std::map<VersionId, Rollout> rollouts;
+    std::map<std::string, SessionKey> sessionKeys;
     std::map<std::string, Member> members;
 };
 
--- a/include/ibisfork/fleet/exceptions.h
+++ b/include/ibisfork/fleet/exceptions.h
@@ -15,6 +15,7 @@
 inline constexpr const char *badNumber = "{}: '{}' is not a number from {} to {}";
 inline constexpr const char *badFlag = "{}: '{}' is neither true nor false";
 inline constexpr const char *badName = "{}: '{}' is not {}";
+inline constexpr const char *shortSecret = "session key {}: the secret must have at least {} bytes";
 } // namespace errormessage
 
 /// A fleet configuration or a row of it that can't be taken.
--- a/src/fleet/rows.cpp
+++ b/src/fleet/rows.cpp
@@ -137,6 +137,16 @@
     return exception;
 }
 
+SessionKey sessionKeyFrom(const std::string &id, const Json &row)
+{
+    return {id, row.at("secret").get<std::string>(), enumFrom(sessionKeyStateNames, row, "state", SessionKey{}.state)};
+}
+
+std::string sessionKeyRow(const SessionKey &key)
+{
+    return Json{{"secret", key.secret}, {"state", base::nameOf(sessionKeyStateNames, key.state)}}.dump();
+}
+
 Member memberFrom(const std::string &node, const Json &row)
 {
     return {node,
@@ -207,6 +217,9 @@
         const auto rollout = rolloutFrom(name, row);
         config.rollouts[rollout.version] = rollout;
     });
+    readRows(rows, rowprefix::sessionKey, [&](const std::string &id, const Json &row) {
+        config.sessionKeys[id] = sessionKeyFrom(id, row);
+    });
     readRows(rows, rowprefix::member, [&](const std::string &node, const Json &row) {
         config.members[node] = memberFrom(node, row);
     });
@@ -297,6 +310,9 @@
     for (const auto &[id, exception] : config.exceptions) {
         rows[rowprefix::exception + id] = exceptionRow(exception);
     }
+    for (const auto &[id, key] : config.sessionKeys) {
+        rows[rowprefix::sessionKey + id] = sessionKeyRow(key);
+    }
     return rows;
 }
 
--- a/src/fleet/yaml.cpp
+++ b/src/fleet/yaml.cpp
@@ -111,6 +111,19 @@
     return exception;
 }
 
+SessionKey sessionKeyFrom(YamlFields &fields)
+{
+    constexpr std::size_t minSecretBytes = 16;
+    SessionKey key;
+    key.id = fields.required<std::string>("id", "a name");
+    key.secret = fields.required<std::string>("secret", "a text of at least 16 bytes");
+    key.state = fields.optionalName("state", sessionKeyStateNames, key.state);
+    if (key.secret.size() < minSecretBytes) {
+        throw ConfigError(fmt::format(errormessage::shortSecret, key.id, minSecretBytes));
+    }
+    return key;
+}
+
 /// Reads each item of the list @p name; all fields of an item must be known to @p read.
 template<typename Read>
 void readList(YamlFields &document, const char *name, Read read)
@@ -161,6 +174,10 @@
         const auto exception = exceptionFrom(fields);
         addOnce(config.exceptions, exception.id, exception.id, exception, "exception");
     });
+    readList(document, "session_keys", [&](YamlFields &fields) {
+        const auto key = sessionKeyFrom(fields);
+        addOnce(config.sessionKeys, key.id, key.id, key, "session key");
+    });
     document.refuseUnknown();
     checkWhole(config);
     return config;
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -7,12 +7,18 @@
 #include <fmt/format.h>
 #include <netinet/in.h>
 
+#include <ibisfork/base/log.h>
+
 #include "net/exceptions.h"
 
 namespace ibisfork::net {
 
+using base::LogLevel;
+using base::LogLine;
+
 namespace {
 
+constexpr int statusFailed = 500;
 constexpr int allowedMethods = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_PATCH
     | EVHTTP_REQ_HEAD | EVHTTP_REQ_OPTIONS;
 
@@ -61,9 +67,38 @@
 
 } // namespace
 
-HttpReply::HttpReply(evhttp_request *request)
+/// Waits until a finished reply is written or its connection is lost.
+struct HttpReply::Flush
+{
+    std::shared_ptr<std::size_t> unflushed;
+
+    static void watch(evhttp_request *request, std::shared_ptr<std::size_t> unflushed)
+    {
+        auto *flush = new Flush{std::move(unflushed)};
+        evhttp_request_set_on_complete_cb(request, &Flush::onWritten, flush);
+        evhttp_connection_set_closecb(evhttp_request_get_connection(request), &Flush::onLost, flush);
+    }
+
+    static void onWritten(evhttp_request *request, void *self)
+    {
+        evhttp_connection_set_closecb(evhttp_request_get_connection(request), nullptr, nullptr);
+        finish(self);
+    }
+
+    static void onLost(evhttp_connection *, void *self) { finish(self); }
+
+    static void finish(void *self)
+    {
+        const std::unique_ptr<Flush> flush(static_cast<Flush *>(self));
+        --*flush->unflushed;
+    }
+};
+
+HttpReply::HttpReply(evhttp_request *request, std::shared_ptr<std::size_t> unflushed)
     : m_request(request)
+    , m_unflushed(std::move(unflushed))
 {
+    ++*m_unflushed;
     watch();
 }
 
@@ -132,9 +167,8 @@
     if (m_request == nullptr) {
         return;
     }
-    unwatch();
     addHeaders(headers);
-    evhttp_request *request = std::exchange(m_request, nullptr);
+    evhttp_request *request = releaseRequest();
     const EvBufferPtr buffer(evbuffer_new());
     evbuffer_add(buffer.get(), body.data(), body.size());
     evhttp_send_reply(request, status, nullptr, buffer.get());
@@ -165,8 +199,19 @@
     if (m_request == nullptr) {
         return;
     }
+    evhttp_send_reply_end(releaseRequest());
+}
+
+evhttp_request *HttpReply::releaseRequest()
+{
     unwatch();
-    evhttp_send_reply_end(std::exchange(m_request, nullptr));
+    evhttp_request *request = std::exchange(m_request, nullptr);
+    if (m_disconnected) {
+        --*m_unflushed;
+    } else {
+        Flush::watch(request, m_unflushed);
+    }
+    return request;
 }
 
 void HttpReply::abort()
@@ -176,6 +221,7 @@
     }
     unwatch();
     evhttp_request *request = std::exchange(m_request, nullptr);
+    --*m_unflushed;
     if (m_disconnected) {
         // evhttp has let go of the request, so ending it only frees it.
         evhttp_send_reply_end(request);
@@ -218,14 +264,22 @@
 
 void HttpServer::onRequest(evhttp_request *request, void *self)
 {
+    auto *server = static_cast<HttpServer *>(self);
     HttpServerRequest out;
     out.request = requestOf(request);
     char *peer = nullptr;
     ev_uint16_t port = 0;
     evhttp_connection_get_peer(evhttp_request_get_connection(request), &peer, &port);
     out.peer = peer != nullptr ? fmt::format("{}:{}", peer, port) : "unknown";
-    out.reply = std::make_shared<HttpReply>(request);
-    static_cast<HttpServer *>(self)->m_handler(std::move(out));
+    out.reply = std::make_shared<HttpReply>(request, server->m_unflushed);
+    const auto reply = out.reply;
+    try {
+        server->m_handler(std::move(out));
+    } catch (const std::exception &error) {
+        // Nothing may be thrown through libevent.
+        LogLine(LogLevel::Error, "handler-failed").field("error", error.what());
+        reply->send(statusFailed, {}, {});
+    }
 }
 
 } // namespace ibisfork::net
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -14,7 +14,8 @@
 class HttpReply
 {
 public:
-    explicit HttpReply(evhttp_request *request);
+    /// @p unflushed counts replies whose last byte has not yet been written.
+    HttpReply(evhttp_request *request, std::shared_ptr<std::size_t> unflushed);
     ~HttpReply();
     HttpReply(const HttpReply &) = delete;
     HttpReply &operator=(const HttpReply &) = delete;
@@ -37,14 +38,18 @@
     std::size_t bufferedBytes() const;
 
 private:
+    struct Flush;
+
     static void onClose(evhttp_connection *, void *self);
     static void onEarlyClose(evutil_socket_t, short, void *self);
     void watch();
     void unwatch();
     void gone();
     void addHeaders(const HttpHeaders &headers);
+    evhttp_request *releaseRequest();
 
     evhttp_request *m_request;
+    std::shared_ptr<std::size_t> m_unflushed;
     EventPtr m_closed;
     std::function<void()> m_onGone;
     bool m_started = false;
@@ -79,10 +84,13 @@
     const Address &address() const { return m_address; }
     /// Takes no more connections; those that are open go on.
     void stopListening();
+    /// Requests that are not answered to the last byte.
+    std::size_t unflushed() const { return *m_unflushed; }
 
 private:
     static void onRequest(evhttp_request *request, void *self);
 
+    std::shared_ptr<std::size_t> m_unflushed = std::make_shared<std::size_t>(0);
     EvHttpPtr m_server;
     evhttp_bound_socket *m_socket = nullptr;
     Address m_address;
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -1,5 +1,6 @@
 #include "serving/exchange.h"
 
+#include <algorithm>
 #include <random>
 
 #include <fmt/format.h>
@@ -110,8 +111,39 @@
     route(workspace->second);
 }
 
+bool Exchange::resolveSession(const fleet::Workspace &workspace)
+{
+    auto &session = m_request.session;
+    if (!session || !session->version) {
+        return true;
+    }
+    const auto &model = m_request.chat.model;
+    if (!model.empty() && model != session->version->model && model != session->version->text()) {
+        refuse(RefusalCode::BadSession, "the session holds another model", 0);
+        return false;
+    }
+    const auto &versions = m_context.view->config->versions;
+    const auto version = versions.find(*session->version);
+    const auto &permitted = workspace.versions;
+    if (version != versions.end() && version->second.state != fleet::VersionState::Withdrawn
+        && std::find(permitted.begin(), permitted.end(), version->first) != permitted.end()) {
+        return true;
+    }
+    if (workspace.rules.withdrawnSession == fleet::WithdrawnSessionRule::End) {
+        refuse(RefusalCode::VersionWithdrawn, "the session's version is withdrawn, and the session has ended", 0);
+        return false;
+    }
+    session->version.reset();
+    // A pinned version would keep the session from moving.
+    m_request.chat.model = model.substr(0, model.find('@'));
+    return true;
+}
+
 void Exchange::route(const fleet::Workspace &workspace)
 {
+    if (!resolveSession(workspace)) {
+        return;
+    }
     if (!m_waiting && m_tried.empty() && m_context.admission.waits(workspace.name, m_request.chat.model)) {
         wait(workspace);
         return;
@@ -120,6 +152,7 @@
     query.workspace = &workspace;
     query.model = m_request.chat.model;
     query.tried = m_tried;
+    query.sessionVersion = m_request.session ? m_request.session->version : std::nullopt;
     query.failureDomain = m_context.settings.node.failureDomain;
     query.affinityKey = m_request.id;
     query.mayExpose = [this](const fleet::VersionId &version, bool capped) {
@@ -222,14 +255,27 @@
         m_context.rollouts.firstToken(m_version, base::monotonicNow() - m_sentAt);
         m_context.metrics.histogram("ibisfork_first_token_seconds")
             .observe(base::toSeconds(base::monotonicNow() - m_startedAt));
-        net::HttpHeaders headers;
-        headers.add("X-Request-Id", m_request.id);
-        m_answer.begin(m_version, headers);
+        m_answer.begin(m_version, answerHeaders());
     }
     m_answer.piece(text);
     m_backPressure.wrote();
 }
 
+net::HttpHeaders Exchange::answerHeaders()
+{
+    net::HttpHeaders headers;
+    headers.add("X-Request-Id", m_request.id);
+    headers.add("X-Version", m_version);
+    const auto *key = signingKey(m_context.view->config->sessionKeys);
+    if (m_request.session && key != nullptr) {
+        auto session = *m_request.session;
+        session.version = fleet::VersionId::parse(m_version);
+        renew(session, wallNow());
+        headers.add("X-Session", signSession(session, *key));
+    }
+    return headers;
+}
+
 void Exchange::onEnd(const upstream::EngineUsage &usage)
 {
     if (usage.completionTokens != m_pieces) {
--- a/src/serving/exchange.h
+++ b/src/serving/exchange.h
@@ -13,6 +13,7 @@
 #include "serving/chatrequest.h"
 #include "serving/context.h"
 #include "serving/enginerun.h"
+#include "serving/session.h"
 
 namespace ibisfork::serving {
 
@@ -24,6 +25,8 @@
     ChatRequest chat;
     int priority = 1;
     base::Duration deadline{};
+    /// The session that the request belongs to, where it belongs to one.
+    std::optional<Session> session;
 };
 
 /// A chat completion from its request to its last byte.
@@ -43,6 +46,9 @@
     void dispatch();
     void route(const fleet::Workspace &workspace);
     void wait(const fleet::Workspace &workspace);
+    /// Checks that the session's version still serves; false if the request was refused.
+    bool resolveSession(const fleet::Workspace &workspace);
+    net::HttpHeaders answerHeaders();
     void send(const routing::RoutingDecision &decision);
     EngineRunHandlers runHandlers();
     void onToken(const std::string &text);
--- a/src/serving/servingtask.cpp
+++ b/src/serving/servingtask.cpp
@@ -20,6 +20,9 @@
 constexpr int statusOk = 200;
 constexpr int retryAfterSeconds = 1;
 constexpr std::chrono::milliseconds slotsCheckInterval{100};
+constexpr std::chrono::milliseconds drainCheckInterval{20};
+/// What evhttp takes in beyond the bound, so that the refusal can be ours.
+constexpr std::size_t bodySlack = 1024UL * 1024;
 
 std::string newRequestId()
 {
@@ -30,7 +33,7 @@
 net::HttpServerLimits serverLimits(const settings::Settings &settings)
 {
     net::HttpServerLimits limits;
-    limits.maxBodyBytes = settings.limits.maxBodyBytes;
+    limits.maxBodyBytes = settings.limits.maxBodyBytes + bodySlack;
     return limits;
 }
 
@@ -51,6 +54,8 @@
                settings.listen.callers,
                serverLimits(settings),
                [this](const net::HttpServerRequest &request) { onRequest(request); })
+    , m_graceTimer(m_task.base(), [this] { endGrace(); })
+    , m_drainTimer(m_task.base(), [this] { checkDrained(); })
     , m_mailbox(m_task.base(), [this](ServingMessage message) { handle(std::move(message)); })
 {
     m_bills.onEmpty([this] { checkDrained(); });
@@ -86,8 +91,8 @@
                    [this](const BeginDrain &drain) {
                        m_draining = true;
                        m_drained = drain.drained;
-                       m_server.stopListening();
-                       checkDrained();
+                       m_graceTimer.startOnce(
+                           std::min(m_settings.timing.drainGrace, m_settings.timing.drainWithin / 2));
                    },
                },
                message);
@@ -115,6 +120,12 @@
         refuse(request, RefusalCode::Unconfirmed, "this node can't confirm that its configuration is the newest");
         return;
     }
+    if (request.request.body.size() > m_settings.limits.maxBodyBytes) {
+        refuse(request,
+               RefusalCode::TooLarge,
+               fmt::format("the body has more than {} bytes", m_settings.limits.maxBodyBytes));
+        return;
+    }
     const auto *workspace = authenticate(request.request.headers);
     if (workspace == nullptr) {
         refuse(request, RefusalCode::BadKey, "the bearer key is not known");
@@ -149,6 +160,9 @@
     exchangeRequest.chat = parseChatRequest(request.request.body);
     exchangeRequest.priority = priorityOf(headers, workspace.rules.priority);
     exchangeRequest.deadline = deadlineFor(headers);
+    if (!takeSession(request, exchangeRequest)) {
+        return;
+    }
     const auto id = exchangeRequest.id;
     auto exchange
         = std::make_unique<Exchange>(m_context, std::move(exchangeRequest), request.reply, [this, id] { erase(id); });
@@ -162,6 +176,30 @@
     return std::min<base::Duration>(asked, m_settings.timing.longestRun);
 }
 
+bool ServingTask::takeSession(const net::HttpServerRequest &request, ExchangeRequest &exchangeRequest) const
+{
+    const auto token = request.request.headers.find("X-Session");
+    if (!token) {
+        return true;
+    }
+    const auto &keys = m_context.view->config->sessionKeys;
+    if (signingKey(keys) == nullptr) {
+        refuse(request, RefusalCode::BadSession, "the fleet has no key that signs sessions");
+        return false;
+    }
+    if (*token == "new") {
+        exchangeRequest.session = newSession(exchangeRequest.workspace);
+        return true;
+    }
+    const auto read = readSession(*token, keys, exchangeRequest.workspace, wallNow());
+    if (const auto *error = std::get_if<SessionError>(&read)) {
+        refuse(request, RefusalCode::BadSession, std::string(base::nameOf(sessionErrorTexts, *error)));
+        return false;
+    }
+    exchangeRequest.session = std::get<Session>(read);
+    return true;
+}
+
 void ServingTask::startService(const net::HttpServerRequest &request, const fleet::Workspace &workspace)
 {
     if (m_exchanges.size() + m_serviceExchanges.size() >= m_settings.limits.maxRequests) {
@@ -212,7 +250,12 @@
     m_context.metrics.counter("ibisfork_requests_total", {{"outcome", "refused"}}).add();
     const bool temporary
         = code == RefusalCode::Draining || code == RefusalCode::Unconfirmed || code == RefusalCode::Overloaded;
-    caller::sendRefusal(*request.reply, {code, RunState::NotRun, message, temporary ? retryAfterSeconds : 0}, {});
+    net::HttpHeaders headers;
+    headers.add("X-Request-Id", newRequestId());
+    if (m_draining) {
+        headers.add("Connection", "close");
+    }
+    caller::sendRefusal(*request.reply, {code, RunState::NotRun, message, temporary ? retryAfterSeconds : 0}, headers);
 }
 
 void ServingTask::erase(const std::string &requestId)
@@ -224,7 +267,13 @@
         m_exchanges.erase(entry);
     }
     m_serviceExchanges.erase(requestId);
-    checkDrained();
+}
+
+void ServingTask::endGrace()
+{
+    m_graceOver = true;
+    m_server.stopListening();
+    m_drainTimer.startEvery(drainCheckInterval);
 }
 
 void ServingTask::checkSlots()
@@ -240,8 +289,10 @@
 
 void ServingTask::checkDrained()
 {
-    const bool idle = m_exchanges.empty() && m_serviceExchanges.empty() && m_bills.empty();
-    if (m_draining && idle && m_drained) {
+    // The last bytes of the last answers must have left before the process ends.
+    const bool idle = m_exchanges.empty() && m_serviceExchanges.empty() && m_bills.empty() && m_server.unflushed() == 0;
+    if (m_graceOver && idle && m_drained) {
+        m_drainTimer.stop();
         std::exchange(m_drained, nullptr)();
     }
 }
--- a/src/serving/servingtask.h
+++ b/src/serving/servingtask.h
@@ -61,6 +61,9 @@
     void refuse(const net::HttpServerRequest &request, caller::RefusalCode code, const std::string &message) const;
     void erase(const std::string &requestId);
     base::Duration deadlineFor(const net::HttpHeaders &headers) const;
+    /// Reads the request's session; false if the request was refused.
+    bool takeSession(const net::HttpServerRequest &request, ExchangeRequest &exchangeRequest) const;
+    void endGrace();
     void checkDrained();
     void checkSlots();
 
@@ -78,6 +81,9 @@
     net::HttpServer m_server;
     std::map<std::string, std::unique_ptr<Exchange>> m_exchanges;
     std::map<std::string, std::unique_ptr<ServiceExchange>> m_serviceExchanges;
+    bool m_graceOver = false;
+    net::Timer m_graceTimer;
+    net::Timer m_drainTimer;
     net::Mailbox<ServingMessage> m_mailbox;
 };
 
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -70,6 +70,7 @@
     timing.drainWithin = fields.optionalMilliseconds("drain_within", timing.drainWithin);
     timing.billWindow = fields.optionalMilliseconds("bill_window", timing.billWindow);
     timing.claimWindow = fields.optionalMilliseconds("claim_window", timing.claimWindow);
+    timing.drainGrace = fields.optionalMilliseconds("drain_grace", timing.drainGrace);
     fields.refuseUnknown();
     return timing;
 }
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -51,6 +51,8 @@
     /// Shortest time between two groups of bills, and of claims, that go to the table.
     std::chrono::milliseconds billWindow{50};
     std::chrono::milliseconds claimWindow{25};
+    /// Time from /readyz turning false until the port closes, for the platform's balancer to notice.
+    std::chrono::milliseconds drainGrace{2000};
 };
 
 /// Bounds on what a node takes in.
--- a/tests/serving/exchange_test.cpp
+++ b/tests/serving/exchange_test.cpp
@@ -32,9 +32,9 @@
     unsigned runs = 1;
 };
 
-void PrintTo(const FaultCase &faultCase, std::ostream *out)
+std::ostream &operator<<(std::ostream &out, const FaultCase &faultCase)
 {
-    *out << faultCase.name;
+    return out << faultCase.name;
 }
 
 FakeAnswer answer(std::vector<std::string> events, FakeEnd end = FakeEnd::Whole)
@@ -333,16 +333,16 @@
 
 TEST_F(ExchangeRetryTest, retryStorm_halfOfUpstreamsFail_attemptsStayWithinBudget)
 {
-    constexpr int fresh = 200;
+    constexpr std::size_t fresh = 200;
     FakeEngine other(m_base.get());
     setUpstreams({m_engine.address(), other.address()});
     other.script = std::vector<FakeAnswer>(fresh * 2, refusal(503));
     m_engine.script = std::vector<FakeAnswer>(fresh * 2, refusal(503));
-    for (int i = 0; i < fresh; ++i) {
+    for (std::size_t i = 0; i < fresh; ++i) {
         EXPECT_EQ(streamedText(chat(true)), "upstream_failed not_run");
     }
-    EXPECT_GE(m_engine.runs + other.runs, unsigned(fresh));
-    EXPECT_LE(m_engine.runs + other.runs, fresh * 12U / 10U);
+    EXPECT_GE(m_engine.runs + other.runs, fresh);
+    EXPECT_LE(m_engine.runs + other.runs, fresh * 12 / 10);
 }
 
 } // namespace ibisfork::serving
