--- a/src/policy/rolloutguard.cpp
+++ b/src/policy/rolloutguard.cpp
@@ -49,7 +49,7 @@
     }
     if (fresh || stepName(watched.rollout) != stepName(rollout)) {
         watched.stepSince = now;
-        watched.ratingsBefore = watched.watch.observations(Sign::Rating);
+        watched.stepTest = {};
     }
     watched.rollout = rollout;
     m_book.update(rollout.version.text(), stepName(rollout), rollout.allowances);
@@ -72,7 +72,7 @@
 bool RolloutGuard::watchesAny() const
 {
     return std::any_of(m_watched.begin(), m_watched.end(), [](const auto &entry) {
-        return entry.second.rollout.state == fleet::RolloutState::Running;
+        return entry.second.rollout.state != fleet::RolloutState::Halted;
     });
 }
 
@@ -84,17 +84,28 @@
 bool RolloutGuard::observe(const fleet::VersionId &version, Sign sign, bool failed)
 {
     const auto watched = m_watched.find(version);
-    if (watched == m_watched.end() || watched->second.rollout.state != fleet::RolloutState::Running
+    if (watched == m_watched.end() || watched->second.rollout.state == fleet::RolloutState::Halted
         || !watched->second.stopped.empty()) {
         return false;
     }
     watched->second.watch.observe(sign, failed);
-    const auto &verdict = watched->second.watch.verdict();
-    if (verdict.empty()) {
-        return false;
+    if (sign == Sign::Rating) {
+        watched->second.stepTest.observe(failed);
+    }
+    const auto verdict = verdictOn(watched->second);
+    if (!verdict.empty()) {
+        stop(version, verdict);
+    }
+    return !verdict.empty();
+}
+
+std::string RolloutGuard::verdictOn(const Watched &watched)
+{
+    if (watched.rollout.state == fleet::RolloutState::Running && watched.stepTest.bad()) {
+        return fmt::format(
+            "ratings of a step: {} of {} failed", watched.stepTest.failures(), watched.stepTest.ratings());
     }
-    stop(version, verdict);
-    return true;
+    return watched.watch.verdict();
 }
 
 void RolloutGuard::stop(const fleet::VersionId &version, const std::string &evidence)
@@ -127,13 +138,13 @@
         return change({}, fleet::firstStep(m_config, version, m_config.revision), "roll-out begins");
     }
     const auto &watched = entry->second;
-    if (watched.rollout.state != fleet::RolloutState::Running) {
+    if (watched.rollout.state == fleet::RolloutState::Halted) {
         return std::nullopt;
     }
     if (!watched.stopped.empty()) {
         return change(watched.rollout, fleet::halted(watched.rollout, watched.stopped), watched.stopped);
     }
-    if (stepPassed(watched, now)) {
+    if (watched.rollout.state == fleet::RolloutState::Running && stepPassed(watched, now)) {
         return change(watched.rollout, fleet::nextStep(m_config, version, watched.rollout), "step passed");
     }
     return std::nullopt;
@@ -144,13 +155,13 @@
     const auto version = m_config.versions.find(watched.rollout.version);
     const auto steps = fleet::rolloutStepsOf(version->second);
     const auto &step = steps[std::min<std::size_t>(watched.rollout.step, steps.size() - 1)];
-    const auto ratings = watched.watch.observations(Sign::Rating) - watched.ratingsBefore;
     const auto wanted
         = step.cap > 0 ? std::max(1U, static_cast<std::uint32_t>(step.cap * ratedPart)) : ratingsOfAnOpenStep;
-    return now - watched.stepSince >= stepDwell && ratings >= wanted;
+    return now - watched.stepSince >= stepDwell && watched.stepTest.ratings() >= wanted && watched.stepTest.sound();
 }
 
-// The id names the row that the change starts from, so that two nodes which find the same make one change.
+// The id names the step that the change leaves and the revision that it was drawn from, and an id takes effect once. Of
+// two nodes that leave one step, whether to go on or to halt, one is first and the other's change does nothing.
 coord::Change RolloutGuard::change(const fleet::Rollout &held,
                                    const fleet::Rollout &next,
                                    const std::string &reason) const
@@ -158,11 +169,8 @@
     const auto name = next.version.text();
     const bool begins = held.version.model.empty();
     coord::Change change;
-    change.id = fmt::format("rollout-{}-{}-{}-{}",
-                            name,
-                            stepName(next),
-                            base::nameOf(fleet::rolloutStateNames, next.state),
-                            begins ? "new" : stepName(held));
+    change.id = fmt::format(
+        "rollout-{}-after-{}-at-{}", name, begins ? std::string("none") : stepName(held), m_config.revision);
     change.author = m_node;
     change.reason = reason;
     change.rows = {{fleet::rowprefix::rollout + name, fleet::rolloutRow(next)}};
--- a/src/policy/rolloutguard.h
+++ b/src/policy/rolloutguard.h
@@ -10,6 +10,7 @@
 #include <ibisfork/coord/exposure.h>
 #include <ibisfork/fleet/config.h>
 
+#include "policy/steptest.h"
 #include "policy/versionwatch.h"
 
 namespace ibisfork::policy {
@@ -28,7 +29,7 @@
     bool mayExpose(const fleet::VersionId &version) const;
     /// Whether the version was found bad here and is not to be used, whatever the rows say.
     bool stopped(const fleet::VersionId &version) const;
-    /// Whether the rows hold a roll-out that runs.
+    /// Whether the rows hold a roll-out that is not halted; one that is done is watched until its version is active.
     bool watchesAny() const;
     /// A request is given to @p version.
     void dispatched(const fleet::VersionId &version);
@@ -48,11 +49,12 @@
         fleet::Rollout rollout;
         VersionWatch watch;
         base::TimePoint stepSince{};
-        std::uint32_t ratingsBefore = 0;
+        StepTest stepTest;
         std::string stopped;
     };
 
     void updateOne(const fleet::Config &config, const fleet::Rollout &rollout, base::TimePoint now);
+    static std::string verdictOn(const Watched &watched);
     bool stepPassed(const Watched &watched, base::TimePoint now) const;
     coord::Change change(const fleet::Rollout &held, const fleet::Rollout &next, const std::string &reason) const;
     std::optional<coord::Change> dueFor(const fleet::Version &version, base::TimePoint now) const;
--- /dev/null
+++ b/src/policy/steptest.cpp
@@ -0,0 +1,31 @@
+#include "policy/steptest.h"
+
+#include <cmath>
+
+namespace ibisfork::policy {
+
+namespace {
+
+constexpr double soundRate = 0.05;
+constexpr double badRate = 0.5;
+/// Chance that the test of one step ever calls a sound version bad, by Ville's inequality on the likelihood ratio.
+constexpr double falseAlarms = 1e-3;
+/// Chance that a bad version is ever sound enough.
+constexpr double missedAlarms = 1e-2;
+
+} // namespace
+
+void StepTest::observe(bool failed)
+{
+    ++m_ratings;
+    m_failures += failed ? 1 : 0;
+    m_evidence += failed ? std::log(badRate / soundRate) : std::log((1.0 - badRate) / (1.0 - soundRate));
+    m_bad = m_bad || m_evidence >= -std::log(falseAlarms);
+}
+
+bool StepTest::sound() const
+{
+    return !m_bad && m_evidence <= std::log(missedAlarms);
+}
+
+} // namespace ibisfork::policy
--- a/tests/policy/rolloutguard_test.cpp
+++ b/tests/policy/rolloutguard_test.cpp
@@ -66,7 +66,7 @@
         auto &version = m_config.versions[m_id];
         version.id = m_id;
         version.state = fleet::VersionState::RollingOut;
-        version.rolloutSteps = {{0.1, 6}, {1.0, 0}};
+        version.rolloutSteps = {{0.1, 20}, {1.0, 0}};
         for (const auto *node : {"n1", "n2"}) {
             m_config.members[node] = {node, fmt::format("{}-inc", node), "", "", ""};
         }
@@ -104,14 +104,14 @@
     const auto changes = m_guard.due(m_now);
     ASSERT_EQ(changes.size(), 1U);
     take(changes.front());
-    EXPECT_EQ(m_config.rollouts.at(m_id).allowances, (coord::Allowances{{"n1-inc", 3}, {"n2-inc", 3}}));
+    EXPECT_EQ(m_config.rollouts.at(m_id).allowances, (coord::Allowances{{"n1-inc", 10}, {"n2-inc", 10}}));
     EXPECT_TRUE(m_guard.due(m_now).empty());
 }
 
 TEST_F(RolloutGuardTest, dispatched_allowanceUsed_exposesNoMore)
 {
     begin();
-    for (int request = 0; request < 3; ++request) {
+    for (int request = 0; request < 10; ++request) {
         EXPECT_TRUE(m_guard.mayExpose(m_id));
         m_guard.dispatched(m_id);
     }
@@ -147,11 +147,30 @@
     EXPECT_EQ(m_guard.due(m_now).front().id, other.due(m_now).front().id);
 }
 
+TEST_F(RolloutGuardTest, due_oneNodeHaltsAndOneGoesOn_onlyOneTakesEffect)
+{
+    begin();
+    RolloutGuard other("n2", "n2-inc");
+    other.update(m_config, m_now);
+    m_guard.stop(m_id, "errors: 5 of 5 failed");
+    for (int rating = 0; rating < 10; ++rating) {
+        other.observe(m_id, Sign::Rating, false);
+    }
+    const auto goOn = other.due(m_now + 60s).front();
+    // An id takes effect once.
+    EXPECT_EQ(m_guard.due(m_now + 60s).front().id, goOn.id);
+    // The one that came second halts the step that the first has led to.
+    take(goOn);
+    EXPECT_NE(m_guard.due(m_now + 61s).front().id, goOn.id);
+    take(m_guard.due(m_now + 61s).front());
+    EXPECT_EQ(m_config.rollouts.at(m_id).state, fleet::RolloutState::Halted);
+}
+
 TEST_F(RolloutGuardTest, due_ratingsMissing_staysAtTheStep)
 {
     begin();
     EXPECT_TRUE(m_guard.due(m_now + 24h).empty());
-    for (int rating = 0; rating < 3; ++rating) {
+    for (int rating = 0; rating < 10; ++rating) {
         m_guard.observe(m_id, Sign::Rating, false);
     }
     EXPECT_TRUE(m_guard.due(m_now + 59s).empty());
@@ -165,7 +184,7 @@
     begin();
     RolloutGuard other("n2", "n2-inc");
     other.update(m_config, m_now);
-    for (int rating = 0; rating < 3; ++rating) {
+    for (int rating = 0; rating < 10; ++rating) {
         m_guard.observe(m_id, Sign::Rating, false);
         other.observe(m_id, Sign::Rating, false);
     }
@@ -178,6 +197,31 @@
     ASSERT_EQ(changes.size(), 1U);
     take(changes.front());
     EXPECT_EQ(m_config.rollouts.at(m_id).state, fleet::RolloutState::Done);
+    // A version can turn bad after its last step.
+    other.stop(m_id, "ratings: 9 of 12 failed");
+    take(other.due(m_now + 1h).front());
+    EXPECT_EQ(m_config.rollouts.at(m_id).state, fleet::RolloutState::Halted);
+}
+
+TEST_F(RolloutGuardTest, observe_halfOfAStepFails_isStoppedAndNeverGoesOn)
+{
+    begin();
+    for (int rating = 0; rating < 10; ++rating) {
+        m_guard.observe(m_id, Sign::Rating, rating % 2 == 0);
+    }
+    EXPECT_TRUE(m_guard.stopped(m_id));
+    take(m_guard.due(m_now + 60s).front());
+    EXPECT_EQ(m_config.rollouts.at(m_id).state, fleet::RolloutState::Halted);
+}
+
+TEST_F(RolloutGuardTest, due_ratingsUndecided_waitsForAnOperator)
+{
+    begin();
+    for (int rating = 0; rating < 20; ++rating) {
+        m_guard.observe(m_id, Sign::Rating, rating % 7 == 6 || rating == 3);
+    }
+    EXPECT_FALSE(m_guard.stopped(m_id));
+    EXPECT_TRUE(m_guard.due(m_now + 1h).empty());
 }
 
 TEST_F(RolloutGuardTest, update_rowRemovedByAnOperator_startsAnewWithoutOldEvidence)
--- /dev/null
+++ b/tests/policy/thresholdloop_test.cpp
@@ -0,0 +1,73 @@
+#include "policy/thresholdloop.h"
+
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <random>
+
+namespace ibisfork::policy {
+
+/// Cheap answers whose chance to be good is their confidence; the dear version is good at 98 in 100.
+class ThresholdLoopTest : public testing::Test
+{
+protected:
+    struct Service
+    {
+        double sampled = 0.2;
+        std::size_t delay = 0;
+        /// Added by the first of the judges.
+        double bias = 0.0;
+        int judges = 5;
+    };
+
+    /// Quality over the last half of @p answers.
+    double run(int answers, const Service &service)
+    {
+        std::deque<double> late;
+        double good = 0;
+        for (int answer = 0; answer < answers; ++answer) {
+            const auto confidence = m_unit(m_random);
+            const auto quality = m_loop.escalates(confidence) ? 0.98 : confidence;
+            const auto score = m_unit(m_random) < quality ? 1.0 : 0.0;
+            good += answer >= answers / 2 ? score : 0.0;
+            if (m_unit(m_random) < service.sampled) {
+                late.push_back(score);
+            }
+            if (late.size() > service.delay) {
+                const auto judge = static_cast<int>(m_unit(m_random) * service.judges);
+                m_loop.rate(std::to_string(judge), late.front() + (judge == 0 ? service.bias : 0.0));
+                late.pop_front();
+            }
+        }
+        return good / (answers - answers / 2);
+    }
+
+    std::mt19937_64 m_random{3};
+    std::uniform_real_distribution<double> m_unit{0.0, 1.0};
+    ThresholdLoop m_loop{0.9, 0.5};
+};
+
+TEST_F(ThresholdLoopTest, rate_sampledRatings_holdTheTargetWithinAPercent)
+{
+    EXPECT_NEAR(run(100000, {}), 0.9, 0.01);
+}
+
+TEST_F(ThresholdLoopTest, rate_lateAndMostlyMissing_stillHold)
+{
+    EXPECT_NEAR(run(200000, {0.05, 200, 0.0, 5}), 0.9, 0.01);
+}
+
+TEST_F(ThresholdLoopTest, rate_oneJudgeBiased_doesNotMoveIt)
+{
+    EXPECT_NEAR(run(100000, {0.2, 0, -0.4, 5}), 0.9, 0.01);
+}
+
+TEST_F(ThresholdLoopTest, rate_serviceDown_keepsItsThreshold)
+{
+    run(50000, {});
+    const auto before = m_loop.threshold();
+    run(50000, {0.0, 0, 0.0, 5});
+    EXPECT_EQ(m_loop.threshold(), before);
+}
+
+} // namespace ibisfork::policy
