Speak TLS towards callers and read the certificate again on SIGHUP

Cause: callers could be served in clear text only. Change: a server context over OpenSSL bufferevents; settings tls.certificate and tls.key; SIGHUP is handed to the serving task as a message; a file that can't be read leaves what is held. Conclusion: TLS towards upstreams is still to be done.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -31,6 +31,27 @@
     return fmt::format("{:08x}{:08x}", random(), random());
 }
 
+/// Hands SIGHUP on as a message to read the certificates again.
+class Reload
+{
+public:
+    Reload(event_base *base, serving::ServingTask &serving)
+        : m_serving(serving)
+        , m_hangup(evsignal_new(base, SIGHUP, &Reload::onSignal, this))
+    {
+        event_add(m_hangup.get(), nullptr);
+    }
+
+private:
+    static void onSignal(evutil_socket_t, short, void *self)
+    {
+        static_cast<Reload *>(self)->m_serving.post(serving::ReloadCertificates{});
+    }
+
+    serving::ServingTask &m_serving;
+    net::EventPtr m_hangup;
+};
+
 /// Waits for a signal to end, then lets running requests finish within the bound of the settings.
 class Shutdown
 {
@@ -96,6 +117,7 @@
         return decisions.find(requestId);
     };
     operators::OperatorsTask operatorsTask(settings, metrics, std::move(ports));
+    const Reload reload(base.get(), serving);
     const Shutdown shutdown(base.get(), serving, fleet, settings.timing.drainWithin);
 
     serving.start();
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -255,6 +255,16 @@
     m_address = boundAddress(m_socket, address.ip);
 }
 
+void HttpServer::useTls(const TlsContext &context)
+{
+    evhttp_set_bevcb(m_server.get(), &HttpServer::onAccept, const_cast<TlsContext *>(&context));
+}
+
+bufferevent *HttpServer::onAccept(event_base *base, void *context)
+{
+    return static_cast<const TlsContext *>(context)->newServerConnection(base);
+}
+
 void HttpServer::stopListening()
 {
     if (m_socket != nullptr) {
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -7,6 +7,7 @@
 #include "net/address.h"
 #include "net/httpmessage.h"
 #include "net/libevent.h"
+#include "net/tlscontext.h"
 
 namespace ibisfork::net {
 
@@ -82,6 +83,8 @@
 
     /// The address that it listens on.
     const Address &address() const { return m_address; }
+    /// Speaks TLS on connections to come; @p context must outlive the server.
+    void useTls(const TlsContext &context);
     /// Takes no more connections; those that are open go on.
     void stopListening();
     /// Requests that are not answered to the last byte.
@@ -89,6 +92,7 @@
 
 private:
     static void onRequest(evhttp_request *request, void *self);
+    static bufferevent *onAccept(event_base *base, void *context);
 
     std::shared_ptr<std::size_t> m_unflushed = std::make_shared<std::size_t>(0);
     EvHttpPtr m_server;
--- a/src/serving/servingtask.cpp
+++ b/src/serving/servingtask.cpp
@@ -10,6 +10,8 @@
 
 #include "net/deletelater.h"
 
+#include "net/exceptions.h"
+
 namespace ibisfork::serving {
 
 using caller::RefusalCode;
@@ -58,6 +60,10 @@
     , m_drainTimer(m_task.base(), [this] { checkDrained(); })
     , m_mailbox(m_task.base(), [this](ServingMessage message) { handle(std::move(message)); })
 {
+    if (settings.tls.enabled()) {
+        m_tls.emplace(settings.tls.certificateFile, settings.tls.keyFile);
+        m_server.useTls(*m_tls);
+    }
     m_bills.onEmpty([this] { checkDrained(); });
     m_context.recorder = [this](const ledger::Bill &bill, std::function<void()> recorded) {
         m_bills.whenSafe(m_bills.record(bill), std::move(recorded));
@@ -88,6 +94,7 @@
                            update.taken();
                        }
                    },
+                   [this](const ReloadCertificates &) { reloadCertificates(); },
                    [this](const BeginDrain &drain) {
                        m_draining = true;
                        m_drained = drain.drained;
@@ -287,6 +294,19 @@
     }
 }
 
+void ServingTask::reloadCertificates()
+{
+    if (!m_tls) {
+        return;
+    }
+    try {
+        m_tls->reload();
+        base::LogLine(base::LogLevel::Info, "certificates-read").field("file", m_settings.tls.certificateFile);
+    } catch (const net::NetError &error) {
+        base::LogLine(base::LogLevel::Error, "certificates-unreadable").field("error", error.what());
+    }
+}
+
 void ServingTask::checkDrained()
 {
     // The last bytes of the last answers must have left before the process ends.
--- a/src/serving/servingtask.h
+++ b/src/serving/servingtask.h
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <map>
 #include <memory>
+#include <optional>
 #include <variant>
 
 #include <ibisfork/base/metrics.h>
@@ -27,7 +28,13 @@
     std::function<void()> drained;
 };
 
-using ServingMessage = std::variant<fleettask::ConfigUpdate, fleettask::ConfirmationUpdate, BeginDrain>;
+/// Reads the certificate towards callers again.
+struct ReloadCertificates
+{
+};
+
+using ServingMessage
+    = std::variant<ReloadCertificates, fleettask::ConfigUpdate, fleettask::ConfirmationUpdate, BeginDrain>;
 
 /// Owns the sockets of callers and upstreams and the requests between them.
 class ServingTask
@@ -64,6 +71,7 @@
     /// Reads the request's session; false if the request was refused.
     bool takeSession(const net::HttpServerRequest &request, ExchangeRequest &exchangeRequest) const;
     void endGrace();
+    void reloadCertificates();
     void checkDrained();
     void checkSlots();
 
@@ -78,6 +86,7 @@
     std::atomic<bool> m_slotsReady{false};
     net::Timer m_slotsTimer;
     upstream::LoadPoller m_loadPoller;
+    std::optional<net::TlsContext> m_tls;
     net::HttpServer m_server;
     std::map<std::string, std::unique_ptr<Exchange>> m_exchanges;
     std::map<std::string, std::unique_ptr<ServiceExchange>> m_serviceExchanges;
--- a/src/settings/exceptions.h
+++ b/src/settings/exceptions.h
@@ -6,6 +6,7 @@
 
 namespace errormessage {
 inline constexpr const char *unreadable = "{}: can't be read";
+inline constexpr const char *halfTls = "tls: certificate and key are given together or not at all";
 inline constexpr const char *inFile = "{}: {}";
 } // namespace errormessage
 
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -57,6 +57,18 @@
     return peers;
 }
 
+TlsSettings tlsFrom(YamlFields fields)
+{
+    TlsSettings tls;
+    tls.certificateFile = fields.optional("certificate", std::string(), "a file in PEM");
+    tls.keyFile = fields.optional("key", std::string(), "a file in PEM");
+    fields.refuseUnknown();
+    if (tls.certificateFile.empty() != tls.keyFile.empty()) {
+        throw SettingsError(errormessage::halfTls);
+    }
+    return tls;
+}
+
 TimingSettings timingFrom(YamlFields fields)
 {
     TimingSettings timing;
@@ -94,6 +106,7 @@
     settings.node = nodeFrom(YamlFields(document.map("node"), "node"));
     settings.listen = listenFrom(YamlFields(document.map("listen"), "listen"));
     settings.peers = peersFrom(YamlFields(document.map("peers"), "peers"));
+    settings.tls = tlsFrom(YamlFields(document.map("tls"), "tls"));
     YamlFields platform(document.map("platform"), "platform");
     settings.platform = addressFrom(platform, "address");
     platform.refuseUnknown();
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -66,12 +66,22 @@
     std::size_t maxPendingBills = 20000;
 };
 
+/// Certificate and key towards callers, in PEM; both empty: no TLS.
+struct TlsSettings
+{
+    std::string certificateFile;
+    std::string keyFile;
+
+    bool enabled() const { return !certificateFile.empty(); }
+};
+
 /// All settings of one daemon.
 struct Settings
 {
     NodeSettings node;
     ListenSettings listen;
     PeerSettings peers;
+    TlsSettings tls;
     net::Address platform;
     TimingSettings timing;
     LimitSettings limits;
