Escalate poor answers from cheap to dear versions

Cause: a request ran on one version; a poor answer was given as it was. Change: a version that reports its confidence can begin a cascade for answers that are asked for as one document; below the workspace's threshold the answer is kept while the next version within the cost bound makes a better one, and given if none comes. Ratings move the threshold. Test: PolicyCascadeTest with a real node, VersionChooserTest.

--- a/include/ibisfork/fleet/config.h
+++ b/include/ibisfork/fleet/config.h
@@ -56,6 +56,8 @@
     std::uint32_t exposureCap = 0;
     /// Steps of the roll-out; where empty, one step of rolloutShare and exposureCap.
     std::vector<RolloutStep> rolloutSteps{};
+    /// Its engines say at the end of an answer how sure they are of it, so that a cascade can begin with it.
+    bool reportsConfidence = false;
 };
 
 enum class RolloutState { Running, Halted, Done };
--- a/src/fleet/rows.cpp
+++ b/src/fleet/rows.cpp
@@ -74,6 +74,7 @@
     version.expectedQuality = row.value("quality", version.expectedQuality);
     version.rolloutShare = row.value("rollout_share", version.rolloutShare);
     version.exposureCap = row.value("exposure_cap", version.exposureCap);
+    version.reportsConfidence = row.value("reports_confidence", version.reportsConfidence);
     for (const auto &step : row.value("steps", Json::array())) {
         version.rolloutSteps.push_back({step.at("share").get<double>(), step.value("cap", 0U)});
     }
@@ -234,6 +235,7 @@
         steps.push_back({{"share", step.share}, {"cap", step.cap}});
     }
     return Json{{"steps", steps},
+                {"reports_confidence", version.reportsConfidence},
                 {"state", base::nameOf(versionStateNames, version.state)},
                 {"cost", version.costPerRequest},
                 {"quality", version.expectedQuality},
--- a/src/fleet/yaml.cpp
+++ b/src/fleet/yaml.cpp
@@ -48,6 +48,7 @@
     version.expectedQuality = fields.optionalInRange("quality", version.expectedQuality, 0.0, 1.0);
     version.rolloutShare = fields.optionalInRange("rollout_share", version.rolloutShare, 0.0, 1.0);
     version.exposureCap = fields.optional("exposure_cap", version.exposureCap, "a count of requests");
+    version.reportsConfidence = fields.optional("reports_confidence", version.reportsConfidence, "true or false");
     for (const auto &node : fields.list("steps")) {
         YamlFields step(node, "steps");
         const auto share = step.optionalInRange("share", 1.0, 0.0, 1.0);
--- a/src/routing/versionchooser.cpp
+++ b/src/routing/versionchooser.cpp
@@ -75,7 +75,8 @@
         const auto &candidate = plan.direct[place];
         if (rank(candidate) == 1) {
             plan.cheapestGood = plan.good++ == 0 ? candidate.version->costPerRequest : plan.cheapestGood;
-        } else if (rank(candidate) == 2 && plan.good > 0 && candidate.version->costPerRequest < plan.cheapestGood) {
+        } else if (rank(candidate) == 2 && candidate.version->reportsConfidence && plan.good > 0
+                   && candidate.version->costPerRequest < plan.cheapestGood) {
             plan.cheap.push_back(place);
         }
     }
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -148,19 +148,7 @@
         wait(workspace);
         return;
     }
-    routing::RoutingQuery query;
-    query.workspace = &workspace;
-    query.model = m_request.chat.model;
-    query.tried = m_tried;
-    query.sessionVersion = m_request.session ? m_request.session->version : std::nullopt;
-    query.failureDomain = m_context.settings.node.failureDomain;
-    query.affinityKey = m_request.id;
-    query.mayExpose = [this](const fleet::VersionId &version, bool capped) {
-        return m_context.rollouts.mayExpose(version, capped);
-    };
-    const auto now = base::monotonicNow();
-    const auto decision = m_context.view->router.choose(
-        query, [&](const std::string &upstream) { return m_context.roomAt(upstream, now); });
+    const auto decision = choose(queryFor(workspace));
     const bool full = !decision.version && m_tried.empty() && decision.lacksRoom();
     if (full && m_waiting) {
         return;
@@ -258,6 +246,9 @@
         m_answer.begin(m_version, answerHeaders());
     }
     m_answer.piece(text);
+    if (!m_request.chat.stream) {
+        m_text += text;
+    }
     m_backPressure.wrote();
 }
 
@@ -285,6 +276,13 @@
     }
     m_context.rollouts.answered(m_version);
     m_bill.counted(usage.promptTokens, usage.completionTokens);
+    if (!escalate(usage)) {
+        deliver(usage);
+    }
+}
+
+void Exchange::deliver(const upstream::EngineUsage &usage)
+{
     m_deadline.stop();
     record(BillOutcome::Answered, [this, usage, alive = m_alive] {
         if (*alive) {
@@ -332,6 +330,7 @@
     m_context.metrics.counter("ibisfork_retries_total").add();
     m_answering = false;
     m_pieces = 0;
+    m_text.clear();
     m_retryTimer.startOnce(retryDelay());
 }
 
@@ -367,6 +366,16 @@
         cut();
         return;
     }
+    if (m_held) {
+        // A poor answer is better than none.
+        const auto held = *std::exchange(m_held, std::nullopt);
+        release();
+        m_version = held.version;
+        m_answer.begin(m_version, answerHeaders());
+        m_answer.piece(held.text);
+        deliver(held.usage);
+        return;
+    }
     const bool mayHaveRun = m_mayHaveRun || m_run != nullptr;
     const auto run = mayHaveRun ? RunState::Unknown : RunState::NotRun;
     LogLine(LogLevel::Info, "refuse")
--- a/src/serving/exchange.h
+++ b/src/serving/exchange.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "caller/refusal.h"
@@ -29,6 +30,14 @@
     std::optional<Session> session;
 };
 
+/// An answer that is kept while a better one is made, and given if none comes.
+struct HeldAnswer
+{
+    std::string version;
+    std::string text;
+    upstream::EngineUsage usage;
+};
+
 /// A chat completion from its request to its last byte.
 class Exchange
 {
@@ -44,6 +53,8 @@
 
 private:
     void dispatch();
+    routing::RoutingQuery queryFor(const fleet::Workspace &workspace);
+    routing::RoutingDecision choose(const routing::RoutingQuery &query) const;
     void route(const fleet::Workspace &workspace);
     void wait(const fleet::Workspace &workspace);
     /// Checks that the session's version still serves; false if the request was refused.
@@ -53,6 +64,10 @@
     EngineRunHandlers runHandlers();
     void onToken(const std::string &text);
     void onEnd(const upstream::EngineUsage &usage);
+    /// Replaces a poor answer by that of a better version; false where there is none to be had.
+    bool escalate(const upstream::EngineUsage &usage);
+    void hold(const upstream::EngineUsage &usage);
+    void deliver(const upstream::EngineUsage &usage);
     void onFailed(const RunFailure &failure);
     void retry();
     void cut();
@@ -83,6 +98,11 @@
     std::uint64_t m_pieces = 0;
     std::vector<std::string> m_tried;
     std::unique_ptr<EngineRun> m_run;
+    /// Versions whose answers were too poor, what they cost, and the last of those answers.
+    std::vector<fleet::VersionId> m_poorVersions;
+    double m_spent = 0.0;
+    std::optional<HeldAnswer> m_held;
+    std::string m_text;
     bool m_waiting = false;
     bool m_answering = false;
     bool m_mayHaveRun = false;
--- a/src/serving/rolloutsteward.cpp
+++ b/src/serving/rolloutsteward.cpp
@@ -29,6 +29,7 @@
 void RolloutSteward::update(const fleet::Config &config, base::TimePoint now)
 {
     m_guard.update(config, now);
+    m_escalation.update(config);
     tick();
 }
 
@@ -68,7 +69,7 @@
 
 void RolloutSteward::tick()
 {
-    if (!m_guard.watchesAny()) {
+    if (!m_guard.watchesAny() && !m_escalation.inUse()) {
         // Ratings given before a roll-out begins are not of it.
         m_ratingsRead.reset();
         submitDue();
@@ -96,6 +97,7 @@
 {
     for (const auto &rating : page.ratings) {
         try {
+            m_escalation.rate(rating.workspace, rating.judge, rating.score);
             observe(rating.version, policy::Sign::Rating, rating.score < failingScore);
         } catch (const fleet::ConfigError &error) {
             base::LogLine(base::LogLevel::Warning, "rating-unreadable").field("error", error.what());
--- a/src/serving/rolloutsteward.h
+++ b/src/serving/rolloutsteward.h
@@ -9,6 +9,7 @@
 
 #include "net/timer.h"
 #include "platform/ratingsclient.h"
+#include "policy/escalationbook.h"
 #include "policy/rolloutguard.h"
 #include "settings/settings.h"
 
@@ -17,7 +18,8 @@
 /// Hands a change to the fleet task; it may take effect only if none after @p base touched its rows.
 using ChangeSubmitter = std::function<void(const coord::Change &change, coord::Revision base)>;
 
-/// Feeds the guard of roll-outs with outcomes and ratings and submits the changes that are due.
+/// Feeds the guard of roll-outs and the thresholds of escalation with outcomes and ratings, and submits the changes
+/// that are due.
 class RolloutSteward
 {
 public:
@@ -32,6 +34,11 @@
 
     /// Whether a request may be given to a version that is rolled out, within a step that has a cap or has none.
     bool mayExpose(const fleet::VersionId &version, bool capped) const;
+    /// Whether an answer in @p workspace is too poor to give.
+    bool escalates(const std::string &workspace, std::optional<double> confidence) const
+    {
+        return m_escalation.escalates(workspace, confidence);
+    }
     void dispatched(const fleet::VersionId &version) { m_guard.dispatched(version); }
     void firstToken(const std::string &version, base::Duration after);
     void answered(const std::string &version);
@@ -46,6 +53,7 @@
 
     base::MetricsRegistry &m_metrics;
     policy::RolloutGuard m_guard;
+    policy::EscalationBook m_escalation;
     ChangeSubmitter m_submit;
     platform::RatingsClient m_ratings;
     std::optional<std::uint64_t> m_ratingsRead;
--- a/src/upstream/enginestream.cpp
+++ b/src/upstream/enginestream.cpp
@@ -37,7 +37,12 @@
 EngineUsage usageOf(const Json &event)
 {
     const auto &usage = event.at("usage");
-    return {usage.at("prompt_tokens").get<std::uint64_t>(), usage.at("completion_tokens").get<std::uint64_t>()};
+    EngineUsage counted{usage.at("prompt_tokens").get<std::uint64_t>(),
+                        usage.at("completion_tokens").get<std::uint64_t>()};
+    if (event.contains("confidence")) {
+        counted.confidence = event.at("confidence").get<double>();
+    }
+    return counted;
 }
 
 } // namespace
--- a/src/upstream/enginestream.h
+++ b/src/upstream/enginestream.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <ibisfork/base/clock.h>
@@ -34,6 +35,8 @@
 {
     std::uint64_t promptTokens = 0;
     std::uint64_t completionTokens = 0;
+    /// How sure the engine is of the answer, from 0 to 1, where it says so.
+    std::optional<double> confidence{};
 };
 
 enum class EngineFailureKind {
--- a/standin/engine/generation.cpp
+++ b/standin/engine/generation.cpp
@@ -67,8 +67,11 @@
 void Generation::sendEnd()
 {
     if (m_reply) {
-        m_reply->chunk(fmt::format(
-            "event: end\ndata: {{\"usage\":{{\"prompt_tokens\":1,\"completion_tokens\":{}}}}}\n\n", m_tokens));
+        const auto confidence = m_confidence ? fmt::format(",\"confidence\":{}", *m_confidence) : std::string();
+        m_reply->chunk(
+            fmt::format("event: end\ndata: {{\"usage\":{{\"prompt_tokens\":1,\"completion_tokens\":{}}}{}}}\n\n",
+                        m_tokens,
+                        confidence));
         m_reply->end();
         m_reply.reset();
     }
--- a/standin/engine/generation.h
+++ b/standin/engine/generation.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,8 @@
     void start(base::Duration first, base::Duration between);
     /// Sends what was made from @p offset, and what follows, to @p reply.
     void attach(std::shared_ptr<net::HttpReply> reply, unsigned offset);
+    /// How sure of itself the answer says it is.
+    void setConfidence(double confidence) { m_confidence = confidence; }
     void detach() { m_reply.reset(); }
     bool ended() const { return m_made == m_tokens; }
 
@@ -44,6 +47,7 @@
     unsigned m_tokens;
     unsigned m_made = 0;
     base::Duration m_between{};
+    std::optional<double> m_confidence;
     std::function<void()> m_ended;
     std::shared_ptr<net::HttpReply> m_reply;
     net::Timer m_timer;
--- a/standin/engine/main.cpp
+++ b/standin/engine/main.cpp
@@ -75,6 +75,9 @@
         const auto tokens = body.is_object() ? body.value("max_tokens", m_profile.tokens) : m_profile.tokens;
         m_generations[id] = std::make_unique<standin::Generation>(
             m_base, id, m_incarnation, std::max(1U, tokens), [this] { --m_running; });
+        if (m_faults.contains("confidence")) {
+            m_generations[id]->setConfidence(m_faults.at("confidence").get<double>());
+        }
         m_generations[id]->attach(request.reply, 0);
         watch(*request.reply, id);
         // A fuller batch is a slower one.
--- a/tests/process/policy_test.cpp
+++ b/tests/process/policy_test.cpp
@@ -45,6 +45,76 @@
     EXPECT_TRUE(eventually(9s, [&] { return chat(m_fleet, 0, "secret").status == 200; }));
 }
 
+class PolicyCascadeTest : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        m_cheap = m_fleet.addEngine({"--tokens", "2"});
+        m_dear = m_fleet.addEngine({"--tokens", "3"});
+        m_fleet.addNode("a");
+        m_fleet.apply(0,
+                      fmt::format("failure_domains: [{{name: a, region: r1}}]\n"
+                                  "versions: [{{model: m, version: small, cost: 1, quality: 0.6,"
+                                  " reports_confidence: true}}, {{model: m, version: large, cost: 5, quality: 0.95}}]\n"
+                                  "workspaces: [{{name: w1, keys: [secret], versions: [m@small, m@large]}}]\n"
+                                  "upstreams: [{{id: e1, address: {}, failure_domain: a, versions: [m@small]}},"
+                                  " {{id: e2, address: {}, failure_domain: a, versions: [m@large]}}]\n",
+                                  m_cheap,
+                                  m_dear));
+    }
+
+    static std::size_t runs(const std::string &engine)
+    {
+        return Json::parse(get(engine, "/counts").body).at("runs").size();
+    }
+
+    std::string answeredBy() const
+    {
+        const auto answer = chat(m_fleet, 0, "secret");
+        return answer.status == 200 ? Json::parse(answer.body).at("model").get<std::string>() : answer.body;
+    }
+
+    Fleet m_fleet;
+    std::string m_cheap;
+    std::string m_dear;
+};
+
+TEST_F(PolicyCascadeTest, chat_confidentCheapAnswer_isGiven)
+{
+    post(m_cheap, "/faults", {{"confidence", 0.9}});
+    EXPECT_EQ(answeredBy(), "m@small");
+    EXPECT_EQ(runs(m_dear), 0U);
+}
+
+TEST_F(PolicyCascadeTest, chat_poorCheapAnswer_isReplacedWhole)
+{
+    post(m_cheap, "/faults", {{"confidence", 0.1}});
+    const auto answer = chat(m_fleet, 0, "secret");
+    const auto json = Json::parse(answer.body);
+    EXPECT_EQ(json.at("model"), "m@large");
+    EXPECT_EQ(json["choices"][0]["message"]["content"], "w0 w1 w2 ");
+    EXPECT_EQ(runs(m_cheap), 1U);
+    EXPECT_EQ(runs(m_dear), 1U);
+}
+
+TEST_F(PolicyCascadeTest, chat_betterVersionRefuses_cheapAnswerIsGivenWhole)
+{
+    post(m_cheap, "/faults", {{"confidence", 0.1}});
+    post(m_dear, "/faults", {{"refuse", true}});
+    const auto answer = chat(m_fleet, 0, "secret");
+    const auto json = Json::parse(answer.body);
+    EXPECT_EQ(json.at("model"), "m@small");
+    EXPECT_EQ(json["choices"][0]["message"]["content"], "w0 w1 ");
+}
+
+TEST_F(PolicyCascadeTest, chat_stream_goesToTheVersionThatMeetsTheTarget)
+{
+    EXPECT_EQ(chat(m_fleet, 0, "secret", {{"stream", true}}).status, 200);
+    EXPECT_EQ(runs(m_cheap), 0U);
+    EXPECT_EQ(runs(m_dear), 1U);
+}
+
 class PolicyRolloutTest : public testing::Test
 {
 protected:
--- a/tests/routing/versionchooser_test.cpp
+++ b/tests/routing/versionchooser_test.cpp
@@ -40,6 +40,7 @@
         version.id = {"m", name};
         version.costPerRequest = cost;
         version.expectedQuality = quality;
+        version.reportsConfidence = true;
         return version;
     }
 
@@ -91,6 +92,13 @@
     EXPECT_THAT(choose(), ElementsAre("small", "medium", "large"));
 }
 
+TEST_F(VersionChooserTest, choose_noConfidenceReported_isNoBeginningOfACascade)
+{
+    m_query.mayEscalate = true;
+    m_config.versions.at({"m", "small"}).reportsConfidence = false;
+    EXPECT_THAT(choose(), ElementsAre("medium", "large", "small"));
+}
+
 TEST_F(VersionChooserTest, choose_cascadeForbiddenOrTooDear_staysDirect)
 {
     m_query.mayEscalate = true;
