Wire the reconciliation of bills into ibisforkctl

Cause: the comparison of bills with runs could not be called; the states of a change still had their first names. Change: bills verify takes the engines from the fleet's configuration and the platform's address as an option. Conclusion: an operator can check the bills with one command.

--- a/src/ctl/commandtable.cpp
+++ b/src/ctl/commandtable.cpp
@@ -21,7 +21,7 @@
     return exitcode::ok;
 }
 
-constexpr std::array<Command, 24> commands{{
+constexpr std::array<Command, 25> commands{{
     {"config", "check", "FILE", "check a fleet configuration", "config check fleet.yaml", configCheck},
     {"config", "apply", "FILE", "make it the fleet's", "config apply fleet.yaml --reason 'new engine'", configApply},
     {"config", "diff", "FILE", "rows that apply would change", "config diff fleet.yaml", configDiff},
@@ -58,6 +58,12 @@
     {"upstream", "drain", "ID", "give it no new work", "upstream drain engine-3", upstreamDrain},
     {"upstream", "undrain", "ID", "give it work again", "upstream undrain engine-3", upstreamUndrain},
     {"node", "list", "", "nodes of the fleet", "node list", nodeList},
+    {"bills",
+     "verify",
+     "",
+     "compare bills with what engines ran",
+     "bills verify --platform 127.0.0.1:7000",
+     billsVerify},
     {"explain", "", "REQUEST-ID", "why a request was routed so", "explain req-0123", explain},
     {"status", "", "", "a picture of the fleet", "status", status},
     {"completion",
--- a/src/ctl/invocation.h
+++ b/src/ctl/invocation.h
@@ -50,6 +50,8 @@
     std::string field;
     std::string value;
     std::string until;
+    /// The platform's address, for commands that read its table.
+    std::string platform;
     /// Longest wait until a change is in force everywhere.
     std::chrono::seconds wait{30};
 };
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -38,6 +38,7 @@
     add("field", "field that an exception sets", text(""), "NAME");
     add("value", "value that an exception gives it", text(""), "VALUE");
     add("until", "last day of an exception", text(""), "YYYY-MM-DD");
+    add("platform", "the platform's address, for bills verify", text(""), "IP:PORT");
     add("words", "", cxxopts::value<std::vector<std::string>>(), "COMMAND");
     add("h,help", "show this help");
     options.parse_positional({"words"});
@@ -61,6 +62,7 @@
     invocation.field = arguments["field"].as<std::string>();
     invocation.value = arguments["value"].as<std::string>();
     invocation.until = arguments["until"].as<std::string>();
+    invocation.platform = arguments["platform"].as<std::string>();
     if (invocation.changeId.empty()) {
         invocation.changeId = newChangeId();
     }
--- a/src/ctl/nodecommands.cpp
+++ b/src/ctl/nodecommands.cpp
@@ -7,6 +7,7 @@
 
 #include <ibisfork/fleet/rows.h>
 
+#include "ctl/bills.h"
 #include "ctl/listing.h"
 #include "ctl/nodeclient.h"
 #include "ctl/submission.h"
@@ -73,6 +74,20 @@
     return exitcode::ok;
 }
 
+int billsVerify(const Invocation &invocation)
+{
+    if (invocation.platform.empty()) {
+        throw UsageError("the platform's address is required: --platform IP:PORT");
+    }
+    std::vector<net::Address> engines;
+    for (const auto &[id, upstream] : fleet::configFromRows(readSnapshot(invocation)).upstreams) {
+        if (upstream.kind == fleet::UpstreamKind::Engine) {
+            engines.push_back(net::Address::parse(upstream.address));
+        }
+    }
+    return verifyBills(net::Address::parse(invocation.platform), engines, std::cout);
+}
+
 int status(const Invocation &invocation)
 {
     const auto held = readSnapshot(invocation);
--- a/src/ctl/nodecommands.h
+++ b/src/ctl/nodecommands.h
@@ -7,6 +7,9 @@
 /// Prints why a request, named by the argument, was routed as it was.
 int explain(const Invocation &invocation);
 
+/// Compares the bills in the platform's table with what the fleet's engines ran.
+int billsVerify(const Invocation &invocation);
+
 /// Prints a picture of the fleet.
 int status(const Invocation &invocation);
 
--- a/src/ctl/submission.cpp
+++ b/src/ctl/submission.cpp
@@ -19,13 +19,11 @@
 
 enum class ChangeState { Pending, Accepted, Refused, Unknown };
 
-constexpr std::array<base::Name<ChangeState>, 6> changeStateNames{{
+constexpr std::array<base::Name<ChangeState>, 4> changeStateNames{{
     {ChangeState::Pending, "pending"},
     {ChangeState::Accepted, "accepted"},
     {ChangeState::Refused, "refused"},
     {ChangeState::Unknown, "unknown"},
-    {ChangeState::Accepted, "committed"},
-    {ChangeState::Accepted, "already-committed"},
 }};
 
 ChangeState stateOf(const Json &answer)
--- a/tests/process/ctl_test.cpp
+++ b/tests/process/ctl_test.cpp
@@ -87,6 +87,11 @@
     EXPECT_EQ(m_fleet.ctl(0, {"rollout", "step", "report@v1"}), exitUsage);
 }
 
+TEST_F(CtlTest, billsVerify_withoutPlatform_exitsWithUsage)
+{
+    EXPECT_EQ(m_fleet.ctl(0, {"bills", "verify"}), exitUsage);
+}
+
 TEST_F(CtlTest, command_unknown_exitsWithUsage)
 {
     EXPECT_EQ(m_fleet.ctl(0, {"domain", "destroy", "a"}), exitUsage);
