Free a link only after its own callback; let any relay remove silent members

Cause: a node of 14 died while the others joined: an answer that brought new members dropped the link that was delivering it. Silent members were removed by relays of their own failure domain only, so a domain of one kept its row. Change: links no longer wanted are freed from a timer. All relays look for silent members, only while the newest revision is accepted; removals of several members run at once. Conclusion: the new test of PeerHub fails under the address sanitizer with the old code (trial) and passes now; a killed node is removed in a process test.

--- a/src/fleettask/membership.cpp
+++ b/src/fleettask/membership.cpp
@@ -110,7 +110,7 @@
     for (const auto &[node, member] : m_state.members().members()) {
         const auto statement = m_state.statements().all().find(member.incarnation);
         const auto known = m_knownSince.find(member.incarnation);
-        if (member.failureDomain != m_settings.node.failureDomain || known == m_knownSince.end()) {
+        if (member.incarnation == m_state.incarnation() || known == m_knownSince.end()) {
             continue;
         }
         const auto heard = statement == m_state.statements().all().end() ? base::TimePoint{} : statement->second.asOf;
@@ -123,7 +123,8 @@
 
 void Membership::removeSilent(base::TimePoint now)
 {
-    if (now - *m_relaySince < removedAfter) {
+    // While a revision is not accepted, those unheard may still confirm one another under an older member list.
+    if (now - *m_relaySince < removedAfter || m_state.accepted() < m_state.newest()) {
         return;
     }
     // A node that hears few is itself the one cut off.
@@ -139,10 +140,9 @@
 
 void Membership::remove(const fleet::Member &member, const std::string &id, const std::string &reason)
 {
-    if (m_removing) {
+    if (!m_removing.insert(member.incarnation).second) {
         return;
     }
-    m_removing = true;
     const auto key = fleet::rowprefix::member + member.node;
     base::LogLine(base::LogLevel::Warning, "remove-member")
         .field("node", member.node)
@@ -151,7 +151,9 @@
     const coord::Change change{0, id, m_settings.node.name, reason, {{key, std::nullopt}}};
     // The row names the incarnation, so that a node born anew under the same name stays.
     const platform::ExpectedRow expected{key, m_state.members().rows().at(key)};
-    m_desk.commit({change, std::nullopt, expected}, [this](const platform::ChangeOutcome &) { m_removing = false; });
+    m_desk.commit(
+        {change, std::nullopt, expected},
+        [this, incarnation = member.incarnation](const platform::ChangeOutcome &) { m_removing.erase(incarnation); });
 }
 
 } // namespace ibisfork::fleettask
--- a/src/fleettask/membership.h
+++ b/src/fleettask/membership.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <set>
+
 #include "fleettask/changedesk.h"
 #include "fleettask/fleetstate.h"
 #include "platform/vmlist.h"
@@ -18,9 +20,9 @@
     /// Takes this node's row away; @p left is called in any case.
     void leave(std::function<void()> left);
     bool left() const { return m_left; }
-    /// For relays: removes members that the VM list calls gone, and silent ones of the own failure domain.
+    /// For relays: removes members that the VM list calls gone, and silent ones.
     void removeDead(base::TimePoint now);
-    /// Whether some member of the own failure domain is silent, so that others' word of it is wanted.
+    /// Whether some member was not heard of for a while, so that others' word of it is wanted.
     bool suspects(base::TimePoint now) const;
 
 private:
@@ -35,7 +37,8 @@
     ChangeDesk &m_desk;
     platform::VmList &m_vms;
     bool m_joining = false;
-    bool m_removing = false;
+    /// Incarnations whose removal is under way.
+    std::set<std::string> m_removing;
     bool m_left = false;
     /// Since when this node is a relay; silence before that tells nothing.
     std::optional<base::TimePoint> m_relaySince;
--- a/src/peer/peerhub.cpp
+++ b/src/peer/peerhub.cpp
@@ -27,13 +27,17 @@
     , m_received(std::move(received))
     , m_counters(metrics)
     , m_context(makeZmqContext())
-    , m_server(m_context.get(), ZMQ_ROUTER, base, [this](const ZmqMessage &message) {
-        if (message.size() == 2) {
-            onFrame(message.front(), message.back());
-        } else {
-            m_counters.malformed.add();
-        }
-    })
+    , m_server(m_context.get(),
+               ZMQ_ROUTER,
+               base,
+               [this](const ZmqMessage &message) {
+                   if (message.size() == 2) {
+                       onFrame(message.front(), message.back());
+                   } else {
+                       m_counters.malformed.add();
+                   }
+               })
+    , m_retirement(base, [this] { m_retired.clear(); })
 {
     m_keys.check();
     m_server.set(ZMQ_HANDSHAKE_IVL, handshakeMilliseconds);
@@ -58,10 +62,16 @@
 
 void PeerHub::setPeers(const std::map<std::string, net::Address> &peers)
 {
-    std::erase_if(m_links, [&peers](const auto &link) {
-        const auto peer = peers.find(link.first);
-        return peer == peers.end() || peer->second.text() != link.second->address().text();
-    });
+    for (auto link = m_links.begin(); link != m_links.end();) {
+        const auto peer = peers.find(link->first);
+        if (peer != peers.end() && peer->second.text() == link->second->address().text()) {
+            ++link;
+            continue;
+        }
+        m_retired.push_back(std::move(link->second));
+        link = m_links.erase(link);
+    }
+    m_retirement.startOnce({});
 }
 
 bool PeerHub::send(const std::string &incarnation, const net::Address &address, wire::Frame frame, base::TimePoint now)
--- a/src/peer/peerhub.h
+++ b/src/peer/peerhub.h
@@ -2,6 +2,7 @@
 
 #include <map>
 
+#include "net/timer.h"
 #include "peer/peerlink.h"
 
 namespace ibisfork::peer {
@@ -56,6 +57,9 @@
     ZmqSocket m_server;
     std::unique_ptr<ZmqSocket> m_monitor;
     std::map<std::string, std::unique_ptr<PeerLink>> m_links;
+    /// Links no longer wanted, one of which may be in the middle of a callback.
+    std::vector<std::unique_ptr<PeerLink>> m_retired;
+    net::Timer m_retirement;
 };
 
 } // namespace ibisfork::peer
--- a/tests/peer/peerhub_test.cpp
+++ b/tests/peer/peerhub_test.cpp
@@ -50,6 +50,7 @@
         return std::make_unique<PeerHub>(
             m_base.get(), m_otherAddress, keys, "other", m_otherMetrics, [this](const Origin &, const wire::Frame &) {
                 ++m_answers;
+                m_onAnswer();
             });
     }
 
@@ -105,6 +106,8 @@
     std::unique_ptr<PeerHub> m_hub;
     std::vector<std::uint64_t> m_received;
     int m_answers = 0;
+    std::function<void()> m_onAnswer = [] {
+    };
 };
 
 TEST_F(PeerHubTest, send_sameKey_isAnswered)
@@ -116,6 +119,21 @@
     EXPECT_EQ(refused("wrong-key"), 0U);
 }
 
+TEST_F(PeerHubTest, setPeers_fromAnAnswersCallback_dropsThatLinkSafely)
+{
+    listen();
+    const auto other = makeOther(m_keys);
+    m_onAnswer = [&] {
+        other->setPeers({});
+    };
+    for (int round = 1; round <= 20; ++round) {
+        other->send("hub", m_address, question(1), base::monotonicNow());
+        other->send("hub", m_address, question(2), base::monotonicNow());
+        EXPECT_TRUE(loopUntil([&] { return m_answers >= round; }));
+    }
+    EXPECT_TRUE(loopUntil([&] { return other->linkCount() == 0; }));
+}
+
 TEST_F(PeerHubTest, send_otherFleetsKeys_isRefusedAndCounted)
 {
     listen();
--- a/tests/process/fleet_test.cpp
+++ b/tests/process/fleet_test.cpp
@@ -82,6 +82,16 @@
 
     Json runs() { return Json::parse(get(m_engine, "/counts").body).at("runs"); }
 
+    int memberCount(std::size_t node)
+    {
+        int members = 0;
+        const auto held = rows(node);
+        for (const auto &[key, value] : held.at("rows").items()) {
+            members += key.starts_with("member/") ? 1 : 0;
+        }
+        return members;
+    }
+
     void setFaults(const Json &faults) { post(m_fleet.platform(), "/faults", faults); }
 
     int chatStatus(std::size_t node) { return chat(m_fleet, node, "secret").status; }
@@ -216,12 +226,7 @@
         EXPECT_TRUE(accepted(born, id));
         EXPECT_TRUE(eventually(inForceWithin, [&] { return chatStatus(born) == 200; }));
     }
-    int members = 0;
-    const auto held = rows(3);
-    for (const auto &[key, value] : held.at("rows").items()) {
-        members += key.starts_with("member/") ? 1 : 0;
-    }
-    EXPECT_EQ(members, 3);
+    EXPECT_EQ(memberCount(3), 3);
 }
 
 TEST_F(FleetProcessTest, nodes_allKilledAndBornAnew_serveAndAcceptOnceTheVmListSaysSo)
@@ -249,6 +254,15 @@
     request.body = Json{{"vms", vms}}.dump();
     ASSERT_EQ(call(m_fleet.platform(), request).status, 200);
     EXPECT_TRUE(accepted(born, "change", 15s));
+    EXPECT_TRUE(eventually(15s, [&] { return memberCount(born) == 1; }));
+}
+
+TEST_F(FleetProcessTest, node_killedAndHeardByNobody_isRemoved)
+{
+    m_fleet.stopNode(2);
+    EXPECT_TRUE(eventually(60s, [&] { return memberCount(0) == 2; }));
+    submit(0, "change", domainRow("d"));
+    EXPECT_TRUE(accepted(0, "change"));
 }
 
 } // namespace ibisfork::process
