--- a/src/platform/ratingsclient.cpp
+++ b/src/platform/ratingsclient.cpp
@@ -11,18 +11,30 @@
 
 constexpr int statusOk = 200;
 
+std::optional<Rating> ratingFrom(const Json &json)
+{
+    try {
+        return Rating{json.value("request", std::string()),
+                      json.value("workspace", std::string()),
+                      json.at("version").get<std::string>(),
+                      json.value("judge", std::string()),
+                      json.at("score").get<double>()};
+    } catch (const Json::exception &) {
+        return std::nullopt;
+    }
+}
+
 std::optional<RatingsPage> pageFrom(const std::string &body)
 {
     try {
         const Json json = Json::parse(body);
         RatingsPage page;
         page.next = json.at("next").get<std::uint64_t>();
-        for (const auto &rating : json.at("ratings")) {
-            page.ratings.push_back({rating.value("request", std::string()),
-                                    rating.value("workspace", std::string()),
-                                    rating.at("version").get<std::string>(),
-                                    rating.value("judge", std::string()),
-                                    rating.at("score").get<double>()});
+        // A rating that can't be read must not hold up those after it.
+        for (const auto &entry : json.at("ratings")) {
+            if (auto rating = ratingFrom(entry)) {
+                page.ratings.push_back(std::move(*rating));
+            }
         }
         return page;
     } catch (const Json::exception &) {
--- a/src/platform/ratingsclient.h
+++ b/src/platform/ratingsclient.h
@@ -38,7 +38,8 @@
 public:
     RatingsClient(event_base *base, net::Address address, base::Duration timeout);
 
-    /// Reads the ratings after @p position; gives nothing if the service does not answer in time. A read that is asked
+    /// Reads the ratings after @p position; gives nothing if the service does not answer in time. Ratings that
+    /// can't be read are passed over. A read that is asked
     /// for while one runs is dropped.
     void read(std::uint64_t position, std::function<void(std::optional<RatingsPage>)> done);
 
