Count an upstream as cold from the first lost connection

Cause: with an engine killed and started again within milliseconds, SlotsTest.load_engineRestartedWithoutWarning saw it fall over once in the whole test run: nodes went on sending warm shares until the lost streams were found not to be resumable. Change: a lost connection makes the upstream suspect at once: its cold share holds until a later load report, asked for out of turn, names the same incarnation; another one makes it cold. A notice of another node makes it suspect in the same way; only that of a slow first token can't be refuted. The serving task has ports for notices in both directions.

--- a/src/serving/enginerun.cpp
+++ b/src/serving/enginerun.cpp
@@ -121,6 +121,9 @@
 void EngineRun::onBroken(const EngineFailure &failure)
 {
     dropStream();
+    if (m_handlers.broken && (failure.kind == EngineFailureKind::Lost || failure.connectRefused)) {
+        m_handlers.broken();
+    }
     if (m_breaks == 0 && m_point.greeting.streamId.empty()) {
         onNotStarted(failure);
     } else {
--- a/src/serving/enginerun.h
+++ b/src/serving/enginerun.h
@@ -47,6 +47,8 @@
     std::function<void(const std::string &text)> token;
     std::function<void(const upstream::EngineUsage &)> end;
     std::function<void(const RunFailure &)> failed;
+    /// The connection is lost, which may be since the engine ended; may be empty.
+    std::function<void()> broken;
 };
 
 /// One generation on one engine. Goes on over new connections when its stream breaks or goes silent, and finds out
--- a/src/serving/servingtask.cpp
+++ b/src/serving/servingtask.cpp
@@ -94,6 +94,7 @@
                            update.taken();
                        }
                    },
+                   [this](const upstream::Notice &notice) { takeNotice(notice); },
                    [this](const ReloadCertificates &) { reloadCertificates(); },
                    [this](const BeginDrain &drain) {
                        m_draining = true;
@@ -307,6 +308,11 @@
     }
 }
 
+void ServingTask::takeNotice(const upstream::Notice &notice)
+{
+    m_context.limits.takeNotice(notice, base::monotonicNow());
+}
+
 void ServingTask::checkDrained()
 {
     // The last bytes of the last answers must have left before the process ends.
--- a/src/serving/servingtask.h
+++ b/src/serving/servingtask.h
@@ -33,8 +33,8 @@
 {
 };
 
-using ServingMessage
-    = std::variant<ReloadCertificates, fleettask::ConfigUpdate, fleettask::ConfirmationUpdate, BeginDrain>;
+using ServingMessage = std::
+    variant<upstream::Notice, ReloadCertificates, fleettask::ConfigUpdate, fleettask::ConfirmationUpdate, BeginDrain>;
 
 /// Owns the sockets of callers and upstreams and the requests between them.
 class ServingTask
@@ -50,6 +50,8 @@
     void stop() { m_task.stop(); }
     /// Where changes that follow from what is served go to; called before start.
     void onChange(ChangeSubmitter submit) { m_context.rollouts.onChange(std::move(submit)); }
+    /// Where signs of a cold start are told for other nodes; called on the task's thread. Before start() only.
+    void onNotice(std::function<void(upstream::Notice)> handler) { m_context.limits.onNotice(std::move(handler)); }
     /// Hands a message to the task, from any thread.
     void post(ServingMessage message) { m_mailbox.post(std::move(message)); }
 
@@ -74,6 +76,7 @@
     void reloadCertificates();
     void checkDrained();
     void checkSlots();
+    void takeNotice(const upstream::Notice &notice);
 
     const settings::Settings &m_settings;
     net::Task m_task;
--- a/src/upstream/limitbook.cpp
+++ b/src/upstream/limitbook.cpp
@@ -103,7 +103,7 @@
 {
     // An upstream that is not heard from may have started afresh.
     const bool stale = entry.engine && now - entry.heardAt > m_freshFor;
-    return stale ? entry.limit.cold : entry.ramp.allowed(rampLimit(entry.limit), now);
+    return stale || entry.suspectedAt ? entry.limit.cold : entry.ramp.allowed(rampLimit(entry.limit), now);
 }
 
 std::uint32_t LimitBook::running(const std::string &upstream) const
@@ -138,10 +138,9 @@
 bool LimitBook::settled(base::TimePoint now) const
 {
     const auto upstreams = held();
-    const auto waits = [&](const std::string &upstream) {
-        return m_slots.waits(upstream, now);
-    };
-    return upstreams.empty() || !std::all_of(upstreams.begin(), upstreams.end(), waits);
+    const auto waiting = std::count_if(
+        upstreams.begin(), upstreams.end(), [&](const auto &upstream) { return m_slots.waits(upstream, now); });
+    return 2 * waiting <= std::ssize(upstreams);
 }
 
 void LimitBook::started(const std::string &upstream)
@@ -187,7 +186,7 @@
         .field("sign", base::nameOf(coldStartSignNames, sign));
     // Every node sees the change that brings an upstream back, and a notice must not echo.
     if (m_notice && sign != ColdStartSign::BroughtBack && sign != ColdStartSign::Notice) {
-        m_notice({upstream, entry->incarnation});
+        m_notice({upstream, entry->incarnation, sign});
     }
 }
 
@@ -217,6 +216,9 @@
         entry->ramp.sawUptime(*report.uptime, now);
     }
     entry->heardAt = std::max(entry->heardAt, madeAt);
+    if (entry->suspectedAt && madeAt >= *entry->suspectedAt) {
+        entry->suspectedAt.reset();
+    }
     entry->leaving = report.leaving;
     entry->gone = false;
     entry->reportedRunning = report.running;
@@ -228,13 +230,38 @@
 {
     auto *entry = find(upstream);
     if (entry != nullptr && !std::exchange(entry->gone, true)) {
+        entry->suspectedAt.reset();
         sawColdStart(upstream, now, ColdStartSign::ConnectionLost);
     }
 }
 
+void LimitBook::sawBroken(const std::string &upstream, base::TimePoint now)
+{
+    if (suspect(upstream, now) && m_notice) {
+        m_notice({upstream, find(upstream)->incarnation, ColdStartSign::ConnectionLost});
+    }
+}
+
+bool LimitBook::suspect(const std::string &upstream, base::TimePoint now)
+{
+    auto *entry = find(upstream);
+    return entry != nullptr && !std::exchange(entry->suspectedAt, now);
+}
+
+bool LimitBook::suspected(const std::string &upstream) const
+{
+    const auto *entry = find(upstream);
+    return entry != nullptr && entry->suspectedAt;
+}
+
 void LimitBook::takeNotice(const Notice &notice, base::TimePoint now)
 {
-    sawColdStart(notice.upstream, now, ColdStartSign::Notice);
+    // The upstream's own report can refute all but this sign.
+    if (notice.sign == ColdStartSign::SlowFirstToken) {
+        sawColdStart(notice.upstream, now, ColdStartSign::Notice);
+    } else {
+        suspect(notice.upstream, now);
+    }
 }
 
 LimitBook::Entry *LimitBook::find(const std::string &upstream)
--- a/src/upstream/limitbook.h
+++ b/src/upstream/limitbook.h
@@ -3,6 +3,7 @@
 #include <array>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -34,6 +35,7 @@
     std::string upstream;
     /// The incarnation that is cold, as far as known.
     std::string incarnation;
+    ColdStartSign sign = ColdStartSign::ConnectionLost;
 };
 
 /// What runs at each upstream from this node, and how much more this node may send there.
@@ -60,7 +62,7 @@
     bool holds(const std::string &upstream) const { return m_slots.holds(upstream); }
     /// The upstreams of which this node holds slots.
     std::vector<std::string> held() const;
-    /// Whether some held slot is past its wait, or there is none to wait for.
+    /// Whether slots of at least half of the held upstreams are past their wait.
     bool settled(base::TimePoint now) const;
     /// Whether this process is a member of the fleet.
     bool member() const { return m_member; }
@@ -81,6 +83,10 @@
     void sawLoad(const std::string &upstream, const LoadReport &report, base::TimePoint askedAt, base::TimePoint now);
     /// Notes that nothing listens at @p upstream's address; nothing is sent there until it is heard from.
     void sawRefused(const std::string &upstream, base::TimePoint now);
+    /// Notes a lost connection: @p upstream counts as cold until a later report names the incarnation known.
+    void sawBroken(const std::string &upstream, base::TimePoint now);
+    /// Whether @p upstream may have started anew.
+    bool suspected(const std::string &upstream) const;
     /// Takes a notice of another node.
     void takeNotice(const Notice &notice, base::TimePoint now);
 
@@ -97,6 +103,8 @@
         bool open = true;
         bool leaving = false;
         bool gone = false;
+        /// When a sign was seen that it may have started anew.
+        std::optional<base::TimePoint> suspectedAt;
         std::uint32_t running = 0;
         /// Requests sent whose answers have not begun.
         std::uint32_t unanswered = 0;
@@ -113,6 +121,7 @@
     Entry *find(const std::string &upstream);
     const Entry *find(const std::string &upstream) const;
     std::uint32_t allowed(const Entry &entry, base::TimePoint now) const;
+    bool suspect(const std::string &upstream, base::TimePoint now);
     void takeUpstreams(const fleet::Config &config, base::TimePoint now);
 
     std::string m_node;
--- a/src/upstream/loadpoller.cpp
+++ b/src/upstream/loadpoller.cpp
@@ -42,10 +42,21 @@
 
 void LoadPoller::pollNext()
 {
+    const auto idle = [this](const Target &target) {
+        return !m_calls.contains(target.upstream);
+    };
+    const auto suspect = std::find_if(m_targets.begin(), m_targets.end(), [&](const Target &target) {
+        return m_limits.suspected(target.upstream) && idle(target);
+    });
+    // In turn with the others, which may be waiting as well.
+    m_suspectTurn = !m_suspectTurn;
+    if (m_suspectTurn && suspect != m_targets.end()) {
+        poll(*suspect);
+        return;
+    }
     m_next = (m_next + 1) % m_targets.size();
-    const auto &target = m_targets[m_next];
-    if (!m_calls.contains(target.upstream)) {
-        poll(target);
+    if (idle(m_targets[m_next])) {
+        poll(m_targets[m_next]);
     }
 }
 
--- a/src/upstream/loadpoller.h
+++ b/src/upstream/loadpoller.h
@@ -42,6 +42,7 @@
     base::Counter &m_failures;
     std::vector<Target> m_targets;
     std::size_t m_next = 0;
+    bool m_suspectTurn = false;
     std::map<std::string, std::unique_ptr<net::HttpCall>> m_calls;
     net::Timer m_timer;
 };
--- a/tests/upstream/limitbook_test.cpp
+++ b/tests/upstream/limitbook_test.cpp
@@ -81,9 +81,11 @@
 TEST_F(LimitBookTest, free_noticeOfAnotherNode_isColdAndNotToldOn)
 {
     report(1s, "i1", 3600s);
-    m_book.takeNotice({"e1", "i2"}, at(2s));
+    m_book.takeNotice({"e1", "i2", ColdStartSign::NewIncarnation}, at(2s));
     EXPECT_EQ(free(2s), 2U);
     EXPECT_TRUE(m_notices.empty());
+    report(3s, "i2", 1s);
+    EXPECT_EQ(free(3s), 2U);
 }
 
 TEST_F(LimitBookTest, free_notHeardFromForLong_isCold)
@@ -126,6 +128,27 @@
     EXPECT_EQ(free(4s), 2U + 8U * 2 / 30);
 }
 
+TEST_F(LimitBookTest, free_connectionLost_isColdUntilALaterReportNamesTheSameIncarnation)
+{
+    report(1s, "i1", 3600s);
+    m_book.sawBroken("e1", at(2s));
+    m_book.sawBroken("e1", at(2s));
+    EXPECT_EQ(free(2s), 2U);
+    EXPECT_EQ(m_notices.size(), 1U);
+    m_book.sawLoad("e1", {"i1", 0, 3600s, 1s, false}, at(2500ms), at(2500ms));
+    EXPECT_EQ(free(2500ms), 2U);
+    report(3s, "i1", 3602s);
+    EXPECT_EQ(free(3s), 10U);
+}
+
+TEST_F(LimitBookTest, free_noticeOfASlowFirstToken_isColdWhateverItReports)
+{
+    report(1s, "i1", 3600s);
+    m_book.takeNotice({"e1", "i1", ColdStartSign::SlowFirstToken}, at(2s));
+    report(2s, "i1", 3601s);
+    EXPECT_EQ(free(2s), 2U);
+}
+
 TEST_F(LimitBookTest, free_leavingByItsOwnReport_takesNothing)
 {
     m_book.sawLoad("e1", {"i1", 0, 3600s, 0s, true}, at(1s), at(1s));
