Do not refuse a change that took effect because its rows are no longer good

Cause: the check of a change's rows came before the look for its id, so asking again with an id that had taken effect could be answered with refused. Change: a change whose rows are not good is looked for by its id before it is refused. Conclusion: the same id gets the same answer whatever its rows say.

--- a/src/operators/operatorstask.cpp
+++ b/src/operators/operatorstask.cpp
@@ -136,13 +136,25 @@
             fleet::checkChange(held.rows, change.change.rows);
             m_ports.fleet(fleettask::SubmitChange{change, statusReply(reply)});
         } catch (const fleet::ConfigError &error) {
-            m_mailbox.post([reply, text = std::string(error.what())] {
-                sendJson(*reply, statusBadRequest, {{"state", "refused"}, {"error", text}});
-            });
+            refuseUnlessInForce(reply, change.change.id, error.what());
         }
     }});
 }
 
+void OperatorsTask::refuseUnlessInForce(const Reply &reply, const std::string &id, const std::string &message)
+{
+    // The same change may have taken effect earlier, when its rows were good.
+    m_ports.fleet(fleettask::FindChange{id, [this, reply, message](const fleettask::ChangeStatus &status) {
+                                            const bool inForce = status.revision > 0;
+                                            m_mailbox.post([reply, message, status, inForce] {
+                                                sendJson(*reply,
+                                                         inForce ? statusOk : statusBadRequest,
+                                                         inForce ? statusJson(status)
+                                                                 : Json{{"state", "refused"}, {"error", message}});
+                                            });
+                                        }});
+}
+
 void OperatorsTask::findChange(const Reply &reply, const std::string &id)
 {
     m_ports.fleet(fleettask::FindChange{id, statusReply(reply)});
--- a/src/operators/operatorstask.h
+++ b/src/operators/operatorstask.h
@@ -37,6 +37,7 @@
     void onRequest(const net::HttpServerRequest &request);
     void route(const net::HttpServerRequest &request);
     void submitChange(const net::HttpServerRequest &request);
+    void refuseUnlessInForce(const Reply &reply, const std::string &id, const std::string &message);
     void findChange(const Reply &reply, const std::string &id);
     std::function<void(fleettask::ChangeStatus)> statusReply(const Reply &reply);
     void readRows(const Reply &reply);
--- a/tests/process/ctl_test.cpp
+++ b/tests/process/ctl_test.cpp
@@ -92,6 +92,22 @@
     EXPECT_EQ(m_fleet.ctl(0, {"bills", "verify"}), exitUsage);
 }
 
+TEST_F(CtlTest, change_sameIdAgainWithRowsNoLongerGood_isAcceptedStill)
+{
+    const auto changeOf = [&](const std::string &key, const nlohmann::json &value) {
+        return nlohmann::json{{"id", "once"}, {"rows", {{{"key", key}, {"value", value}}}}};
+    };
+    const auto good = changeOf("config/upstream/e1", nullptr);
+    EXPECT_EQ(post(m_fleet.operators(0), "/v1/changes", good).status, 200);
+    ASSERT_TRUE(eventually(9s, [&] { return row("config/upstream/e1").is_null(); }));
+    const auto bad = changeOf("config/upstream/e1", "not an upstream");
+    const auto again = post(m_fleet.operators(0), "/v1/changes", bad);
+    EXPECT_EQ(again.status, 200) << again.body;
+    auto fresh = bad;
+    fresh["id"] = "never";
+    EXPECT_EQ(post(m_fleet.operators(0), "/v1/changes", fresh).status, 400);
+}
+
 TEST_F(CtlTest, command_unknown_exitsWithUsage)
 {
     EXPECT_EQ(m_fleet.ctl(0, {"domain", "destroy", "a"}), exitUsage);
