Refuse requests that crash engines; rest engines that can't be reached

Poison: a request is known by a hash of workspace and body. A crash blames what ran at the engine, the next one only what was there before; two condemn. What is condemned becomes a row of the fleet's configuration, so that every node refuses it as not run; operators list it at /v1/poison and lift it by DELETE.

Found by PoisonTest: a refused connect was not told from other failures, since evhttp overwrites the error number, so that a crashed engine ended as unknown; ConnectProbe tries the connect by itself. And with two of four engines down an innocent request met both dead ones each time for 9 s; an engine that can't be reached or has crashed now gets nothing from the node for 1 s.

Before: PoisonTest failed at the first crash (1 crash, no retry). After: 2 crashes, four resends through both nodes refused as not run, an innocent request answered.

--- a/include/ibisfork/fleet/config.h
+++ b/include/ibisfork/fleet/config.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -218,6 +219,8 @@
     std::map<std::string, Exception> exceptions;
     std::map<VersionId, Rollout> rollouts;
     std::map<std::string, SessionKey> sessionKeys;
+    /// Fingerprints of requests that crash the engines that run them.
+    std::set<std::string> poison;
     std::map<std::string, Member> members;
 };
 
--- a/include/ibisfork/fleet/rows.h
+++ b/include/ibisfork/fleet/rows.h
@@ -18,6 +18,7 @@
 inline constexpr const char *exception = "config/exception/";
 inline constexpr const char *rollout = "config/rollout/";
 inline constexpr const char *sessionKey = "config/session-key/";
+inline constexpr const char *poison = "poison/";
 inline constexpr const char *member = "member/";
 } // namespace rowprefix
 
--- a/src/fleet/rows.cpp
+++ b/src/fleet/rows.cpp
@@ -221,6 +221,9 @@
     readRows(rows, rowprefix::sessionKey, [&](const std::string &id, const Json &row) {
         config.sessionKeys[id] = sessionKeyFrom(id, row);
     });
+    readRows(rows, rowprefix::poison, [&](const std::string &fingerprint, const Json &) {
+        config.poison.insert(fingerprint);
+    });
     readRows(rows, rowprefix::member, [&](const std::string &node, const Json &row) {
         config.members[node] = memberFrom(node, row);
     });
@@ -322,7 +325,9 @@
 {
     std::vector<coord::RowChange> changes;
     for (const auto &[key, value] : from) {
-        if (!to.contains(key) && !key.starts_with(rowprefix::member) && !key.starts_with(rowprefix::rollout)) {
+        const bool kept = key.starts_with(rowprefix::member) || key.starts_with(rowprefix::rollout)
+            || key.starts_with(rowprefix::poison);
+        if (!to.contains(key) && !kept) {
             changes.push_back({key, std::nullopt});
         }
     }
--- a/src/net/httpcall.cpp
+++ b/src/net/httpcall.cpp
@@ -8,6 +8,8 @@
 
 #include <ibisfork/base/names.h>
 
+#include "net/connectprobe.h"
+
 namespace ibisfork::net {
 
 namespace {
@@ -85,6 +87,9 @@
     bool abandoned = false;
     bool connectTimedOut = false;
     EventPtr connectTimer;
+    Address address;
+    base::Duration connectWithin{};
+    std::unique_ptr<ConnectProbe> refusedProbe;
 
     static void onOutput(evbuffer *, const evbuffer_cb_info *info, void *self)
     {
@@ -145,15 +150,17 @@
         if (std::exchange(state->finished, true)) {
             return;
         }
-        // The loop's last socket error is the one of this connect.
-        const int error = errno;
         event_del(state->connectTimer.get());
         if (state->abandoned || !state->handlers.done) {
             return;
         }
         const auto done = state->handlers.done;
         if (request == nullptr || evhttp_request_get_response_code(request) == 0) {
-            done(HttpFailure{state->failureKind(error), state->bytesLeft});
+            if (state->bytesLeft || state->connectTimedOut) {
+                done(HttpFailure{state->failureKind(), state->bytesLeft});
+            } else {
+                state->findWhetherRefused();
+            }
             return;
         }
         if (evbuffer_get_length(evhttp_request_get_input_buffer(request)) > 0) {
@@ -165,12 +172,17 @@
     }
 
     /// A failure before any byte left is one of the connect, whatever libevent calls it.
-    HttpFailureKind failureKind(int error) const
+    HttpFailureKind failureKind() const { return bytesLeft ? failure : HttpFailureKind::Connect; }
+
+    /// evhttp doesn't tell why a connect failed, so it is tried once more by itself.
+    void findWhetherRefused()
     {
-        if (bytesLeft) {
-            return failure;
-        }
-        return error == ECONNREFUSED && !connectTimedOut ? HttpFailureKind::Refused : HttpFailureKind::Connect;
+        refusedProbe = std::make_unique<ConnectProbe>(base, address, connectWithin, [this](int error) {
+            const auto done = handlers.done;
+            if (!abandoned) {
+                done(HttpFailure{error == ECONNREFUSED ? HttpFailureKind::Refused : HttpFailureKind::Connect, false});
+            }
+        });
     }
 
     /// Without a length or chunks the end of a cut answer looks like the end of a whole one.
@@ -199,6 +211,8 @@
 {
     m_state->base = base;
     m_state->handlers = std::move(handlers);
+    m_state->address = address;
+    m_state->connectWithin = timeouts.connect;
     m_state->bodyless = request.method == HttpMethod::Head;
     m_state->connection = evhttp_connection_base_new(base, nullptr, address.ip.c_str(), address.port);
     const timeval timeout = timevalOf(timeouts.silence);
@@ -236,6 +250,7 @@
 {
     // The owner may be inside a handler, so the handlers and the connection are freed from the loop.
     m_state->abandoned = true;
+    m_state->refusedProbe.reset();
     event_del(m_state->connectTimer.get());
     const timeval now{0, 0};
     event_base_once(m_state->base, -1, EV_TIMEOUT, &State::destroy, m_state, &now);
--- a/src/operators/operatorstask.cpp
+++ b/src/operators/operatorstask.cpp
@@ -6,6 +6,7 @@
 #include <ibisfork/base/names.h>
 #include <ibisfork/fleet/check.h>
 #include <ibisfork/fleet/exceptions.h>
+#include <ibisfork/fleet/rows.h>
 
 namespace ibisfork::operators {
 
@@ -103,6 +104,7 @@
 {
     const auto &path = request.request.path;
     const std::string explainPath = "/v1/explain/";
+    const std::string poisonPath = "/v1/poison/";
     const std::string changePath = "/v1/changes/";
     const std::string historyPath = "/v1/changes?after=";
     if (path == "/metrics") {
@@ -120,6 +122,10 @@
         readHistory(request.reply, path.substr(historyPath.size()));
     } else if (path == "/v1/rows") {
         readRows(request.reply);
+    } else if (path == "/v1/poison") {
+        listPoison(request.reply);
+    } else if (path.starts_with(poisonPath) && request.request.method == net::HttpMethod::Delete) {
+        liftPoison(request.reply, path.substr(poisonPath.size()));
     } else if (path.starts_with(explainPath)) {
         explain(request.reply, path.substr(explainPath.size()));
     } else {
@@ -176,6 +182,32 @@
     }});
 }
 
+void OperatorsTask::listPoison(const Reply &reply)
+{
+    m_ports.fleet(fleettask::ReadRows{[this, reply](const coord::Snapshot &snapshot) {
+        const std::string prefix = fleet::rowprefix::poison;
+        Json list = Json::array();
+        for (const auto &[key, value] : snapshot.rows) {
+            if (key.starts_with(prefix)) {
+                list.push_back({{"id", key.substr(prefix.size())}, {"detail", Json::parse(value, nullptr, false)}});
+            }
+        }
+        m_mailbox.post([reply, list] { sendJson(*reply, statusOk, {{"poison", list}}); });
+    }});
+}
+
+void OperatorsTask::liftPoison(const Reply &reply, const std::string &fingerprint)
+{
+    m_ports.fleet(fleettask::ReadRows{[this, reply, fingerprint](const coord::Snapshot &held) {
+        platform::ChangeRequest request;
+        request.change.id = "lift-poison-" + fingerprint + "-" + std::to_string(held.revision);
+        request.change.author = "operator";
+        request.change.reason = "lifted by an operator";
+        request.change.rows.push_back({fleet::rowprefix::poison + fingerprint, std::nullopt});
+        m_ports.fleet(fleettask::SubmitChange{request, statusReply(reply)});
+    }});
+}
+
 void OperatorsTask::readHistory(const Reply &reply, const std::string &after)
 {
     coord::Revision revision = 0;
--- a/src/operators/operatorstask.h
+++ b/src/operators/operatorstask.h
@@ -41,6 +41,8 @@
     void findChange(const Reply &reply, const std::string &id);
     std::function<void(fleettask::ChangeStatus)> statusReply(const Reply &reply);
     void readRows(const Reply &reply);
+    void listPoison(const Reply &reply);
+    void liftPoison(const Reply &reply, const std::string &fingerprint);
     void readHistory(const Reply &reply, const std::string &after);
     void explain(const Reply &reply, const std::string &requestId);
 
--- a/src/serving/context.h
+++ b/src/serving/context.h
@@ -14,6 +14,7 @@
 #include "routing/router.h"
 #include "serving/admissiondesk.h"
 #include "serving/decisionlog.h"
+#include "serving/poisonbook.h"
 #include "serving/recorder.h"
 #include "serving/rolloutsteward.h"
 #include "serving/streamcanceller.h"
@@ -69,6 +70,10 @@
 
     routing::UpstreamRoom roomAt(const std::string &upstream, base::TimePoint now) const
     {
+        const auto resting = restingUntil.find(upstream);
+        if (resting != restingUntil.end() && now < resting->second) {
+            return {0, limits.running(upstream), limits.occupancy(upstream)};
+        }
         return {limits.free(upstream, now), limits.running(upstream), limits.occupancy(upstream)};
     }
 
@@ -83,6 +88,9 @@
     StreamCanceller canceller;
     RolloutSteward rollouts;
     coord::RetryBudget retries;
+    PoisonBook poison;
+    /// Upstreams that could not be reached or have crashed, and until when they get nothing.
+    std::map<std::string, base::TimePoint> restingUntil;
     /// Last known incarnation of each engine, by upstream.
     std::map<std::string, std::string> incarnations;
     Recorder recorder = recordNothing;
--- a/src/serving/enginerun.cpp
+++ b/src/serving/enginerun.cpp
@@ -16,6 +16,8 @@
 constexpr int maxBreaks = 16;
 constexpr int maxBreaksSincePiece = 4;
 constexpr std::chrono::milliseconds resumeStep{50};
+constexpr int maxProbes = 3;
+constexpr std::chrono::milliseconds betweenProbes{100};
 
 constexpr int firstClientError = 400;
 constexpr int statusTooMany = 429;
@@ -59,6 +61,7 @@
     , m_knownIncarnation(std::move(knownIncarnation))
     , m_handlers(std::move(handlers))
     , m_resumeTimer(base, [this] { resume(); })
+    , m_probeTimer(base, [this] { probe(); })
     , m_self(std::make_shared<EngineRun *>(this))
 {
     m_stream = upstream::EngineStream::start(base, m_address, request, timeouts, streamHandlers());
@@ -73,6 +76,7 @@
 {
     *m_self = nullptr;
     m_resumeTimer.stop();
+    m_probeTimer.stop();
     m_probe.reset();
     dropStream();
 }
@@ -187,8 +191,7 @@
 void EngineRun::onProbed(const std::variant<net::HttpResponse, net::HttpFailure> &outcome)
 {
     if (const auto *failure = std::get_if<net::HttpFailure>(&outcome)) {
-        const bool gone = failure->kind == net::HttpFailureKind::Refused;
-        fail({gone ? RunFailureKind::Crashed : RunFailureKind::Unknown, 0});
+        onProbeFailed(*failure);
         return;
     }
     const auto load = nlohmann::json::parse(std::get<net::HttpResponse>(outcome).body, nullptr, false);
@@ -204,6 +207,18 @@
     }
 }
 
+void EngineRun::onProbeFailed(const net::HttpFailure &failure)
+{
+    if (failure.kind == net::HttpFailureKind::Refused) {
+        fail({RunFailureKind::Crashed, 0});
+    } else if (++m_probes < maxProbes) {
+        // A process that ends still takes connections for a moment.
+        m_probeTimer.startOnce(betweenProbes);
+    } else {
+        fail({RunFailureKind::Unknown, 0});
+    }
+}
+
 void EngineRun::giveUp()
 {
     if (m_point.greeting.streamId.empty()) {
--- a/src/serving/enginerun.h
+++ b/src/serving/enginerun.h
@@ -90,6 +90,7 @@
     void resume();
     void probe();
     void onProbed(const std::variant<net::HttpResponse, net::HttpFailure> &outcome);
+    void onProbeFailed(const net::HttpFailure &failure);
     void giveUp();
     void fail(const RunFailure &failure);
     void dropStream();
@@ -105,7 +106,9 @@
     int m_breaksSincePiece = 0;
     bool m_paused = false;
     bool m_finished = false;
+    int m_probes = 0;
     net::Timer m_resumeTimer;
+    net::Timer m_probeTimer;
     std::unique_ptr<upstream::EngineStream> m_stream;
     std::unique_ptr<net::HttpCall> m_probe;
     /// Guards callbacks of the canceller, which outlives the run.
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -22,6 +22,8 @@
 constexpr std::size_t maxAttempts = 2;
 constexpr int retryAfterSeconds = 1;
 constexpr std::chrono::milliseconds maxRetryDelay{20};
+/// Keeps requests from trying the same dead upstreams one after the other.
+constexpr std::chrono::milliseconds restAfterFailure{1000};
 
 /// Spread out, so that the requests of a failed upstream don't reach the others in one wave.
 base::Duration retryDelay()
@@ -61,6 +63,7 @@
     , m_deadline(context.base, [this] { onDeadline(); })
     , m_retryTimer(context.base, [this] { guarded([this] { dispatch(); }); })
     , m_startedAt(base::monotonicNow())
+    , m_fingerprint(fingerprintOf(m_request.workspace, m_request.chat.body))
     , m_bill(m_request.id, m_request.workspace, context.settings.node.name)
 { }
 
@@ -108,6 +111,10 @@
         refuse(RefusalCode::BadKey, "the workspace no longer exists", 0);
         return;
     }
+    if (m_context.poison.condemned(m_fingerprint)) {
+        refuse(RefusalCode::Poison, fmt::format("this request crashes engines; its id is {}", m_fingerprint), 0);
+        return;
+    }
     route(workspace->second);
 }
 
@@ -205,6 +212,7 @@
     m_sentAt = base::monotonicNow();
     m_tried.push_back(m_upstream);
     m_context.limits.started(m_upstream);
+    m_context.poison.started(m_upstream, m_request.id, m_fingerprint);
     m_bill.sent(m_version, m_upstream, m_context.view->config->versions.at(*decision.version).costPerRequest);
     m_run = std::make_unique<EngineRun>(m_context.base,
                                         m_context.canceller,
@@ -278,6 +286,7 @@
         return;
     }
     m_context.rollouts.answered(m_version);
+    m_context.poison.answered(m_fingerprint);
     m_bill.counted(usage.promptTokens, usage.completionTokens);
     if (!escalate(usage)) {
         deliver(usage);
@@ -311,6 +320,11 @@
     }
     if (failure.kind == RunFailureKind::Crashed) {
         m_context.limits.sawColdStart(m_upstream, base::monotonicNow());
+        m_context.poison.crashed(m_request.id);
+    }
+    const bool unreachable = failure.kind == RunFailureKind::NotRun && failure.status == 0;
+    if (unreachable || failure.kind == RunFailureKind::Crashed) {
+        m_context.restingUntil[m_upstream] = base::monotonicNow() + restAfterFailure;
     }
     release();
     if (m_reply->started()) {
@@ -436,6 +450,7 @@
     if (m_upstream.empty()) {
         return;
     }
+    m_context.poison.ended(m_request.id);
     // Work that may still run counts at its upstream until it is known not to.
     const auto upstream = std::exchange(m_upstream, {});
     const auto ended = [&context = m_context, upstream, sentAt = m_sentAt](bool) {
--- a/src/serving/exchange.h
+++ b/src/serving/exchange.h
@@ -92,6 +92,7 @@
     net::Timer m_deadline;
     net::Timer m_retryTimer;
     base::TimePoint m_startedAt;
+    std::string m_fingerprint;
     base::TimePoint m_sentAt;
     std::string m_upstream;
     std::string m_version;
--- /dev/null
+++ b/src/serving/poisonbook.cpp
@@ -0,0 +1,122 @@
+#include "serving/poisonbook.h"
+
+#include <algorithm>
+
+#include <ibisfork/fleet/digest.h>
+
+namespace ibisfork::serving {
+
+namespace {
+
+constexpr unsigned crashesToCondemn = 2;
+/// Bounds the memory that a stream of crashes can take.
+constexpr std::size_t maxSuspects = 10000;
+
+} // namespace
+
+std::string fingerprintOf(const std::string &workspace, const std::string &body)
+{
+    return fleet::sha256Hex(workspace + '\n' + body);
+}
+
+PoisonBook::PoisonBook(Condemned condemned)
+    : m_onCondemned(std::move(condemned))
+{ }
+
+bool PoisonBook::condemned(const std::string &fingerprint) const
+{
+    return m_condemnedHere.contains(fingerprint) || m_fleetCondemned.contains(fingerprint);
+}
+
+std::vector<std::string> PoisonBook::keptApartFrom(const std::string &fingerprint) const
+{
+    std::vector<std::string> upstreams;
+    if (!m_blame.contains(fingerprint)) {
+        return upstreams;
+    }
+    for (const auto &[name, run] : m_runs) {
+        if (m_blame.contains(run.fingerprint)) {
+            upstreams.push_back(run.upstream);
+        }
+    }
+    return upstreams;
+}
+
+void PoisonBook::started(const std::string &upstream, const std::string &run, const std::string &fingerprint)
+{
+    m_runs[run] = {upstream, fingerprint, false};
+}
+
+void PoisonBook::ended(const std::string &run)
+{
+    m_runs.erase(run);
+}
+
+void PoisonBook::crashed(const std::string &run)
+{
+    const auto first = m_runs.find(run);
+    if (first == m_runs.end() || first->second.blamed) {
+        return;
+    }
+    std::set<std::string> present;
+    for (auto &[name, other] : m_runs) {
+        if (other.upstream == first->second.upstream && !other.blamed) {
+            other.blamed = true;
+            present.insert(other.fingerprint);
+        }
+    }
+    blame(present);
+}
+
+void PoisonBook::blame(const std::set<std::string> &present)
+{
+    unsigned most = 0;
+    for (const auto &fingerprint : present) {
+        const auto held = m_blame.find(fingerprint);
+        most = std::max(most, held == m_blame.end() ? 0U : held->second);
+    }
+    std::vector<std::string> likely;
+    for (const auto &fingerprint : present) {
+        const auto held = m_blame.find(fingerprint);
+        if ((held == m_blame.end() ? 0U : held->second) == most) {
+            likely.push_back(fingerprint);
+        }
+    }
+    // Of several that were all there before, none can be told from the others; kept apart, the next crash tells.
+    if (most > 0 && likely.size() > 1) {
+        return;
+    }
+    for (const auto &fingerprint : likely) {
+        addBlame(fingerprint);
+    }
+}
+
+void PoisonBook::addBlame(const std::string &fingerprint)
+{
+    if (!m_blame.contains(fingerprint) && m_blame.size() >= maxSuspects) {
+        return;
+    }
+    if (++m_blame[fingerprint] >= crashesToCondemn && m_condemnedHere.insert(fingerprint).second && m_onCondemned) {
+        m_onCondemned(fingerprint);
+    }
+}
+
+void PoisonBook::answered(const std::string &fingerprint)
+{
+    if (!condemned(fingerprint)) {
+        m_blame.erase(fingerprint);
+    }
+}
+
+void PoisonBook::setFleetCondemned(const std::set<std::string> &fingerprints)
+{
+    for (const auto &fingerprint : m_fleetCondemned) {
+        if (!fingerprints.contains(fingerprint)) {
+            m_condemnedHere.erase(fingerprint);
+            m_blame.erase(fingerprint);
+        }
+    }
+    m_fleetCondemned = fingerprints;
+}
+
+} // namespace ibisfork::serving
--- a/src/serving/servingtask.cpp
+++ b/src/serving/servingtask.cpp
@@ -7,6 +7,7 @@
 
 #include <ibisfork/base/log.h>
 #include <ibisfork/base/overloaded.h>
+#include <ibisfork/fleet/rows.h>
 
 #include "net/deletelater.h"
 
@@ -70,6 +71,23 @@
     };
 }
 
+void ServingTask::onChange(const ChangeSubmitter &submit)
+{
+    m_context.rollouts.onChange(submit);
+    m_context.poison.onCondemned([this, submit](const std::string &fingerprint) {
+        base::LogLine(base::LogLevel::Warning, "poison").field("fingerprint", fingerprint);
+        m_context.metrics.counter("ibisfork_poison_total").add();
+        const auto revision = m_context.view->config->revision;
+        const nlohmann::json row{{"found_by", m_settings.node.name}};
+        submit({0,
+                fmt::format("poison-{}-{}", fingerprint, revision),
+                m_settings.node.name,
+                "a request crashed two engines",
+                {{fleet::rowprefix::poison + fingerprint, row.dump()}}},
+               revision);
+    });
+}
+
 bool ServingTask::ready() const
 {
     return !m_draining && m_slotsReady && base::monotonicNow().time_since_epoch().count() < m_confirmedUntil.load();
@@ -82,6 +100,7 @@
                        m_context.limits.update(*update.config, base::monotonicNow());
                        m_context.view = std::make_shared<const FleetView>(update.config, m_context.limits);
                        m_loadPoller.update(*update.config);
+                       m_context.poison.setFleetCondemned(update.config->poison);
                        m_context.rollouts.update(*update.config, base::monotonicNow());
                        checkSlots();
                        m_context.confirmedUntil = {};
--- a/src/serving/servingtask.h
+++ b/src/serving/servingtask.h
@@ -49,7 +49,7 @@
     void start() { m_task.start(); }
     void stop() { m_task.stop(); }
     /// Where changes that follow from what is served go to; called before start.
-    void onChange(ChangeSubmitter submit) { m_context.rollouts.onChange(std::move(submit)); }
+    void onChange(const ChangeSubmitter &submit);
     /// Where signs of a cold start are told for other nodes; called on the task's thread. Before start() only.
     void onNotice(std::function<void(upstream::Notice)> handler) { m_context.limits.onNotice(std::move(handler)); }
     /// Hands a message to the task, from any thread.
