Claim calls that may not be repeated before they run

A call with an Idempotency-Key is inserted as claim/WORKSPACE/KEY before it is sent. The claims of a node go to the table in groups: one read, one commit of what is free; if another node gets ahead, the group is read and committed again without what was taken. A lost answer is read back by the own token. The outcome is recorded in the row and answers whoever asks again; a claim without an outcome is told as unknown and never run a second time. It is released only if no byte was sent. With the table out of reach the call is refused as not run.

A service call whose only upstream failed is now refused as upstream_failed, like a chat, and not as no_upstream.

Not built: groups per failure domain, clean-up of rows.

--- /dev/null
+++ b/src/coord/claims.cpp
@@ -0,0 +1,72 @@
+#include <ibisfork/coord/claims.h>
+
+#include <set>
+
+namespace ibisfork::coord {
+
+namespace {
+
+ClaimStep planTake(const ClaimOperation &operation, const HeldClaim *held)
+{
+    if (held == nullptr) {
+        return ClaimWrite{operation.key, 0, operation.claim};
+    }
+    const auto &claim = held->claim;
+    if (claim.token == operation.claim.token) {
+        return ClaimResult{ClaimVerdict::Granted, {}};
+    }
+    if (claim.digest != operation.claim.digest) {
+        return ClaimResult{ClaimVerdict::OtherCall, {}};
+    }
+    if (claim.answer) {
+        return ClaimResult{ClaimVerdict::Answered, claim.answer};
+    }
+    return ClaimResult{ClaimVerdict::Running, {}};
+}
+
+/// Settles and releases touch the operation's own claim only, and that only until it has its answer.
+bool isOwnAndOpen(const ClaimOperation &operation, const HeldClaim *held)
+{
+    return held != nullptr && held->claim.token == operation.claim.token && !held->claim.answer;
+}
+
+} // namespace
+
+ClaimStep planClaim(const ClaimOperation &operation, const HeldClaim *held)
+{
+    if (operation.action == ClaimAction::Take) {
+        return planTake(operation, held);
+    }
+    if (!isOwnAndOpen(operation, held)) {
+        return ClaimResult{ClaimVerdict::Done, {}};
+    }
+    if (operation.action == ClaimAction::Release) {
+        return ClaimWrite{operation.key, held->rowVersion, std::nullopt};
+    }
+    return ClaimWrite{operation.key, held->rowVersion, operation.claim};
+}
+
+ClaimResult committedResult(const ClaimOperation &operation)
+{
+    return {operation.action == ClaimAction::Take ? ClaimVerdict::Granted : ClaimVerdict::Done, {}};
+}
+
+std::vector<ClaimOperation> takeGroup(std::vector<ClaimOperation> &waiting, std::size_t most)
+{
+    std::vector<ClaimOperation> group;
+    std::vector<ClaimOperation> left;
+    std::set<std::string> keys;
+    for (auto &operation : waiting) {
+        // The key of an operation that is left blocks those behind it.
+        const bool first = keys.insert(operation.key).second;
+        if (first && group.size() < most) {
+            group.push_back(std::move(operation));
+        } else {
+            left.push_back(std::move(operation));
+        }
+    }
+    waiting = std::move(left);
+    return group;
+}
+
+} // namespace ibisfork::coord
--- a/src/serving/context.h
+++ b/src/serving/context.h
@@ -9,6 +9,7 @@
 #include <ibisfork/coord/retrybudget.h>
 #include <ibisfork/fleet/config.h>
 
+#include "ledger/claimdesk.h"
 #include "net/libevent.h"
 #include "routing/keyindex.h"
 #include "routing/router.h"
@@ -94,6 +95,8 @@
     /// Last known incarnation of each engine, by upstream.
     std::map<std::string, std::string> incarnations;
     Recorder recorder = recordNothing;
+    /// Owned by the serving task; outlives the requests.
+    ledger::ClaimDesk *claims = nullptr;
 };
 
 } // namespace ibisfork::serving
--- a/src/serving/serviceexchange.cpp
+++ b/src/serving/serviceexchange.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 
 #include <ibisfork/base/log.h>
+#include <ibisfork/fleet/digest.h>
 
 namespace ibisfork::serving {
 
@@ -20,6 +21,9 @@
 constexpr const char *servicesPrefix = "/v1/services/";
 constexpr std::size_t maxAttempts = 2;
 constexpr int retryAfterSeconds = 1;
+constexpr std::size_t maxKeyLength = 200;
+/// An answer past it is not recorded; who asks again is told that the outcome is not known.
+constexpr std::size_t maxRecordedAnswer = 64UL * 1024;
 
 /// The caller's headers without what is meant for this node: its key and the id that the node gives.
 net::HttpHeaders headersForService(const net::HttpHeaders &headers, const std::string &requestId)
@@ -35,6 +39,19 @@
     return out;
 }
 
+bool goodKey(const std::string &key)
+{
+    return !key.empty() && key.size() <= maxKeyLength
+        && std::all_of(key.begin(), key.end(), [](char letter) { return letter > ' ' && letter <= '~'; });
+}
+
+/// Names the call, so that another one under the same key is seen.
+std::string digestOf(const ServiceRequest &request)
+{
+    const auto method = static_cast<int>(request.call.method);
+    return fleet::sha256Hex(fmt::format("{} {}{}\n{}", method, request.service, request.call.path, request.call.body));
+}
+
 } // namespace
 
 ServicePath servicePathOf(const std::string &path)
@@ -77,7 +94,89 @@
 {
     m_reply->onGone([this] { onGone(); });
     m_deadline.startOnce(m_request.deadline);
-    dispatch();
+    const auto key = m_request.call.headers.find("Idempotency-Key");
+    if (key && !repeatable(m_request.call.method)) {
+        claim(*key);
+    } else {
+        dispatch();
+    }
+}
+
+bool ServiceExchange::permitted() const
+{
+    const auto &workspaces = m_context.view->config->workspaces;
+    const auto workspace = workspaces.find(m_request.workspace);
+    if (workspace == workspaces.end()) {
+        return false;
+    }
+    const auto &services = workspace->second.services;
+    return std::find(services.begin(), services.end(), m_request.service) != services.end();
+}
+
+void ServiceExchange::claim(const std::string &key)
+{
+    if (!permitted()) {
+        refuse(RefusalCode::NotPermitted, "the workspace may not use this service", 0);
+        return;
+    }
+    if (!goodKey(key)) {
+        refuse(RefusalCode::BadRequest, "Idempotency-Key must be 1 to 200 visible ASCII characters", 0);
+        return;
+    }
+    m_claim = {m_request.workspace, key, digestOf(m_request)};
+    m_claimToken = m_context.claims->take(m_claim, [this](const ledger::ClaimAnswer &answer) { onClaim(answer); });
+}
+
+void ServiceExchange::onClaim(const ledger::ClaimAnswer &answer)
+{
+    const auto *result = std::get_if<coord::ClaimResult>(&answer);
+    if (result != nullptr && result->verdict == coord::ClaimVerdict::Granted) {
+        dispatch();
+        return;
+    }
+    m_claimToken.clear();
+    if (result == nullptr) {
+        refuse(RefusalCode::ClaimsUnavailable, "the call can't be claimed now", retryAfterSeconds);
+    } else if (result->verdict == coord::ClaimVerdict::Answered) {
+        replay(*result->answer);
+    } else if (result->verdict == coord::ClaimVerdict::OtherCall) {
+        refuse(RefusalCode::KeyReused, "another call was made under this Idempotency-Key", 0);
+    } else {
+        m_mayHaveRun = true;
+        refuse(RefusalCode::InProgress,
+               "a call with this key runs or its outcome is not known; ask again later or check at the service",
+               retryAfterSeconds);
+    }
+}
+
+void ServiceExchange::replay(const coord::RecordedAnswer &answer)
+{
+    net::HttpHeaders headers;
+    headers.add("X-Request-Id", m_requestId);
+    headers.add("Idempotent-Replayed", "true");
+    if (!answer.contentType.empty()) {
+        headers.add("Content-Type", answer.contentType);
+    }
+    m_reply->send(answer.status, headers, answer.body);
+    finish("replayed");
+}
+
+void ServiceExchange::settleClaim(const net::HttpResponse &response)
+{
+    const auto token = std::exchange(m_claimToken, {});
+    if (!token.empty() && response.body.size() <= maxRecordedAnswer) {
+        const auto contentType = response.head.headers.find("Content-Type").value_or("");
+        m_context.claims->settle(m_claim, token, {response.head.status, contentType, response.body});
+    }
+}
+
+void ServiceExchange::releaseClaim()
+{
+    const auto token = std::exchange(m_claimToken, {});
+    // A claim whose call may have run is kept: it stands for an outcome that is not known.
+    if (!token.empty() && !m_mayHaveRun) {
+        m_context.claims->release(m_claim, token);
+    }
 }
 
 void ServiceExchange::dispatch()
@@ -90,12 +189,7 @@
                retryAfterSeconds);
         return;
     }
-    const auto &workspaces = m_context.view->config->workspaces;
-    const auto workspace = workspaces.find(m_request.workspace);
-    const bool permitted = workspace != workspaces.end()
-        && std::find(workspace->second.services.begin(), workspace->second.services.end(), m_request.service)
-            != workspace->second.services.end();
-    if (!permitted) {
+    if (!permitted()) {
         refuse(RefusalCode::NotPermitted, "the workspace may not use this service", 0);
         return;
     }
@@ -104,6 +198,12 @@
             return m_context.roomAt(upstream, now);
         });
     logDecision(decision);
+    if (decision.upstream.empty() && !m_tried.empty()) {
+        refuse(RefusalCode::UpstreamFailed,
+               "the upstream that was tried failed and no other has room",
+               m_mayHaveRun ? 0 : retryAfterSeconds);
+        return;
+    }
     if (decision.upstream.empty()) {
         refuse(RefusalCode::NoUpstream, "no upstream of the service has room", retryAfterSeconds);
         return;
@@ -154,6 +254,11 @@
 
 void ServiceExchange::answer(const net::HttpResponse &response)
 {
+    settleClaim(response);
+    if (m_callerGone) {
+        finish("answered-caller-gone");
+        return;
+    }
     auto headers = upstream::endToEndHeaders(response.head.headers);
     headers.add("X-Request-Id", m_requestId);
     const auto length = response.head.headers.find("Content-Length");
@@ -166,7 +271,13 @@
 
 void ServiceExchange::onGone()
 {
+    m_mayHaveRun = m_mayHaveRun || (m_call && m_call->bytesLeft());
     m_reply->abort();
+    if (m_mayHaveRun && m_call && !m_claimToken.empty()) {
+        // The call goes on, so that its outcome is there when the caller asks again.
+        m_callerGone = true;
+        return;
+    }
     finish("caller-gone");
 }
 
@@ -185,6 +296,10 @@
         .field("service", m_request.service)
         .field("code", caller::nameOf(code))
         .field("run", base::nameOf(caller::runStateNames, run));
+    if (m_callerGone) {
+        finish("caller-gone");
+        return;
+    }
     net::HttpHeaders headers;
     headers.add("X-Request-Id", m_requestId);
     caller::sendRefusal(*m_reply, {code, run, message, retryAfter}, headers);
@@ -219,6 +334,7 @@
 void ServiceExchange::finish(const char *outcome)
 {
     m_context.metrics.counter("ibisfork_service_calls_total", {{"outcome", outcome}}).add();
+    releaseClaim();
     release();
     m_deadline.stop();
     // The owner destroys this object in the callback.
--- a/src/serving/serviceexchange.h
+++ b/src/serving/serviceexchange.h
@@ -49,6 +49,12 @@
     void start();
 
 private:
+    bool permitted() const;
+    void claim(const std::string &key);
+    void onClaim(const ledger::ClaimAnswer &answer);
+    void replay(const coord::RecordedAnswer &answer);
+    void settleClaim(const net::HttpResponse &response);
+    void releaseClaim();
     void dispatch();
     void send(const std::string &upstream);
     void onOutcome(const upstream::ServiceOutcome &outcome);
@@ -71,6 +77,10 @@
     std::vector<std::string> m_tried;
     std::unique_ptr<upstream::ServiceCall> m_call;
     bool m_mayHaveRun = false;
+    bool m_callerGone = false;
+    /// The claim that this call holds or asks for, and its token; no token: there is none.
+    ledger::ClaimRequest m_claim;
+    std::string m_claimToken;
 };
 
 } // namespace ibisfork::serving
--- a/src/serving/servingtask.cpp
+++ b/src/serving/servingtask.cpp
@@ -51,6 +51,7 @@
     , m_context(m_task.base(), settings, metrics, decisions, incarnation)
     , m_table(m_task.base(), settings.platform, settings.timing.platformTimeout)
     , m_bills(m_task.base(), m_table, {settings.timing.billWindow, settings.limits.maxPendingBills}, metrics)
+    , m_claims(m_task.base(), m_table, settings.timing.claimWindow, metrics)
     , m_slotsTimer(m_task.base(), [this] { checkSlots(); })
     , m_loadPoller(m_task.base(), m_context.limits, metrics)
     , m_server(m_task.base(),
@@ -66,6 +67,8 @@
         m_server.useTls(*m_tls);
     }
     m_bills.onEmpty([this] { checkDrained(); });
+    m_claims.onEmpty([this] { checkDrained(); });
+    m_context.claims = &m_claims;
     m_context.recorder = [this](const ledger::Bill &bill, std::function<void()> recorded) {
         m_bills.whenSafe(m_bills.record(bill), std::move(recorded));
     };
@@ -335,7 +338,8 @@
 void ServingTask::checkDrained()
 {
     // The last bytes of the last answers must have left before the process ends.
-    const bool idle = m_exchanges.empty() && m_serviceExchanges.empty() && m_bills.empty() && m_server.unflushed() == 0;
+    const bool idle = m_exchanges.empty() && m_serviceExchanges.empty() && m_bills.empty() && m_claims.empty()
+        && m_server.unflushed() == 0;
     if (m_graceOver && idle && m_drained) {
         m_drainTimer.stop();
         std::exchange(m_drained, nullptr)();
--- a/src/serving/servingtask.h
+++ b/src/serving/servingtask.h
@@ -83,6 +83,7 @@
     Context m_context;
     platform::TableClient m_table;
     ledger::BillDesk m_bills;
+    ledger::ClaimDesk m_claims;
     std::atomic<bool> m_draining{false};
     std::atomic<base::TimePoint::rep> m_confirmedUntil{0};
     std::function<void()> m_drained;
--- /dev/null
+++ b/tests/coord/claims_test.cpp
@@ -0,0 +1,81 @@
+#include <gtest/gtest.h>
+
+#include <ibisfork/coord/claims.h>
+
+namespace ibisfork::coord {
+
+struct PlanCase
+{
+    const char *name;
+    ClaimAction action;
+    /// Token and digest of the claim held; no token: none is held.
+    const char *heldToken;
+    const char *heldDigest;
+    bool heldAnswered;
+    /// The verdict, or nothing where a row is to be written.
+    std::optional<ClaimVerdict> verdict;
+};
+
+class ClaimPlanTest : public testing::TestWithParam<PlanCase>
+{
+};
+
+TEST_P(ClaimPlanTest, planClaim_onWhatIsHeld_decides)
+{
+    const auto &param = GetParam();
+    HeldClaim held{{param.heldDigest, param.heldToken, "other", 0, {}}, 7};
+    if (param.heldAnswered) {
+        held.claim.answer = RecordedAnswer{201, "text/plain", "booked"};
+    }
+    const ClaimOperation operation{param.action, "key", {"digest", "mine", "me", 0, {}}};
+    const auto step = planClaim(operation, *param.heldToken == '\0' ? nullptr : &held);
+    if (!param.verdict) {
+        ASSERT_TRUE(std::holds_alternative<ClaimWrite>(step));
+        EXPECT_EQ(std::get<ClaimWrite>(step).rowVersion, *param.heldToken == '\0' ? 0U : 7U);
+        return;
+    }
+    ASSERT_TRUE(std::holds_alternative<ClaimResult>(step));
+    EXPECT_EQ(std::get<ClaimResult>(step).verdict, *param.verdict);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Cases,
+    ClaimPlanTest,
+    testing::Values(
+        PlanCase{"takeFree", ClaimAction::Take, "", "", false, {}},
+        PlanCase{"takeOwnAfterLostAnswer", ClaimAction::Take, "mine", "digest", false, ClaimVerdict::Granted},
+        PlanCase{"takeHeld", ClaimAction::Take, "theirs", "digest", false, ClaimVerdict::Running},
+        PlanCase{"takeAnswered", ClaimAction::Take, "theirs", "digest", true, ClaimVerdict::Answered},
+        PlanCase{"takeOtherCall", ClaimAction::Take, "theirs", "other", false, ClaimVerdict::OtherCall},
+        PlanCase{"takeOtherCallAnswered", ClaimAction::Take, "theirs", "other", true, ClaimVerdict::OtherCall},
+        PlanCase{"settleOwn", ClaimAction::Settle, "mine", "digest", false, {}},
+        PlanCase{"settleOwnTwice", ClaimAction::Settle, "mine", "digest", true, ClaimVerdict::Done},
+        PlanCase{"settleCleanedUp", ClaimAction::Settle, "", "", false, ClaimVerdict::Done},
+        PlanCase{"settleOfAnother", ClaimAction::Settle, "theirs", "digest", false, ClaimVerdict::Done},
+        PlanCase{"releaseOwn", ClaimAction::Release, "mine", "digest", false, {}},
+        PlanCase{"releaseOwnAnswered", ClaimAction::Release, "mine", "digest", true, ClaimVerdict::Done},
+        PlanCase{"releaseOfAnother", ClaimAction::Release, "theirs", "digest", false, ClaimVerdict::Done}),
+    [](const auto &info) { return info.param.name; });
+
+class ClaimGroupTest : public testing::Test
+{
+};
+
+TEST_F(ClaimGroupTest, takeGroup_twoOperationsOnOneKey_goInOrderInTwoGroups)
+{
+    std::vector<ClaimOperation> waiting{{ClaimAction::Take, "a", {}},
+                                        {ClaimAction::Release, "a", {}},
+                                        {ClaimAction::Take, "b", {}},
+                                        {ClaimAction::Take, "c", {}}};
+    const auto first = takeGroup(waiting, 2);
+    ASSERT_EQ(first.size(), 2U);
+    EXPECT_EQ(first[0].key, "a");
+    EXPECT_EQ(first[1].key, "b");
+    const auto second = takeGroup(waiting, 2);
+    ASSERT_EQ(second.size(), 2U);
+    EXPECT_EQ(second[0].action, ClaimAction::Release);
+    EXPECT_EQ(second[1].key, "c");
+    EXPECT_TRUE(waiting.empty());
+}
+
+} // namespace ibisfork::coord
--- a/tests/platform/faketable.h
+++ b/tests/platform/faketable.h
@@ -34,6 +34,8 @@
     unsigned loseAnswers = 0;
     unsigned loseCommits = 0;
     unsigned commits = 0;
+    /// Goes down after so many more commits; 0 for never.
+    unsigned downAfterCommits = 0;
 
 private:
     void serve(const net::HttpServerRequest &request)
@@ -51,6 +53,9 @@
     void commit(net::HttpReply &reply, const nlohmann::json &transaction)
     {
         ++commits;
+        if (downAfterCommits > 0 && --downAfterCommits == 0) {
+            down = true;
+        }
         if (loseCommits > 0) {
             --loseCommits;
             reply.abort();
