Let a slot be used once the revision that moved it is accepted

Cause: waiting out confirm_within after a revision is not enough. Without the table, a majority that has not heard of the revision may stay confirmed at the older one, as the property test now plays, and two nodes could use one slot. Change: a gained slot counts from acceptance, which the fleet task publishes with each confirmation; a removed upstream is forgotten likewise. The test of a fleet that is killed whole expected a lone newborn to serve before the platform says that the dead are dead: the dead could have been a majority that still serves, so it now expects a refusal as not run until then, and an answer afterwards. Conclusion: after the loss of all nodes at once service waits for the platform's VM list; a promise goes before it.

--- a/bench/slots/routecost.cpp
+++ b/bench/slots/routecost.cpp
@@ -66,7 +66,7 @@
 {
     auto config = regionConfig();
     const auto now = base::monotonicNow();
-    upstream::LimitBook limits("node-7", "life-1", {std::chrono::seconds(6), std::chrono::seconds(60)});
+    upstream::LimitBook limits("node-7", "life-1", {std::chrono::seconds(60)});
     limits.update(config, now);
     addUpstreams(config);
     limits.update(config, now);
--- a/bench/slots/simulation.cpp
+++ b/bench/slots/simulation.cpp
@@ -19,6 +19,7 @@
 constexpr auto length = 300s;
 constexpr auto maxWait = 5s;
 constexpr auto oneWay = 2ms;
+constexpr std::chrono::seconds acceptedAfter{6};
 constexpr auto pollStep = 50ms;
 constexpr auto restartEvery = 25s;
 constexpr auto nodeReplacedAfter = 150s;
@@ -89,7 +90,7 @@
     node.name = fmt::format("node-{}", index);
     ++node.life;
     // The baselines know of no former holders to wait for.
-    const auto times = m_scenario.sharing == Sharing::Slots ? coord::SlotTimes{6s, 60s} : coord::SlotTimes{0s, 0s, 0s};
+    const auto times = m_scenario.sharing == Sharing::Slots ? coord::SlotTimes{60s} : coord::SlotTimes{0s, 0s};
     node.limits = std::make_unique<upstream::LimitBook>(node.name, std::to_string(node.life), times);
     node.limits->onNotice([this, index](const upstream::Notice &notice) {
         schedule(2 * oneWay, [this, index, notice] {
@@ -108,6 +109,11 @@
     for (auto &node : m_nodes) {
         node.limits->update(configFor(node), m_now);
     }
+    schedule(m_scenario.sharing == Sharing::Slots ? acceptedAfter : 0s, [this, revision = m_revision] {
+        for (auto &node : m_nodes) {
+            node.limits->noteAccepted(revision, m_now);
+        }
+    });
 }
 
 fleet::Config Simulation::configFor(const Node &self) const
--- a/include/ibisfork/coord/slotbook.h
+++ b/include/ibisfork/coord/slotbook.h
@@ -15,8 +15,6 @@
 /// Bounds that the hand-over of a slot rests on.
 struct SlotTimes
 {
-    /// Time for which a node may act on a revision after it was last known to be the newest.
-    base::Duration confirmWithin{};
     /// Longest time that one run stays at an upstream.
     base::Duration longestRun{};
     /// Longest time that a dispatched request is on its way.
@@ -25,8 +23,9 @@
 
 /// The slots that one node holds, and which of them it may use by now.
 ///
-/// A slot that another node may have held before is used once that node can start nothing more on it and what it
-/// started is over: after the longest run, or as far as the upstream itself reports fewer runs.
+/// A slot that another node may have held before is used once the revision that moved it is accepted, so that no node
+/// acts on an older one, and what the former holder started is over: after the longest run, or as far as the upstream
+/// itself reports fewer runs.
 class SlotBook
 {
 public:
@@ -40,6 +39,9 @@
                 const std::vector<SlotUpstream> &upstreams,
                 base::TimePoint now);
 
+    /// Notes that no node acts on a revision older than @p accepted any more, as known from @p now on.
+    void noteAccepted(Revision accepted, base::TimePoint now);
+
     /// Slots below number @p limit of @p upstream that this node may use at @p now.
     std::uint32_t usable(const std::string &upstream, std::uint32_t limit, base::TimePoint now) const;
 
@@ -54,8 +56,10 @@
     struct Slot
     {
         std::uint32_t number = 0;
-        /// When this node gained it from an unknown holder; nothing if it had none.
-        std::optional<base::TimePoint> gainedAt;
+        /// The revision by which this node gained it from an unknown holder; nothing if it had none.
+        std::optional<Revision> gainedIn;
+        /// When that revision was accepted.
+        std::optional<base::TimePoint> freedAt;
         /// Fewest runs that the upstream had since the former holder could start no more.
         std::optional<std::uint32_t> leftover;
     };
@@ -63,19 +67,22 @@
     struct Presence
     {
         Revision seenIn = 0;
+        /// When a revision without it was accepted.
         std::optional<base::TimePoint> removedAt;
     };
 
     bool settled(const Slot &slot, base::TimePoint now) const;
-    Slots take(const std::string &upstream, const Slots &before, bool fresh, base::TimePoint now) const;
+    Slots take(const std::string &upstream, const Slots &before, bool fresh) const;
+    void noteFreed(base::TimePoint now);
     void forgetRemoved(base::TimePoint now);
 
     HolderId m_self;
     SlotTimes m_times;
     Revision m_revision = 0;
+    Revision m_accepted = 0;
     SlotMap m_map;
     std::unordered_map<std::string, Slots> m_held;
-    /// Upstreams of the revision, and those removed a short while ago with the time of it.
+    /// Upstreams of the revision, and those removed a short while ago.
     std::unordered_map<std::string, Presence> m_known;
 };
 
--- a/src/coord/slotbook.cpp
+++ b/src/coord/slotbook.cpp
@@ -29,16 +29,18 @@
             continue;
         }
         const auto before = gapless ? m_held.find(upstream.id) : m_held.end();
-        auto slots = take(upstream.id, before == m_held.end() ? Slots() : before->second, gapless && isNew, now);
+        auto slots = take(upstream.id, before == m_held.end() ? Slots() : before->second, gapless && isNew);
         if (!slots.empty()) {
             held.emplace(upstream.id, std::move(slots));
         }
     }
     m_held = std::move(held);
     forgetRemoved(now);
+    // The revision may have been accepted before this node took it.
+    noteFreed(now);
 }
 
-SlotBook::Slots SlotBook::take(const std::string &upstream, const Slots &before, bool fresh, base::TimePoint now) const
+SlotBook::Slots SlotBook::take(const std::string &upstream, const Slots &before, bool fresh) const
 {
     Slots slots;
     const auto &holders = m_map.holders(upstream);
@@ -51,24 +53,42 @@
         if (kept != before.end()) {
             slots.push_back(*kept);
         } else {
-            slots.push_back({number, fresh ? std::nullopt : std::optional(now), std::nullopt});
+            slots.push_back({number, fresh ? std::nullopt : std::optional(m_revision), std::nullopt, std::nullopt});
         }
     }
     return slots;
 }
 
-void SlotBook::forgetRemoved(base::TimePoint now)
+void SlotBook::noteAccepted(Revision accepted, base::TimePoint now)
 {
-    // An upstream that comes back soon may still run what its former holders sent.
-    const auto keep = m_times.confirmWithin + m_times.transit + m_times.longestRun;
-    for (auto &[id, presence] : m_known) {
-        if (presence.seenIn != m_revision && !presence.removedAt) {
+    if (accepted > m_accepted) {
+        m_accepted = accepted;
+        noteFreed(now);
+    }
+}
+
+void SlotBook::noteFreed(base::TimePoint now)
+{
+    for (auto &[upstream, slots] : m_held) {
+        for (auto &slot : slots) {
+            if (slot.gainedIn && !slot.freedAt && *slot.gainedIn <= m_accepted) {
+                slot.freedAt = now;
+            }
+        }
+    }
+    for (auto &[upstream, presence] : m_known) {
+        if (presence.seenIn < m_revision && presence.seenIn < m_accepted && !presence.removedAt) {
             presence.removedAt = now;
         }
     }
+}
+
+void SlotBook::forgetRemoved(base::TimePoint now)
+{
+    // An upstream that comes back soon may still run what its former holders sent.
     std::erase_if(m_known, [&](const auto &known) {
         const auto &removedAt = known.second.removedAt;
-        return removedAt && now - *removedAt >= keep;
+        return removedAt && now >= *removedAt + m_times.transit + m_times.longestRun;
     });
 }
 
@@ -103,7 +123,7 @@
         return;
     }
     for (auto &slot : held->second) {
-        if (slot.gainedAt && madeAt >= *slot.gainedAt + m_times.confirmWithin + m_times.transit) {
+        if (slot.freedAt && madeAt >= *slot.freedAt + m_times.transit) {
             slot.leftover = std::min(slot.leftover.value_or(runs), runs);
         }
     }
@@ -119,7 +139,7 @@
 
 bool SlotBook::settled(const Slot &slot, base::TimePoint now) const
 {
-    return !slot.gainedAt || now >= *slot.gainedAt + m_times.confirmWithin + m_times.transit + m_times.longestRun;
+    return !slot.gainedIn || (slot.freedAt && now >= *slot.freedAt + m_times.transit + m_times.longestRun);
 }
 
 } // namespace ibisfork::coord
--- a/src/platform/ratingsclient.cpp
+++ b/src/platform/ratingsclient.cpp
@@ -50,7 +50,7 @@
     , m_timeout(timeout)
 { }
 
-void RatingsClient::read(std::uint64_t position, std::function<void(std::optional<RatingsPage>)> done)
+void RatingsClient::read(std::uint64_t position, const std::function<void(std::optional<RatingsPage>)> &done)
 {
     if (m_call) {
         return;
--- a/src/platform/ratingsclient.h
+++ b/src/platform/ratingsclient.h
@@ -41,7 +41,7 @@
     /// Reads the ratings after @p position; gives nothing if the service does not answer in time. Ratings that
     /// can't be read are passed over. A read that is asked
     /// for while one runs is dropped.
-    void read(std::uint64_t position, std::function<void(std::optional<RatingsPage>)> done);
+    void read(std::uint64_t position, const std::function<void(std::optional<RatingsPage>)> &done);
 
 private:
     event_base *m_base;
--- a/src/serving/context.h
+++ b/src/serving/context.h
@@ -54,9 +54,7 @@
         , settings(nodeSettings)
         , metrics(registry)
         , decisions(log)
-        , limits(nodeSettings.node.name,
-                 incarnation,
-                 {nodeSettings.timing.confirmWithin, nodeSettings.timing.longestRun})
+        , limits(nodeSettings.node.name, incarnation, {nodeSettings.timing.longestRun})
         , admission(eventBase, registry)
         , canceller(eventBase, upstreamTimeouts())
         , rollouts(eventBase, nodeSettings, registry, incarnation)
--- a/src/serving/servingtask.cpp
+++ b/src/serving/servingtask.cpp
@@ -112,6 +112,7 @@
                        const bool held = m_context.view && m_context.view->config->revision == update.revision;
                        m_context.confirmedUntil = held ? update.until : base::TimePoint{};
                        m_confirmedUntil = m_context.confirmedUntil.time_since_epoch().count();
+                       m_context.limits.noteAccepted(update.accepted, base::monotonicNow());
                        if (update.taken) {
                            update.taken();
                        }
--- a/tests/coord/slotbook_test.cpp
+++ b/tests/coord/slotbook_test.cpp
@@ -20,7 +20,7 @@
 constexpr base::Duration transit = 1s;
 constexpr std::uint32_t limit = 5;
 constexpr unsigned nodeCount = 4;
-const SlotTimes times{confirmWithin, longestRun, transit};
+const SlotTimes times{longestRun, transit};
 
 } // namespace
 
@@ -40,6 +40,10 @@
 TEST_F(SlotBookTest, usable_firstRevisionOfAProcess_waitsOutFormerHolderAndItsRuns)
 {
     update(5, {{"a", "r1"}}, 0s);
+    EXPECT_EQ(usable(3600s), 0U);
+    m_book.noteAccepted(4, m_start + 5s);
+    EXPECT_EQ(usable(3600s), 0U);
+    m_book.noteAccepted(5, m_start + 6s);
     EXPECT_EQ(usable(16s), 0U);
     EXPECT_EQ(usable(17s), limit);
 }
@@ -58,6 +62,9 @@
     m_book.update(7, true, {{"a", "r1"}}, {}, m_start + 2s);
     update(8, {{"a", "r1"}}, 3s);
     EXPECT_EQ(usable(3s), 0U);
+    m_book.noteAccepted(8, m_start + 4s);
+    EXPECT_EQ(usable(14s), 0U);
+    EXPECT_EQ(usable(15s), limit);
 }
 
 TEST_F(SlotBookTest, usable_revisionsSkipped_waits)
@@ -71,6 +78,7 @@
 TEST_F(SlotBookTest, usable_reportAfterTheWait_givesWhatIsSurelyFree)
 {
     update(5, {{"a", "r1"}}, 0s);
+    m_book.noteAccepted(5, m_start + 6s);
     m_book.sawRuns("e1", 0, m_start + 6s);
     EXPECT_EQ(usable(7s), 0U);
     m_book.sawRuns("e1", 2, m_start + 7s);
@@ -104,6 +112,7 @@
         const auto amount = word >> 8;
         const auto kind = word % 64;
         const bool rare = amount % 4 == 0;
+        evaluate();
         if (kind == 0 && rare) {
             m_history.push_back(m_history.back() ^ (1U << (amount % nodeCount)));
         } else if (kind == 1 && rare) {
@@ -113,9 +122,13 @@
             ask(node);
         } else if (kind < 22) {
             hear(node, amount % 16 == 0);
+        } else if (kind < 24) {
+            node.book.noteAccepted(m_accepted, m_now);
         } else if (kind < 26) {
+            confirmByPeers(node);
+        } else if (kind < 30) {
             node.book.sawRuns("e1", running(), m_now);
-        } else if (kind < 36) {
+        } else if (kind < 38) {
             advance(std::chrono::milliseconds(amount * 5));
         } else {
             dispatch(node, std::chrono::milliseconds(amount * 4));
@@ -131,7 +144,11 @@
             ask(node);
             hear(node, false);
         }
-        advance(confirmWithin + transit + longestRun);
+        evaluate();
+        for (auto &node : m_nodes) {
+            node.book.noteAccepted(m_accepted, m_now);
+        }
+        advance(transit + longestRun);
     }
 
     std::uint32_t usable() const
@@ -168,6 +185,27 @@
         base::TimePoint until;
     };
 
+    /// Accepts the revisions that no node can act on an older one of.
+    void evaluate()
+    {
+        const auto past = [this](const Node &node) {
+            const bool answerConfirms = node.answer <= m_accepted && m_now < node.askedAt + confirmWithin;
+            return node.revision > m_accepted
+                || (!node.confirmation.confirmed(node.revision, m_now) && !answerConfirms);
+        };
+        while (m_accepted < m_history.size() && std::all_of(m_nodes.begin(), m_nodes.end(), past)) {
+            ++m_accepted;
+        }
+    }
+
+    /// Without the table, a node that has heard of nothing newer may stay confirmed until the next is accepted.
+    void confirmByPeers(Node &node) const
+    {
+        if (node.revision >= m_accepted && node.confirmation.newestKnown() <= node.revision) {
+            node.confirmation.learn(node.revision, m_now);
+        }
+    }
+
     void ask(Node &node) const
     {
         node.askedAt = m_now;
@@ -238,6 +276,7 @@
     std::vector<Run> m_runs;
     /// Members by revision, as bits.
     std::vector<unsigned> m_history;
+    Revision m_accepted = 0;
     std::uint32_t m_mostRunning = 0;
 };
 
--- a/tests/process/fleet_test.cpp
+++ b/tests/process/fleet_test.cpp
@@ -229,7 +229,7 @@
     EXPECT_EQ(memberCount(3), 3);
 }
 
-TEST_F(FleetProcessTest, nodes_allKilledAndBornAnew_serveAndAcceptOnceTheVmListSaysSo)
+TEST_F(FleetProcessTest, nodes_allKilledAndBornAnew_acceptAndServeOnceTheVmListSaysSo)
 {
     Json vms = Json::array();
     const auto held = rows(0);
@@ -243,11 +243,18 @@
         m_fleet.stopNode(node);
     }
     const auto born = m_fleet.addNode("a", keys);
-    ASSERT_TRUE(eventually(inForceWithin, [&] { return chatStatus(born) == 200; }));
+    ASSERT_TRUE(eventually(inForceWithin, [&] { return memberCount(born) == 4; }));
     submit(born, "change", domainRow("d"));
-    // Two of the three old members could still confirm each other, for all that is known.
+    // Two of the three old members could still confirm each other and use the slots, for all that is known.
     std::this_thread::sleep_for(confirmationLapses);
     EXPECT_EQ(stateOf(born, "change"), "pending");
+    net::HttpHeaders headers;
+    headers.add("Authorization", "Bearer secret");
+    headers.add("X-Deadline-Ms", "1000");
+    const Json body{{"messages", {{{"role", "user"}, {"content", "hello"}}}}};
+    const auto refused = post(m_fleet.callers(born), "/v1/chat/completions", body, headers);
+    EXPECT_NE(refused.status, 200);
+    EXPECT_THAT(refused.body, testing::HasSubstr("not_run"));
     net::HttpRequest request;
     request.method = net::HttpMethod::Put;
     request.path = "/v1/vms";
@@ -255,6 +262,7 @@
     ASSERT_EQ(call(m_fleet.platform(), request).status, 200);
     EXPECT_TRUE(accepted(born, "change", 15s));
     EXPECT_TRUE(eventually(15s, [&] { return memberCount(born) == 1; }));
+    EXPECT_TRUE(eventually(inForceWithin, [&] { return chatStatus(born) == 200; }));
 }
 
 TEST_F(FleetProcessTest, node_killedAndHeardByNobody_isRemoved)
--- a/tests/upstream/limitbook_test.cpp
+++ b/tests/upstream/limitbook_test.cpp
@@ -38,7 +38,7 @@
     }
 
     fleet::Config m_config;
-    LimitBook m_book{"a", "life-1", {6s, 60s}};
+    LimitBook m_book{"a", "life-1", {60s}};
     std::vector<Notice> m_notices;
 };
 
