--- a/bench/policy/cascade.cpp
+++ b/bench/policy/cascade.cpp
@@ -72,7 +72,7 @@
         cost += request >= requests / 2 ? spent : 0.0;
         good += request >= requests / 2 ? score : 0.0;
     }
-    constexpr unsigned half = requests / 2;
+    constexpr int half = requests / 2;
     constexpr double counted = requests - half;
     return {{"policy", name},
             {"cheap_suffices", easyPart},
