Tell all nodes of a cold start that one of them saw

Cause: a node without a run at an engine that restarted learnt of it by the next load report only, up to 1 s later. Change: notices go over the links between nodes; each node takes one once, by its id, and passes it on. A notice decides nothing: the node that hears it takes the upstream for cold.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -106,6 +106,10 @@
         fleet.post(fleettask::SubmitChange{{change, base, std::nullopt}, [](const fleettask::ChangeStatus &) {
                                            }});
     });
+    serving.onNotice([&](const upstream::Notice &notice) {
+        const auto sign = base::nameOf(upstream::coldStartSignNames, notice.sign);
+        fleet.post(fleettask::PeerNotice{fleettask::NoticeKind::ColdStart, notice.upstream, std::string(sign)});
+    });
     operators::OperatorPorts ports;
     ports.fleet = [&](fleettask::FleetRequest request) {
         fleet.post(std::move(request));
--- a/src/fleettask/fleettask.cpp
+++ b/src/fleettask/fleettask.cpp
@@ -60,6 +60,7 @@
 {
     // One revision by one: what moves between nodes may have been another node's at a revision between.
     m_state.setAdvanced([this] { publishConfig(); });
+    m_exchange.onNotice([this](PeerNotice notice) { m_publish(std::move(notice)); });
     poll();
     m_tickTimer.startEvery(m_settings.timing.pollInterval / ticksPerPoll);
     m_task.start();
@@ -269,6 +270,7 @@
                    [this](const FindChange &question) { m_desk.find(question); },
                    [this](const ReadRows &read) { read.reply(m_state.replica().snapshot()); },
                    [this](const ReadHistory &read) { m_store.readChanges(read.after, read.reply); },
+                   [this](const PeerNotice &notice) { m_exchange.tell(notice); },
                    [this](const LeaveFleet &request) { leave(request); },
                    [this](const UpdateTaken &taken) {
                        const bool newer = taken.newest > m_state.served();
--- a/src/fleettask/messages.h
+++ b/src/fleettask/messages.h
@@ -34,7 +34,22 @@
     std::function<void()> taken;
 };
 
-using FleetUpdate = std::variant<ConfigUpdate, ConfirmationUpdate>;
+enum class NoticeKind { ColdStart };
+inline constexpr std::array<base::Name<NoticeKind>, 1> noticeKindNames{{
+    {NoticeKind::ColdStart, "cold-start"},
+}};
+
+/// Evidence that one node saw and all others hear of soon; it decides nothing by itself.
+struct PeerNotice
+{
+    NoticeKind kind = NoticeKind::ColdStart;
+    /// What it is about; for a cold start the upstream.
+    std::string subject;
+    /// For a cold start the sign by which it was seen.
+    std::string detail;
+};
+
+using FleetUpdate = std::variant<ConfigUpdate, ConfirmationUpdate, PeerNotice>;
 
 /// What became of an operator's change. Accepted and Refused are final.
 enum class ChangeProgress { Pending, Accepted, Refused, Unknown };
@@ -92,6 +107,7 @@
     coord::Revision newest = 0;
 };
 
-using FleetRequest = std::variant<SubmitChange, FindChange, ReadRows, ReadHistory, LeaveFleet, UpdateTaken>;
+/// A PeerNotice as a request is told to all other nodes.
+using FleetRequest = std::variant<SubmitChange, FindChange, ReadRows, ReadHistory, LeaveFleet, UpdateTaken, PeerNotice>;
 
 } // namespace ibisfork::fleettask
--- a/src/fleettask/peerexchange.cpp
+++ b/src/fleettask/peerexchange.cpp
@@ -1,5 +1,7 @@
 #include "fleettask/peerexchange.h"
 
+#include <fmt/format.h>
+
 #include <ibisfork/base/log.h>
 
 #include "fleettask/wire.h"
@@ -24,6 +26,20 @@
     return {peers.publicKey, peers.secretKey, peers.fleetKey};
 }
 
+peer::wire::Notice::Kind wireKind(NoticeKind kind)
+{
+    switch (kind) {
+    case NoticeKind::ColdStart:
+        return peer::wire::Notice::COLD_START;
+    }
+    return peer::wire::Notice::UNSPECIFIED;
+}
+
+std::optional<NoticeKind> noticeKind(peer::wire::Notice::Kind kind)
+{
+    return kind == peer::wire::Notice::COLD_START ? std::optional(NoticeKind::ColdStart) : std::nullopt;
+}
+
 } // namespace
 
 PeerExchange::PeerExchange(event_base *base,
@@ -34,6 +50,7 @@
     : m_settings(settings)
     , m_state(state)
     , m_learnt(std::move(learnt))
+    , m_noticesHeard(metrics.counter("ibisfork_notices_heard_total"))
     , m_hub(base,
             settings.listen.peers,
             keysFrom(settings.peers),
@@ -95,11 +112,33 @@
 {
     Frame frame;
     frame.mutable_hint()->set_revision(m_state.newest());
+    sendToAll(frame, {});
+}
+
+void PeerExchange::tell(const PeerNotice &notice)
+{
+    Frame frame;
+    auto &wire = *frame.mutable_notice();
+    wire.set_kind(wireKind(notice.kind));
+    wire.set_subject(notice.subject);
+    wire.set_detail(notice.detail);
+    wire.set_id(fmt::format("{}/{}", m_state.incarnation(), m_nextNotice++));
+    m_notices.isNew(wire.id());
+    sendToAll(frame, {});
+}
+
+void PeerExchange::sendToAll(const Frame &frame, const std::string &except)
+{
     const auto now = base::monotonicNow();
     for (const auto &[incarnation, asker] : m_askers) {
-        m_hub.answer(asker.origin, frame);
+        if (incarnation != except) {
+            m_hub.answer(asker.origin, frame);
+        }
     }
     for (const auto &incarnation : m_state.relays().askedBy(m_state.incarnation(), m_round)) {
+        if (incarnation == except) {
+            continue;
+        }
         try {
             const auto &address = m_state.members().find(incarnation)->peerAddress;
             m_hub.send(incarnation, net::Address::parse(address), frame, now);
@@ -121,11 +160,28 @@
     case Frame::kHint:
         onHint(origin, frame.hint());
         return;
+    case Frame::kNotice:
+        onNoticeFrame(origin, frame);
+        return;
     default:
         return;
     }
 }
 
+void PeerExchange::onNoticeFrame(const Origin &origin, const Frame &frame)
+{
+    const auto &notice = frame.notice();
+    const auto kind = noticeKind(notice.kind());
+    if (!kind || !m_notices.isNew(notice.id())) {
+        return;
+    }
+    m_noticesHeard.add();
+    sendToAll(frame, origin.incarnation);
+    if (m_noticeHandler) {
+        m_noticeHandler({*kind, notice.subject(), notice.detail()});
+    }
+}
+
 void PeerExchange::onQuestion(const Origin &origin, const peer::wire::Question &question)
 {
     if (origin.route.empty() || (m_askers.size() >= maxAskers && !m_askers.contains(origin.incarnation))) {
--- a/src/fleettask/peerexchange.h
+++ b/src/fleettask/peerexchange.h
@@ -6,6 +6,8 @@
 #include <ibisfork/base/metrics.h>
 
 #include "fleettask/fleetstate.h"
+#include "fleettask/messages.h"
+#include "fleettask/noticememory.h"
 #include "peer/peerhub.h"
 #include "settings/settings.h"
 
@@ -28,6 +30,10 @@
     void ask(bool wantMembers);
     /// Tells all nodes with which there is a link of a newer revision.
     void hint();
+    /// Tells all other nodes of @p notice, through those with which there is a link.
+    void tell(const PeerNotice &notice);
+    /// Where notices of other nodes go; each is handed over once.
+    void onNotice(std::function<void(PeerNotice)> handler) { m_noticeHandler = std::move(handler); }
     /// When an answer last said which revision is the newest.
     base::TimePoint lastConfirmingAnswer() const { return m_lastConfirmingAnswer; }
 
@@ -53,6 +59,9 @@
     void onQuestion(const peer::Origin &origin, const peer::wire::Question &question);
     void onReading(const peer::Origin &origin, const peer::wire::Reading &reading);
     void onHint(const peer::Origin &origin, const peer::wire::Hint &hint);
+    void onNoticeFrame(const peer::Origin &origin, const peer::wire::Frame &frame);
+    /// Sends @p frame on all links but that to the node @p except.
+    void sendToAll(const peer::wire::Frame &frame, const std::string &except);
     void answer(Asker &asker, const peer::wire::Question &question, base::TimePoint now);
     void addMembers(const peer::Origin &origin, peer::wire::Reading &reading, base::TimePoint now) const;
     bool takeRows(const peer::wire::Reading &reading, base::TimePoint now);
@@ -69,6 +78,10 @@
     std::map<std::string, std::uint64_t> m_echoes;
     std::map<std::string, Asker> m_askers;
     base::TimePoint m_lastConfirmingAnswer{};
+    std::function<void(PeerNotice)> m_noticeHandler;
+    std::uint64_t m_nextNotice = 1;
+    NoticeMemory m_notices;
+    base::Counter &m_noticesHeard;
     peer::PeerHub m_hub;
 };
 
--- a/src/serving/servingtask.cpp
+++ b/src/serving/servingtask.cpp
@@ -110,7 +110,7 @@
                        m_context.confirmedUntil = {};
                    },
                    [this](const fleettask::ConfirmationUpdate &update) { confirm(update); },
-                   [this](const upstream::Notice &notice) { takeNotice(notice); },
+                   [this](const fleettask::PeerNotice &notice) { takeNotice(notice); },
                    [this](const ReloadCertificates &) { reloadCertificates(); },
                    [this](const BeginDrain &drain) {
                        m_draining = true;
@@ -344,9 +344,16 @@
     }
 }
 
-void ServingTask::takeNotice(const upstream::Notice &notice)
+void ServingTask::takeNotice(const fleettask::PeerNotice &notice)
 {
-    m_context.limits.takeNotice(notice, base::monotonicNow());
+    const auto sign = base::valueOf(upstream::coldStartSignNames, notice.detail);
+    base::LogLine(base::LogLevel::Info, "notice")
+        .field("kind", base::nameOf(fleettask::noticeKindNames, notice.kind))
+        .field("subject", notice.subject)
+        .field("detail", notice.detail);
+    if (sign) {
+        m_context.limits.takeNotice({notice.subject, {}, *sign}, base::monotonicNow());
+    }
 }
 
 void ServingTask::checkDrained()
--- a/src/serving/servingtask.h
+++ b/src/serving/servingtask.h
@@ -34,8 +34,11 @@
 {
 };
 
-using ServingMessage = std::
-    variant<upstream::Notice, ReloadCertificates, fleettask::ConfigUpdate, fleettask::ConfirmationUpdate, BeginDrain>;
+using ServingMessage = std::variant<fleettask::PeerNotice,
+                                    ReloadCertificates,
+                                    fleettask::ConfigUpdate,
+                                    fleettask::ConfirmationUpdate,
+                                    BeginDrain>;
 
 /// Owns the sockets of callers and upstreams and the requests between them.
 class ServingTask
@@ -78,7 +81,7 @@
     void reloadCertificates();
     void checkDrained();
     void checkSlots();
-    void takeNotice(const upstream::Notice &notice);
+    void takeNotice(const fleettask::PeerNotice &notice);
 
     const settings::Settings &m_settings;
     net::Task m_task;
--- a/tests/process/fleet_test.cpp
+++ b/tests/process/fleet_test.cpp
@@ -229,6 +229,19 @@
     EXPECT_EQ(memberCount(3), 3);
 }
 
+TEST_F(FleetProcessTest, engine_crashesUnderOneNode_isToldToTheOthers)
+{
+    const auto heard = [&](std::size_t node) {
+        return get(m_fleet.operators(node), "/metrics").body.find("ibisfork_notices_heard_total 0\n")
+            == std::string::npos;
+    };
+    EXPECT_FALSE(heard(1));
+    EXPECT_FALSE(heard(2));
+    m_fleet.engine(0).signal(SIGKILL);
+    chat(m_fleet, 0, "secret");
+    EXPECT_TRUE(eventually(inForceWithin, [&] { return heard(1) && heard(2); }));
+}
+
 TEST_F(FleetProcessTest, nodes_allKilledAndBornAnew_acceptAndServeOnceTheVmListSaysSo)
 {
     Json vms = Json::array();
