Remove the folders of process tests; say where to ask about a request

Cause: each process test left a folder behind, 1,816 by now, and explain answered an unknown request with an empty list. Change: a test's folder goes with it unless its logs are asked for; explain says that the node that took the request knows.

--- a/src/operators/operatorstask.cpp
+++ b/src/operators/operatorstask.cpp
@@ -237,7 +237,12 @@
 void OperatorsTask::explain(const Reply &reply, const std::string &requestId)
 {
     const auto decisions = m_ports.explain(requestId);
-    sendJson(*reply, decisions.empty() ? statusNotFound : statusOk, {{"request", requestId}, {"decisions", decisions}});
+    if (decisions.empty()) {
+        sendJson(
+            *reply, statusNotFound, {{"error", "no decision on this request is held here; ask the node that took it"}});
+        return;
+    }
+    sendJson(*reply, statusOk, {{"request", requestId}, {"decisions", decisions}});
 }
 
 } // namespace ibisfork::operators
--- a/tests/process/harness.cpp
+++ b/tests/process/harness.cpp
@@ -1,6 +1,7 @@
 #include "process/harness.h"
 
 #include <csignal>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <stdexcept>
@@ -181,6 +182,14 @@
     , m_platformAddress(m_platform->listening())
 { }
 
+Fleet::~Fleet()
+{
+    m_nodes.clear();
+    if (std::getenv("IBISFORK_KEEP_LOGS") == nullptr) {
+        std::filesystem::remove_all(m_folder);
+    }
+}
+
 std::string Fleet::addEngine(const std::vector<std::string> &arguments)
 {
     m_upstreams.push_back(std::make_unique<Program>("standin-engine", arguments));
--- a/tests/process/harness.h
+++ b/tests/process/harness.h
@@ -61,6 +61,9 @@
 {
 public:
     Fleet();
+    ~Fleet();
+    Fleet(const Fleet &) = delete;
+    Fleet &operator=(const Fleet &) = delete;
 
     /// Starts an engine stand-in; gives its address.
     std::string addEngine(const std::vector<std::string> &arguments = {});
