--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,4 +1,5 @@
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 #include <random>
 
@@ -9,11 +10,13 @@
 #include <ibisfork/base/metrics.h>
 #include <ibisfork/base/overloaded.h>
 
+#include "daemon/gatewaymain.h"
 #include "fleettask/fleettask.h"
 #include "net/timer.h"
 #include "operators/operatorstask.h"
 #include "serving/servingtask.h"
 #include "settings/exceptions.h"
+#include "settings/gatewaysettings.h"
 #include "settings/settings.h"
 
 namespace {
@@ -21,6 +24,8 @@
 using namespace ibisfork;
 
 constexpr std::size_t decisionsKept = 10000;
+/// Names the settings file where the command line does not.
+constexpr const char *settingsVariable = "IBISFORK_CONFIG";
 constexpr int exitOk = 0;
 constexpr int exitFailure = 1;
 constexpr int exitUsage = 2;
@@ -138,6 +143,34 @@
     base::LogLine(base::LogLevel::Info, "stopped").field("node", settings.node.name);
 }
 
+/// The file named on the command line, or else by the environment.
+std::string settingsPath(const cxxopts::ParseResult &arguments)
+{
+    if (arguments.count("settings") > 0) {
+        return arguments["settings"].as<std::string>();
+    }
+    const char *path = std::getenv(settingsVariable);
+    return path == nullptr ? std::string() : std::string(path);
+}
+
+/// Reads the settings in @p path and runs the node that they describe; with @p checkOnly they are only read.
+void start(const std::string &path, bool checkOnly)
+{
+    const bool fromStore = settings::areGatewaySettings(path);
+    const auto ownSettings = fromStore ? settings::Settings() : settings::readSettings(path);
+    const auto gatewaySettings = fromStore ? settings::readGatewaySettings(path) : settings::GatewaySettings();
+    if (checkOnly) {
+        std::cout << "settings are good\n";
+        return;
+    }
+    base::setLogLevel(fromStore ? gatewaySettings.logLevel : ownSettings.logLevel);
+    if (fromStore) {
+        daemon::runGateway(gatewaySettings);
+    } else {
+        run(ownSettings);
+    }
+}
+
 cxxopts::Options makeOptions()
 {
     cxxopts::Options options("ibisforkd", "Routes requests to versions of language models and to plain services.");
@@ -159,17 +192,12 @@
             std::cout << options.help();
             return exitOk;
         }
-        if (arguments.count("settings") == 0) {
+        const auto path = settingsPath(arguments);
+        if (path.empty()) {
             std::cerr << "ibisforkd: --settings FILE is required\n";
             return exitUsage;
         }
-        const auto settings = settings::readSettings(arguments["settings"].as<std::string>());
-        if (arguments.count("check") > 0) {
-            std::cout << "settings are good\n";
-            return exitOk;
-        }
-        base::setLogLevel(settings.logLevel);
-        run(settings);
+        start(path, arguments.count("check") > 0);
         return exitOk;
     } catch (const cxxopts::exceptions::exception &error) {
         std::cerr << "ibisforkd: " << error.what() << '\n';
--- /dev/null
+++ b/src/gateway/callerport.cpp
@@ -0,0 +1,145 @@
+#include "gateway/callerport.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <fmt/format.h>
+
+#include "net/deletelater.h"
+#include "net/exceptions.h"
+
+namespace ibisfork::gateway {
+
+namespace {
+
+constexpr int listenBacklog = 512;
+
+} // namespace
+
+ListeningPort::ListeningPort(event_base *base, const net::Address &address, Accepted accepted)
+    : m_accepted(std::move(accepted))
+    , m_ip(address.ip)
+{
+    sockaddr_in target{};
+    target.sin_family = AF_INET;
+    target.sin_port = htons(address.port);
+    inet_pton(AF_INET, address.ip.c_str(), &target.sin_addr);
+    m_listener.reset(evconnlistener_new_bind(base,
+                                             &ListeningPort::onAccept,
+                                             this,
+                                             LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+                                             listenBacklog,
+                                             reinterpret_cast<const sockaddr *>(&target),
+                                             sizeof target));
+    if (!m_listener) {
+        throw net::NetError(fmt::format(net::errormessage::cannotListen, address.text()));
+    }
+}
+
+net::Address ListeningPort::address() const
+{
+    sockaddr_in bound{};
+    socklen_t size = sizeof bound;
+    getsockname(evconnlistener_get_fd(m_listener.get()), reinterpret_cast<sockaddr *>(&bound), &size);
+    return {m_ip, ntohs(bound.sin_port)};
+}
+
+void ListeningPort::onAccept(evconnlistener *, evutil_socket_t socket, sockaddr *, int, void *self)
+{
+    const int on = 1;
+    setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    static_cast<ListeningPort *>(self)->m_accepted(socket);
+}
+
+CallerPort::CallerPort(Context &context, const net::Address &address)
+    : m_context(context)
+    , m_port(context.base, address, [this](evutil_socket_t socket) { accept(socket); })
+{ }
+
+CallerPort::~CallerPort() = default;
+
+void CallerPort::accept(evutil_socket_t socket)
+{
+    http::CallerConnection::Handlers handlers;
+    handlers.onRequest = [this](http::CallerConnection &connection, http::Request request) {
+        begin(connection, std::move(request));
+    };
+    handlers.onCallerLeft = [this](http::CallerConnection &connection) {
+        const auto found = m_exchanges.find(&connection);
+        if (found != m_exchanges.end()) {
+            found->second->callerLeft();
+        }
+    };
+    handlers.onDrained = [this](http::CallerConnection &connection) {
+        const auto found = m_exchanges.find(&connection);
+        if (found != m_exchanges.end()) {
+            found->second->callerDrained();
+        }
+    };
+    handlers.onClosed = [this](http::CallerConnection &connection) {
+        drop(connection);
+    };
+    const auto &configuration = m_context.view.configuration();
+    const auto bounds = configuration ? configuration->callerBounds : http::CallerBounds{};
+    auto connection
+        = std::make_unique<http::CallerConnection>(m_context.base, socket, bounds, std::move(handlers));
+    m_connections.emplace(connection.get(), std::move(connection));
+}
+
+void CallerPort::begin(http::CallerConnection &connection, http::Request request)
+{
+    auto exchange = std::make_unique<Exchange>(m_context, connection, std::move(request), [this, &connection] {
+        end(connection);
+    });
+    auto *started = exchange.get();
+    m_exchanges.emplace(&connection, std::move(exchange));
+    started->begin();
+}
+
+void CallerPort::end(http::CallerConnection &connection)
+{
+    const auto found = m_exchanges.find(&connection);
+    if (found == m_exchanges.end()) {
+        return;
+    }
+    auto exchange = std::move(found->second);
+    m_exchanges.erase(found);
+    net::deleteLater(m_context.base, std::move(exchange));
+}
+
+void CallerPort::drop(http::CallerConnection &connection)
+{
+    const auto found = m_connections.find(&connection);
+    if (found == m_connections.end()) {
+        return;
+    }
+    auto owned = std::move(found->second);
+    m_connections.erase(found);
+    net::deleteLater(m_context.base, std::move(owned));
+}
+
+void CallerPort::closeIdle()
+{
+    std::vector<http::CallerConnection *> all;
+    for (const auto &item : m_connections) {
+        all.push_back(item.first);
+    }
+    for (auto *connection : all) {
+        connection->closeIfIdle();
+    }
+}
+
+void CallerPort::cutOff()
+{
+    std::vector<Exchange *> all;
+    for (const auto &item : m_exchanges) {
+        all.push_back(item.second.get());
+    }
+    for (auto *exchange : all) {
+        exchange->cutOff();
+    }
+}
+
+} // namespace ibisfork::gateway
--- /dev/null
+++ b/src/gateway/configuration.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "http/callerconnection.h"
+
+namespace ibisfork::gateway {
+
+/// What may be done again with a request of a route.
+enum class Repeatability {
+    Idempotent, ///< May run any number of times.
+    AtMostOnce, ///< May run at most once for each attempt of the caller.
+    Stream, ///< A series of events; may go on elsewhere if the route says so.
+};
+
+struct WeightedService
+{
+    std::string service;
+    std::uint32_t weight = 1;
+};
+
+struct Route
+{
+    std::string name;
+    std::string host;
+    std::string pathPrefix;
+    Repeatability repeatability = Repeatability::AtMostOnce;
+    /// Longest time that a caller is kept waiting.
+    std::chrono::milliseconds timeout{30000};
+    /// Time within which an answer has its full value.
+    std::chrono::milliseconds objective{1000};
+    /// Longest pause between two events of an answer in time.
+    std::chrono::milliseconds pauseObjective{1000};
+    /// 0 is the most urgent.
+    int priority = 5;
+    unsigned maxUpstreams = 1;
+    /// Callers need no key.
+    bool isPublic = false;
+    bool resumable = false;
+    /// Models among which the node chooses, smallest first; empty if callers name the model.
+    std::vector<std::string> models;
+    std::vector<WeightedService> services;
+};
+
+struct ModelCost
+{
+    std::string model;
+    /// Price of 1,000 generated tokens; tokens read count a quarter.
+    double costPerThousand = 0;
+};
+
+struct Service
+{
+    std::string name;
+    std::uint32_t maxConnections = 100;
+    std::chrono::milliseconds coldPeriod{0};
+    /// Requests a second that a cold engine bears; 0 if it has no cold limit.
+    double coldRate = 0;
+    std::vector<ModelCost> models;
+};
+
+struct Workspace
+{
+    std::string name;
+    std::optional<int> priority;
+};
+
+/// One version of the operators' configuration.
+class Configuration
+{
+public:
+    std::uint64_t version = 0;
+    std::vector<Route> routes;
+    std::map<std::string, Service> services;
+    std::map<std::string, Workspace, std::less<>> workspacesByKey;
+    bool hasWorkspaces = false;
+    http::CallerBounds callerBounds;
+
+    /// The route of @p host with the longest prefix of @p path, or null.
+    const Route *findRoute(std::string_view host, std::string_view path) const;
+    const Service *findService(const std::string &name) const;
+    /// Builds what findRoute() needs; called once after the routes are filled in.
+    void index();
+
+private:
+    std::map<std::string, std::vector<std::size_t>, std::less<>> m_byHost;
+};
+
+using ConfigurationPtr = std::shared_ptr<const Configuration>;
+
+} // namespace ibisfork::gateway
--- /dev/null
+++ b/src/gateway/connectionpool.cpp
@@ -0,0 +1,77 @@
+#include "gateway/connectionpool.h"
+
+#include <algorithm>
+
+#include "net/deletelater.h"
+
+namespace ibisfork::gateway {
+
+namespace {
+
+/// Idle time after which a connection is not used, where the engine says nothing.
+constexpr std::chrono::milliseconds defaultIdle{3000};
+/// What is left of the engine's own idle timeout when a connection is given up here.
+constexpr std::chrono::milliseconds idleMargin{1000};
+constexpr int carefulDivisor = 2;
+constexpr std::size_t maxIdlePerEngine = 48;
+
+base::Duration longestIdle(const http::UpstreamConnection &connection)
+{
+    const auto allowed = connection.idleAllowed();
+    return allowed ? std::max<base::Duration>(*allowed - idleMargin, base::Duration::zero()) : defaultIdle;
+}
+
+} // namespace
+
+ConnectionPool::ConnectionPool(event_base *base, base::MetricsRegistry &metrics)
+    : m_base(base)
+    , m_opened(metrics.counter("ibisfork_upstream_connections_opened_total"))
+{ }
+
+bool ConnectionPool::fresh(const Idle &idle, bool careful, base::TimePoint now)
+{
+    const auto longest = longestIdle(*idle.connection) / (careful ? carefulDivisor : 1);
+    return idle.connection->reusable() && now - idle.since < longest;
+}
+
+std::unique_ptr<http::UpstreamConnection>
+ConnectionPool::take(const std::string &engineId, const net::Address &address, bool careful, base::TimePoint now)
+{
+    auto &list = m_idle[engineId];
+    while (!list.empty()) {
+        auto idle = std::move(list.back());
+        list.pop_back();
+        if (fresh(idle, careful, now)) {
+            return std::move(idle.connection);
+        }
+    }
+    m_opened.add();
+    return std::make_unique<http::UpstreamConnection>(m_base, address);
+}
+
+void ConnectionPool::give(const std::string &engineId,
+                          std::unique_ptr<http::UpstreamConnection> connection,
+                          base::TimePoint now)
+{
+    auto &list = m_idle[engineId];
+    if (connection->reusable() && list.size() < maxIdlePerEngine) {
+        list.push_back({std::move(connection), now});
+    } else {
+        net::deleteLater(m_base, std::move(connection));
+    }
+}
+
+void ConnectionPool::drop(const std::string &engineId)
+{
+    m_idle.erase(engineId);
+}
+
+void ConnectionPool::dropStale(base::TimePoint now)
+{
+    for (auto &[id, list] : m_idle) {
+        std::erase_if(list, [&](const Idle &idle) { return !fresh(idle, false, now); });
+    }
+    std::erase_if(m_idle, [](const auto &item) { return item.second.empty(); });
+}
+
+} // namespace ibisfork::gateway
--- /dev/null
+++ b/src/gateway/context.cpp
@@ -0,0 +1,39 @@
+#include "gateway/context.h"
+
+namespace ibisfork::gateway {
+
+namespace {
+
+constexpr double meanWeight = 0.1;
+/// Assumed time to the first byte of an answer before there is any.
+constexpr double initialFirstByteSeconds = 0.3;
+
+ResendBound resendBound(const settings::FleetBounds &bounds)
+{
+    return {bounds.resendRatio, bounds.resendExtra, bounds.resendWindow};
+}
+
+} // namespace
+
+void RecentMean::add(double value)
+{
+    m_value += meanWeight * (value - m_value);
+}
+
+Context::Context(event_base *eventBase, const settings::GatewaySettings &gatewaySettings, base::MetricsRegistry &registry)
+    : base(eventBase)
+    , settings(gatewaySettings)
+    , metrics(registry)
+    , random(std::random_device{}())
+    , view(gatewaySettings.bounds.sessionGap)
+    , pool(eventBase, registry)
+    , placement(random())
+    , resends(resendBound(gatewaySettings.bounds))
+{ }
+
+RecentMean &Context::firstByte(const std::string &route)
+{
+    return firstBytes.try_emplace(route, initialFirstByteSeconds).first->second;
+}
+
+} // namespace ibisfork::gateway
--- /dev/null
+++ b/src/gateway/context.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <map>
+#include <random>
+#include <string>
+
+#include <ibisfork/base/metrics.h>
+
+#include "gateway/connectionpool.h"
+#include "gateway/fleetview.h"
+#include "gateway/modelpolicy.h"
+#include "gateway/placement.h"
+#include "gateway/resendbudget.h"
+#include "settings/gatewaysettings.h"
+
+namespace ibisfork::gateway {
+
+/// A mean that follows recent values.
+class RecentMean
+{
+public:
+    explicit RecentMean(double initial)
+        : m_value(initial)
+    { }
+
+    void add(double value);
+    double value() const { return m_value; }
+
+private:
+    double m_value;
+};
+
+/// What all exchanges of a node share. It lives on the node's one loop.
+struct Context
+{
+    Context(event_base *base, const settings::GatewaySettings &settings, base::MetricsRegistry &metrics);
+
+    event_base *base;
+    const settings::GatewaySettings &settings;
+    base::MetricsRegistry &metrics;
+    std::mt19937_64 random;
+    FleetView view;
+    ConnectionPool pool;
+    EnginePlacement placement;
+    ResendBudget resends;
+    ModelPolicy models;
+    /// Seconds to the first byte of an answer, by route.
+    std::map<std::string, RecentMean> firstBytes;
+    /// The node is shutting down; connections close behind their answers.
+    bool stopping = false;
+
+    RecentMean &firstByte(const std::string &route);
+};
+
+} // namespace ibisfork::gateway
--- /dev/null
+++ b/src/gateway/engine.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+#include "net/address.h"
+
+namespace ibisfork::gateway {
+
+/// What an engine says of itself in the platform's list.
+struct EngineEntry
+{
+    std::string id;
+    std::string service;
+    net::Address address;
+    std::string failureDomain;
+    std::string softwareVersion;
+    std::uint32_t slots = 1;
+    bool leaving = false;
+    /// How much longer the engine stays cold, from when it wrote the entry.
+    std::chrono::milliseconds coldLeft{0};
+    /// Unix time of its start in milliseconds; 0 if it does not say.
+    std::int64_t born = 0;
+};
+
+/// An operator's order to move a service to the engines of another version.
+struct RolloutOrder
+{
+    std::string service;
+    std::string toVersion;
+    std::chrono::milliseconds period{0};
+};
+
+enum class RolloutState { InProgress, Completed, Reverted };
+
+/// What this system says of a roll-out to operators.
+struct RolloutStatus
+{
+    std::string toVersion;
+    RolloutState state = RolloutState::InProgress;
+};
+
+} // namespace ibisfork::gateway
--- /dev/null
+++ b/src/gateway/enginebook.cpp
@@ -0,0 +1,167 @@
+#include "gateway/enginebook.h"
+
+#include <algorithm>
+
+namespace ibisfork::gateway {
+
+namespace {
+
+/// Time after the store's return in which entries of living engines are back.
+constexpr std::chrono::milliseconds lapseGrace{2000};
+/// A load report says little after this.
+constexpr std::chrono::milliseconds reportLifetime{2500};
+/// Weight of the newest run in the share of faults.
+constexpr double faultWeight = 0.15;
+/// Rest after a fault that says that the engine can't be used now; it doubles with each further one in a row.
+constexpr std::chrono::milliseconds firstRest{400};
+constexpr unsigned maxRestDoublings = 3;
+/// A full engine has room again after about one run of a plain service.
+constexpr std::chrono::milliseconds fullRest{60};
+
+} // namespace
+
+void StartRate::take(base::TimePoint now, double perSecond)
+{
+    const auto interval = std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(1.0 / perSecond));
+    m_next = std::max(m_next, now) + interval;
+}
+
+double Engine::expectedLoad(base::TimePoint now, unsigned nodes) const
+{
+    const bool fresh = reportedAt != base::TimePoint{} && now - reportedAt < reportLifetime;
+    if (!fresh) {
+        return static_cast<double>(inFlight) * nodes;
+    }
+    const double reportedNow = static_cast<double>(reported.running + reported.waiting) + sentSinceReport;
+    const double left = reportedNow - doneSinceReport;
+    return std::max(left, static_cast<double>(inFlight));
+}
+
+bool EngineBook::put(const EngineEntry &entry, base::TimePoint now)
+{
+    auto [found, isNew] = m_engines.try_emplace(entry.id);
+    auto &engine = found->second;
+    const bool restarted = !isNew && engine.entry.born != entry.born;
+    const bool stateChanged = !isNew && engine.entry.leaving != entry.leaving;
+    if (restarted) {
+        // What was learnt belongs to the process before.
+        const auto inFlight = engine.inFlight;
+        engine = Engine{};
+        engine.inFlight = inFlight;
+    }
+    engine.entry = entry;
+    engine.goneAt.reset();
+    if (entry.coldLeft > base::Duration::zero()) {
+        engine.coldUntil = std::max(engine.coldUntil, now + entry.coldLeft);
+    }
+    return isNew || restarted || stateChanged;
+}
+
+void EngineBook::remove(const std::string &id, bool doubtful, base::TimePoint now)
+{
+    const auto found = m_engines.find(id);
+    if (found == m_engines.end() || found->second.goneAt) {
+        return;
+    }
+    found->second.goneAt = doubtful ? now + lapseGrace : now;
+}
+
+void EngineBook::keepOnly(const std::set<std::string> &ids, bool doubtful, base::TimePoint now)
+{
+    for (const auto &[id, engine] : m_engines) {
+        if (!ids.contains(id)) {
+            remove(id, doubtful, now);
+        }
+    }
+}
+
+std::vector<std::string> EngineBook::dropGone(base::TimePoint now)
+{
+    std::vector<std::string> dropped;
+    for (auto item = m_engines.begin(); item != m_engines.end();) {
+        const auto &goneAt = item->second.goneAt;
+        if (goneAt && now >= *goneAt) {
+            dropped.push_back(item->first);
+            item = m_engines.erase(item);
+        } else {
+            ++item;
+        }
+    }
+    return dropped;
+}
+
+Engine *EngineBook::find(const std::string &id)
+{
+    const auto found = m_engines.find(id);
+    return found == m_engines.end() ? nullptr : &found->second;
+}
+
+std::vector<Engine *> EngineBook::ofService(const std::string &service)
+{
+    std::vector<Engine *> engines;
+    for (auto &[id, engine] : m_engines) {
+        if (engine.entry.service == service && !engine.entry.leaving) {
+            engines.push_back(&engine);
+        }
+    }
+    return engines;
+}
+
+void EngineBook::noteSent(const std::string &id)
+{
+    if (auto *engine = find(id)) {
+        ++engine->inFlight;
+        ++engine->sentSinceReport;
+    }
+}
+
+void EngineBook::noteEnded(const std::string &id)
+{
+    auto *engine = find(id);
+    if (engine != nullptr && engine->inFlight > 0) {
+        --engine->inFlight;
+        ++engine->doneSinceReport;
+    }
+}
+
+void EngineBook::noteLoad(const std::string &id, const EngineLoad &load, base::TimePoint now)
+{
+    if (auto *engine = find(id)) {
+        engine->reported = load;
+        engine->reportedAt = now;
+        engine->sentSinceReport = 0;
+        engine->doneSinceReport = 0;
+    }
+}
+
+void EngineBook::noteSuccess(const std::string &id)
+{
+    if (auto *engine = find(id)) {
+        engine->faultsInRow = 0;
+        engine->faultShare *= 1 - faultWeight;
+    }
+}
+
+void EngineBook::noteFault(const std::string &id, EngineFault fault, base::Duration coldPeriod, base::TimePoint now)
+{
+    auto *engine = find(id);
+    if (engine == nullptr) {
+        return;
+    }
+    if (fault == EngineFault::Full) {
+        engine->restUntil = std::max<base::TimePoint>(engine->restUntil, now + fullRest);
+        engine->faultShare += faultWeight * (1 - engine->faultShare) / 2;
+        return;
+    }
+    engine->faultShare += faultWeight * (1 - engine->faultShare);
+    if (fault == EngineFault::Failed) {
+        return;
+    }
+    const auto rest = firstRest * (1U << std::min(engine->faultsInRow, maxRestDoublings));
+    ++engine->faultsInRow;
+    engine->restUntil = now + rest;
+    // It may have started anew, and its entry does not say so yet.
+    engine->coldUntil = std::max<base::TimePoint>(engine->coldUntil, now + rest + coldPeriod);
+}
+
+} // namespace ibisfork::gateway
--- /dev/null
+++ b/src/gateway/eventlog.cpp
@@ -0,0 +1,157 @@
+#include "gateway/eventlog.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cstdint>
+
+#include <fmt/chrono.h>
+
+#include <ibisfork/base/clock.h>
+
+namespace ibisfork::gateway {
+
+namespace {
+
+/// Lines a second, with as many saved up; lines cost processor time that requests need.
+constexpr double routineRate = 10;
+constexpr double failureRate = 20;
+/// Lines that wait while nobody reads standard output.
+constexpr std::size_t maxBufferedBytes = 64UL * 1024;
+
+class Budget
+{
+public:
+    explicit Budget(double rate)
+        : m_rate(rate)
+        , m_left(rate)
+    { }
+
+    bool take(base::TimePoint now)
+    {
+        m_left = std::min(m_rate, m_left + base::toSeconds(now - m_last) * m_rate);
+        m_last = now;
+        if (m_left < 1) {
+            return false;
+        }
+        m_left -= 1;
+        return true;
+    }
+
+private:
+    double m_rate;
+    double m_left;
+    base::TimePoint m_last = base::monotonicNow();
+};
+
+/// Standard output without blocking.
+class Output
+{
+public:
+    Output()
+    {
+        const auto flags = fcntl(STDOUT_FILENO, F_GETFL);
+        if (flags >= 0) {
+            fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+        }
+    }
+
+    bool admit(Importance importance)
+    {
+        const auto now = base::monotonicNow();
+        bool admitted = true;
+        if (importance == Importance::Routine) {
+            admitted = m_routine.take(now);
+        } else if (importance == Importance::Failure) {
+            admitted = m_failure.take(now);
+        }
+        m_leftOut += admitted ? 0 : 1;
+        return admitted;
+    }
+
+    void put(std::string line)
+    {
+        if (m_leftOut > 0) {
+            line += fmt::format(" left_out={}", m_leftOut);
+        }
+        line += '\n';
+        if (m_buffer.size() + line.size() > maxBufferedBytes) {
+            ++m_leftOut;
+        } else {
+            m_leftOut = 0;
+            m_buffer += line;
+        }
+        flush();
+    }
+
+    std::string node = "-";
+
+private:
+    void flush()
+    {
+        const auto written = write(STDOUT_FILENO, m_buffer.data(), m_buffer.size());
+        if (written > 0) {
+            m_buffer.erase(0, static_cast<std::size_t>(written));
+        }
+    }
+
+    Budget m_routine{routineRate};
+    Budget m_failure{failureRate};
+    std::uint64_t m_leftOut = 0;
+    std::string m_buffer;
+};
+
+Output &output()
+{
+    static Output instance;
+    return instance;
+}
+
+bool needsQuotes(const std::string &value)
+{
+    return value.empty() || value.find_first_of(" \t\n\r\"=\\") != std::string::npos;
+}
+
+} // namespace
+
+void EventLog::setNode(const std::string &node)
+{
+    output().node = node;
+}
+
+EventLog::EventLog(Importance importance, std::string_view event)
+    : m_enabled(output().admit(importance))
+{
+    if (!m_enabled) {
+        return;
+    }
+    const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
+    m_line = fmt::format("time={} node={} event={}", now.time_since_epoch().count(), output().node, event);
+}
+
+EventLog::~EventLog()
+{
+    if (m_enabled) {
+        output().put(std::move(m_line));
+    }
+}
+
+void EventLog::append(std::string_view key, const std::string &value)
+{
+    m_line.append(" ").append(key).append("=");
+    if (!needsQuotes(value)) {
+        m_line += value;
+        return;
+    }
+    m_line += '"';
+    for (const char c : value) {
+        const bool breaksLine = c == '\n' || c == '\r' || c == '"' || c == '\\';
+        m_line += breaksLine ? ' ' : c;
+    }
+    m_line += '"';
+}
+
+} // namespace ibisfork::gateway
--- /dev/null
+++ b/src/gateway/fleetview.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "gateway/configuration.h"
+#include "gateway/enginebook.h"
+#include "gateway/rolloutbook.h"
+#include "gateway/rows.h"
+
+namespace ibisfork::gateway {
+
+/// What this node believes of configuration, engines, roll-outs and other nodes: the newest of what it has read.
+/// Nothing in it goes back to an older version.
+class FleetView
+{
+public:
+    explicit FleetView(base::Duration sessionGap)
+        : m_rollouts(sessionGap)
+    { }
+
+    /// Take what a table of the store holds. @p whole: @p rows are all of them. @p doubtful: the store was in trouble.
+    void takeOperatorRows(const std::vector<Row> &rows, bool whole, base::TimePoint now);
+    void takeEngineRows(const std::vector<Row> &rows, bool whole, bool doubtful, base::TimePoint now);
+    void takeStatusRows(const std::vector<Row> &rows, bool whole);
+    void takeNodeRows(const std::vector<Row> &rows, bool whole);
+    /// Ends the doubt about engines whose time is up.
+    void expire(base::TimePoint now);
+
+    const ConfigurationPtr &configuration() const { return m_configuration; }
+    bool knowsEngines() const { return m_knowsEngines; }
+    EngineBook &engines() { return m_engines; }
+    const EngineBook &engines() const { return m_engines; }
+    RolloutBook &rollouts() { return m_rollouts; }
+    const std::set<std::string> &evacuated() const { return m_evacuated; }
+    /// Nodes that may be sending to the engines; at least 1.
+    unsigned nodes() const;
+    /// The version of the row of a roll-out's status, 0 if there is none.
+    std::uint64_t statusVersion(const std::string &service) const;
+
+    /// Engines that may get new work of @p service.
+    std::vector<Engine *> usable(const std::string &service, VersionPreference preference);
+
+private:
+    void takeConfiguration(const Row &row);
+    void takeRollout(const std::string &service, const Row &row, base::TimePoint now);
+    void takeEngine(const Row &row, base::TimePoint now);
+
+    ConfigurationPtr m_configuration;
+    std::uint64_t m_configurationRow = 0;
+    std::set<std::string> m_evacuated;
+    EngineBook m_engines;
+    bool m_knowsEngines = false;
+    RolloutBook m_rollouts;
+    std::map<std::string, std::uint64_t> m_statusVersions;
+    std::set<std::string> m_nodes;
+};
+
+/// The table of this system's own rows, and the prefix of the keys under which nodes stand there.
+inline constexpr const char *ownTable = "ibisfork";
+inline constexpr std::string_view nodePrefix = "node/";
+
+} // namespace ibisfork::gateway
--- /dev/null
+++ b/src/gateway/gateway.cpp
@@ -0,0 +1,212 @@
+#include "gateway/gateway.h"
+
+#include <fmt/format.h>
+
+#include "gateway/eventlog.h"
+#include "platform/callcodec.h"
+#include "platform/factcodec.h"
+
+namespace ibisfork::gateway {
+
+namespace {
+
+constexpr std::chrono::milliseconds tickInterval{250};
+constexpr std::chrono::milliseconds stopTickInterval{50};
+/// The balancer asks once a second and needs two misses.
+constexpr std::chrono::milliseconds leastStopTime{3200};
+/// Left of the grace when what still runs is cut off.
+constexpr std::chrono::milliseconds cutOffMargin{500};
+/// Failures of the store this recent put removals in doubt.
+constexpr std::chrono::milliseconds shakyFor{2500};
+/// Orders and configurations are wanted at once; a question held longer hides a dead connection.
+constexpr WatchTiming operatorTiming{std::chrono::milliseconds(1200), std::chrono::milliseconds(0)};
+/// Engines write their entries all the time; changes are taken together.
+constexpr WatchTiming engineTiming{std::chrono::milliseconds(1200), std::chrono::milliseconds(600)};
+constexpr WatchTiming statusTiming{std::chrono::milliseconds(3000), std::chrono::milliseconds(300)};
+constexpr WatchTiming ownTiming{std::chrono::milliseconds(5000), std::chrono::milliseconds(500)};
+constexpr int statusOk = 200;
+constexpr int statusNotFound = 404;
+constexpr int statusUnavailable = 503;
+
+} // namespace
+
+Gateway::Gateway(event_base *base, const settings::GatewaySettings &settings, base::MetricsRegistry &metrics)
+    : m_context(base, settings, metrics)
+    , m_store(base, settings.store, metrics)
+    , m_operatorTable(base, m_store, platform::operatorsTable(), operatorTiming, [this](const auto &rows, bool whole) {
+        m_context.view.takeOperatorRows(rows, whole, base::monotonicNow());
+        driveRollouts();
+    })
+    , m_engineTable(base, m_store, platform::enginesTable(), engineTiming, [this](const auto &rows, bool whole) {
+        m_context.view.takeEngineRows(rows, whole, storeShaky(), base::monotonicNow());
+    })
+    , m_statusTable(base, m_store, platform::statusTable(), statusTiming, [this](const auto &rows, bool whole) {
+        m_context.view.takeStatusRows(rows, whole);
+    })
+    , m_ownTable(base, m_store, ownTable, ownTiming, [this](const auto &rows, bool whole) {
+        m_context.view.takeNodeRows(rows, whole);
+    })
+    , m_callers(m_context, settings.callers)
+    , m_readiness(base, settings.readiness, [this](const std::string &path) {
+        const bool known = path == platform::readinessPath();
+        return InfoAnswer{known ? (ready() ? statusOk : statusUnavailable) : statusNotFound, {}};
+    })
+    , m_operators(base, settings.operators, [this](const std::string &path) { return answerOperators(path); })
+    , m_tick(base, [this] { tick(); })
+    , m_stopTick(base, [this] { stopTick(); })
+{ }
+
+void Gateway::start()
+{
+    m_operatorTable.start();
+    m_engineTable.start();
+    m_statusTable.start();
+    m_ownTable.start();
+    register_();
+    m_tick.startEvery(tickInterval);
+}
+
+bool Gateway::ready() const
+{
+    return !m_context.stopping && m_context.view.configuration() != nullptr && m_context.view.knowsEngines();
+}
+
+bool Gateway::storeShaky() const
+{
+    const auto failure = m_engineTable.lastFailure();
+    return failure && base::monotonicNow() - *failure < shakyFor;
+}
+
+void Gateway::register_()
+{
+    if (m_registered || m_registering) {
+        return;
+    }
+    m_registering = true;
+    ConditionalWrite row;
+    row.table = ownTable;
+    row.key = std::string(nodePrefix) + m_context.settings.node.name;
+    row.data = m_context.settings.callers.text();
+    m_store.write({row}, [this](WriteOutcome outcome) {
+        m_registering = false;
+        m_registered = outcome == WriteOutcome::Done;
+    });
+}
+
+void Gateway::tick()
+{
+    const auto now = base::monotonicNow();
+    m_context.view.expire(now);
+    m_context.pool.dropStale(now);
+    register_();
+    driveRollouts();
+    if (ready() != m_wasReady) {
+        m_wasReady = ready();
+        EventLog::state("ready").field("ready", m_wasReady);
+    }
+}
+
+void Gateway::driveRollouts()
+{
+    const auto now = base::monotonicNow();
+    for (const auto &service : m_context.view.rollouts().underWay()) {
+        const auto due = m_context.view.rollouts().due(service, now);
+        if (due && m_statusTable.loaded() && !m_saying.contains(service)) {
+            say(service, *due);
+        }
+    }
+}
+
+void Gateway::say(const std::string &service, const RolloutStatus &status)
+{
+    m_saying.insert(service);
+    ConditionalWrite row;
+    row.table = platform::statusTable();
+    row.key = platform::rolloutStatusKey(service);
+    row.data = platform::encodeRolloutStatus(status);
+    row.expectedVersion = m_context.view.statusVersion(service);
+    EventLog::state("rollout_status")
+        .field("service", service)
+        .field("to", status.toVersion)
+        .field("state", static_cast<int>(status.state))
+        .field("evidence", m_context.view.rollouts().evidence(service));
+    m_store.write({row}, [this, service, status](WriteOutcome outcome) {
+        m_saying.erase(service);
+        EventLog::state("rollout_status_written").field("service", service).field("outcome", static_cast<int>(outcome));
+        if (outcome == WriteOutcome::Done) {
+            m_context.view.rollouts().setStatus(service, status);
+        }
+    });
+}
+
+void Gateway::stop(std::function<void()> stopped)
+{
+    if (m_stopBegan) {
+        return;
+    }
+    m_stopped = std::move(stopped);
+    m_stopBegan = base::monotonicNow();
+    m_context.stopping = true;
+    EventLog::state("stopping").field("exchanges", m_callers.exchanges()).field("connections", m_callers.connections());
+    m_stopTick.startEvery(stopTickInterval);
+}
+
+void Gateway::stopTick()
+{
+    const auto elapsed = base::monotonicNow() - *m_stopBegan;
+    const auto cutOffAt = m_context.settings.bounds.shutdownGrace - cutOffMargin;
+    if (elapsed >= cutOffAt && m_callers.exchanges() > 0) {
+        EventLog::state("stop_cuts_off").field("exchanges", m_callers.exchanges());
+        m_callers.cutOff();
+    }
+    if (elapsed >= leastStopTime) {
+        m_callers.closeIdle();
+    }
+    const bool idle = m_callers.exchanges() == 0 && m_callers.connections() == 0;
+    if ((idle && elapsed >= leastStopTime) || elapsed >= cutOffAt + cutOffMargin / 2) {
+        m_stopTick.stop();
+        EventLog::state("stopped").field("after_ms", base::toMilliseconds(elapsed));
+        m_stopped();
+    }
+}
+
+InfoAnswer Gateway::answerOperators(const std::string &path) const
+{
+    if (path == "/metrics") {
+        return {statusOk, m_context.metrics.render()};
+    }
+    if (path == "/status") {
+        return {statusOk, describe()};
+    }
+    return {statusNotFound, {}};
+}
+
+std::string Gateway::describe() const
+{
+    const auto now = base::monotonicNow();
+    const auto &view = m_context.view;
+    const auto age = [&](const TableWatch &watch) {
+        return watch.lastAnswer() ? base::toMilliseconds(now - *watch.lastAnswer()) : -1;
+    };
+    auto out = fmt::format("configuration version={} age_ms={}\nnodes count={}\n",
+                           view.configuration() ? view.configuration()->version : 0,
+                           age(m_operatorTable),
+                           view.nodes());
+    for (const auto &domain : view.evacuated()) {
+        out += fmt::format("evacuated domain={}\n", domain);
+    }
+    for (const auto &[id, engine] : view.engines().all()) {
+        out += fmt::format("engine id={} service={} domain={} software={} leaving={} cold={} in_flight={} faults={:.2f}\n",
+                           id,
+                           engine.entry.service,
+                           engine.entry.failureDomain,
+                           engine.entry.softwareVersion,
+                           engine.entry.leaving,
+                           engine.cold(now),
+                           engine.inFlight,
+                           engine.faultShare);
+    }
+    return out;
+}
+
+} // namespace ibisfork::gateway
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <optional>
+#include <set>
+#include <string>
+
+#include <ibisfork/base/metrics.h>
+
+#include "gateway/callerport.h"
+#include "gateway/context.h"
+#include "gateway/infoport.h"
+#include "gateway/storeclient.h"
+#include "gateway/tablewatch.h"
+#include "net/timer.h"
+
+namespace ibisfork::gateway {
+
+/// A node that takes its configuration and its list of engines from the platform's store. All of it runs on one loop.
+class Gateway
+{
+public:
+    Gateway(event_base *base, const settings::GatewaySettings &settings, base::MetricsRegistry &metrics);
+    Gateway(const Gateway &) = delete;
+    Gateway &operator=(const Gateway &) = delete;
+
+    void start();
+    /// Takes no new connections, lets running requests end within the grace of the settings, then calls @p stopped.
+    void stop(std::function<void()> stopped);
+
+    bool ready() const;
+    net::Address callers() const { return m_callers.address(); }
+    net::Address readiness() const { return m_readiness.address(); }
+    net::Address operators() const { return m_operators.address(); }
+
+private:
+    void tick();
+    void stopTick();
+    void register_();
+    void driveRollouts();
+    void say(const std::string &service, const RolloutStatus &status);
+    InfoAnswer answerOperators(const std::string &path) const;
+    std::string describe() const;
+    bool storeShaky() const;
+
+    Context m_context;
+    StoreClient m_store;
+    TableWatch m_operatorTable;
+    TableWatch m_engineTable;
+    TableWatch m_statusTable;
+    TableWatch m_ownTable;
+    CallerPort m_callers;
+    InfoPort m_readiness;
+    InfoPort m_operators;
+    net::Timer m_tick;
+    net::Timer m_stopTick;
+    std::function<void()> m_stopped;
+    std::optional<base::TimePoint> m_stopBegan;
+    std::set<std::string> m_saying;
+    bool m_registered = false;
+    bool m_registering = false;
+    bool m_wasReady = false;
+};
+
+} // namespace ibisfork::gateway
--- /dev/null
+++ b/src/gateway/placement.cpp
@@ -0,0 +1,108 @@
+#include "gateway/placement.h"
+
+#include <algorithm>
+
+#include <ibisfork/coord/rendezvous.h>
+
+namespace ibisfork::gateway {
+
+namespace {
+
+/// Cost of an engine whose runs all fail, in units of a full engine.
+constexpr double faultCost = 3.0;
+constexpr double coldCost = 0.3;
+constexpr double otherDomainCost = 0.01;
+/// How much busier than the least busy engine, as a share of its slots, the engine with the cached part may be.
+constexpr double cachedPartWorth = 0.2;
+
+bool contains(const std::vector<std::string> &list, const std::string &id)
+{
+    return std::find(list.begin(), list.end(), id) != list.end();
+}
+
+/// Nodes don't know of each other's starts, so each takes its share of the rate.
+double shareOf(double coldRate, unsigned nodes)
+{
+    return coldRate / std::max(1U, nodes);
+}
+
+} // namespace
+
+double EnginePlacement::cost(const Engine &engine, const PlacementRequest &request, base::TimePoint now) const
+{
+    const auto slots = std::max(1U, engine.entry.slots);
+    double cost = engine.expectedLoad(now, request.nodes) / slots;
+    cost += faultCost * engine.faultShare;
+    cost += engine.cold(now) ? coldCost : 0;
+    cost += engine.entry.failureDomain == request.failureDomain ? 0 : otherDomainCost;
+    return cost;
+}
+
+Engine *EnginePlacement::byPart(const std::vector<Engine *> &usable,
+                                const PlacementRequest &request,
+                                base::TimePoint now) const
+{
+    double least = cost(*usable.front(), request, now);
+    for (const auto *engine : usable) {
+        least = std::min(least, cost(*engine, request, now));
+    }
+    Engine *best = nullptr;
+    std::uint64_t bestWeight = 0;
+    for (auto *engine : usable) {
+        const auto weight = coord::rendezvousWeight(request.sharedPart, engine->entry.id);
+        const bool better = best == nullptr || weight > bestWeight;
+        if (better && cost(*engine, request, now) <= least + cachedPartWorth) {
+            best = engine;
+            bestWeight = weight;
+        }
+    }
+    return best;
+}
+
+Engine *EnginePlacement::byDraw(const std::vector<Engine *> &usable, const PlacementRequest &request, base::TimePoint now)
+{
+    std::uniform_int_distribution<std::size_t> draw(0, usable.size() - 1);
+    auto *first = usable[draw(m_random)];
+    auto *second = usable[draw(m_random)];
+    return cost(*second, request, now) < cost(*first, request, now) ? second : first;
+}
+
+Placement EnginePlacement::choose(const std::vector<Engine *> &candidates,
+                                  const PlacementRequest &request,
+                                  base::TimePoint now)
+{
+    std::vector<Engine *> usable;
+    std::vector<Engine *> resting;
+    std::optional<base::TimePoint> retryAt;
+    const auto wait = [&](base::TimePoint until) {
+        retryAt = retryAt ? std::min(*retryAt, until) : until;
+    };
+    for (auto *engine : candidates) {
+        if (contains(request.tried, engine->entry.id)) {
+            continue;
+        }
+        const bool limited = request.coldRate > 0 && engine->cold(now);
+        if (limited && !engine->coldStarts.ready(now)) {
+            wait(engine->coldStarts.next());
+        } else if (now < engine->restUntil) {
+            resting.push_back(engine);
+        } else {
+            usable.push_back(engine);
+        }
+    }
+    // An engine at rest may be well again; trying it beats refusing.
+    if (usable.empty() && !retryAt) {
+        usable = resting;
+    }
+    if (usable.empty()) {
+        return {nullptr, retryAt};
+    }
+    auto *chosen = request.sharedPart.empty() ? nullptr : byPart(usable, request, now);
+    chosen = chosen == nullptr ? byDraw(usable, request, now) : chosen;
+    if (request.coldRate > 0 && chosen->cold(now)) {
+        chosen->coldStarts.take(now, shareOf(request.coldRate, request.nodes));
+    }
+    return {chosen, std::nullopt};
+}
+
+} // namespace ibisfork::gateway
--- /dev/null
+++ b/src/gateway/resendbudget.cpp
@@ -0,0 +1,54 @@
+#include "gateway/resendbudget.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace ibisfork::gateway {
+
+namespace {
+
+/// Part of the bound that is used; the rest covers windows that fall between the parts of this one.
+constexpr double usedShare = 0.85;
+
+template<typename Counts>
+double sum(const Counts &counts)
+{
+    return std::accumulate(counts.begin(), counts.end(), 0.0);
+}
+
+} // namespace
+
+ResendBudget::Window &ResendBudget::advance(const std::string &service, base::TimePoint now)
+{
+    auto &window = m_windows[service];
+    const auto part = m_bound.window / parts;
+    const auto current = static_cast<std::int64_t>(now.time_since_epoch() / part);
+    const auto size = static_cast<std::int64_t>(window.requests.size());
+    const auto steps = std::min(current - window.newest, size);
+    for (std::int64_t i = 1; i <= steps; ++i) {
+        const auto slot = static_cast<std::size_t>((current - steps + i) % size);
+        window.requests.at(slot) = 0;
+        window.resends.at(slot) = 0;
+    }
+    window.newest = std::max(window.newest, current);
+    return window;
+}
+
+void ResendBudget::countRequest(const std::string &service, base::TimePoint now)
+{
+    auto &window = advance(service, now);
+    ++window.requests.at(static_cast<std::size_t>(window.newest) % window.requests.size());
+}
+
+bool ResendBudget::take(const std::string &service, unsigned nodes, base::TimePoint now)
+{
+    auto &window = advance(service, now);
+    const double allowed = m_bound.ratio * sum(window.requests) + m_bound.extra / std::max(1U, nodes);
+    if (sum(window.resends) + 1 > usedShare * allowed) {
+        return false;
+    }
+    ++window.resends.at(static_cast<std::size_t>(window.newest) % window.resends.size());
+    return true;
+}
+
+} // namespace ibisfork::gateway
--- /dev/null
+++ b/src/gateway/rolloutbook.cpp
@@ -0,0 +1,244 @@
+#include "gateway/rolloutbook.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include <ibisfork/coord/rendezvous.h>
+
+namespace ibisfork::gateway {
+
+namespace {
+
+/// Share of requests that a version gets until it has shown itself, below the usual bound on exposure.
+constexpr double trialShare = 0.08;
+/// Parts of the period at which the move begins, is made for all requests, and is said to be complete. Answers that
+/// the old version still owes end before the last.
+constexpr double moveBegins = 0.5;
+constexpr double moveEnds = 0.6;
+constexpr double moveShare = 0.35;
+constexpr double completeAt = 0.82;
+
+/// Evidence against a version: failures of its own, far above what the old version shows in the same time.
+constexpr unsigned leastFailures = 3;
+constexpr double leastFailedShare = 0.2;
+constexpr double failureFactor = 3.0;
+/// Answers that are several times slower count as well.
+constexpr unsigned leastTimed = 5;
+constexpr double slowFactor = 3.5;
+constexpr double slowSlackSeconds = 0.15;
+
+constexpr std::size_t maxPins = 20000;
+
+double fractionOf(const std::string &subject)
+{
+    constexpr std::uint64_t steps = 10000;
+    return static_cast<double>(coord::rendezvousWeight("rollout", subject) % steps) / steps;
+}
+
+} // namespace
+
+void VersionRuns::add(const RunOutcome &outcome)
+{
+    ++total;
+    failed += outcome.failed ? 1 : 0;
+    if (outcome.firstByte) {
+        ++timed;
+        firstByteSeconds += base::toSeconds(*outcome.firstByte);
+    }
+}
+
+bool RolloutBook::Rollout::decided(RolloutState state) const
+{
+    return status && status->toVersion == order.toVersion && status->state == state;
+}
+
+void RolloutBook::setOrder(const RolloutOrder &order,
+                           std::uint64_t orderRow,
+                           base::Duration elapsed,
+                           base::TimePoint now)
+{
+    auto &rollout = m_rollouts[order.service];
+    if (rollout.orderRow == orderRow) {
+        return;
+    }
+    const auto status = rollout.status;
+    rollout = Rollout{};
+    rollout.status = status;
+    rollout.order = order;
+    rollout.orderRow = orderRow;
+    rollout.begun = now - elapsed;
+}
+
+void RolloutBook::removeOrder(const std::string &service)
+{
+    m_rollouts.erase(service);
+}
+
+void RolloutBook::setStatus(const std::string &service, const RolloutStatus &status)
+{
+    m_rollouts[service].status = status;
+}
+
+const RolloutBook::Rollout *RolloutBook::find(const std::string &service) const
+{
+    const auto found = m_rollouts.find(service);
+    return found == m_rollouts.end() || found->second.orderRow == 0 ? nullptr : &found->second;
+}
+
+double RolloutBook::progress(const Rollout &rollout, base::TimePoint now)
+{
+    const auto period = std::max<base::Duration>(rollout.order.period, std::chrono::seconds(1));
+    return base::toSeconds(now - rollout.begun) / base::toSeconds(period);
+}
+
+const RolloutBook::Pin *RolloutBook::pinOf(const std::string &subject, base::TimePoint now) const
+{
+    const auto found = m_pins.find(subject);
+    const bool live = found != m_pins.end() && now - found->second.last <= m_sessionGap;
+    return live ? &found->second : nullptr;
+}
+
+VersionPreference RolloutBook::prefer(const std::string &service,
+                                      const std::string &subject,
+                                      bool isSession,
+                                      base::TimePoint now)
+{
+    const auto *rollout = find(service);
+    if (rollout == nullptr) {
+        return VersionPreference::Any;
+    }
+    if (rollout->decided(RolloutState::Completed)) {
+        return VersionPreference::New;
+    }
+    if (rollout->stopped()) {
+        return VersionPreference::Old;
+    }
+    const auto done = progress(*rollout, now);
+    const auto *pin = isSession ? pinOf(subject, now) : nullptr;
+    if (pin != nullptr && pin->version == rollout->order.toVersion) {
+        return VersionPreference::New;
+    }
+    if (pin != nullptr && done < moveBegins) {
+        return VersionPreference::Old;
+    }
+    const double share = done < moveBegins ? trialShare : (done < moveEnds ? moveShare : 1.0);
+    return fractionOf(subject) < share ? VersionPreference::New : VersionPreference::Old;
+}
+
+std::vector<Engine *> RolloutBook::permitted(const std::string &service,
+                                             std::vector<Engine *> engines,
+                                             VersionPreference preference) const
+{
+    const auto *rollout = find(service);
+    if (rollout == nullptr || preference == VersionPreference::Any) {
+        return engines;
+    }
+    const auto &toVersion = rollout->order.toVersion;
+    const bool wantNew = preference == VersionPreference::New;
+    const auto isWanted = [&](const Engine *engine) {
+        return (engine->entry.softwareVersion == toVersion) == wantNew;
+    };
+    std::vector<Engine *> wanted;
+    std::copy_if(engines.begin(), engines.end(), std::back_inserter(wanted), isWanted);
+    // A version that is stopped gets nothing, whatever else is missing; the share on trial is no duty.
+    const bool onlyWanted = !wantNew || rollout->decided(RolloutState::Completed);
+    return wanted.empty() && !onlyWanted ? engines : wanted;
+}
+
+void RolloutBook::noteSession(const std::string &subject, const std::string &version, base::TimePoint now)
+{
+    if (m_pins.size() >= maxPins || now - m_lastSweep > m_sessionGap) {
+        forgetOldPins(now);
+    }
+    m_pins[subject] = {version, now};
+}
+
+void RolloutBook::forgetOldPins(base::TimePoint now)
+{
+    m_lastSweep = now;
+    std::erase_if(m_pins, [&](const auto &item) { return now - item.second.last > m_sessionGap; });
+}
+
+void RolloutBook::noteOutcome(const std::string &service,
+                              const std::string &version,
+                              const std::string &route,
+                              const RunOutcome &outcome)
+{
+    const auto found = m_rollouts.find(service);
+    if (found == m_rollouts.end() || found->second.orderRow == 0) {
+        return;
+    }
+    auto &rollout = found->second;
+    const bool isNew = version == rollout.order.toVersion;
+    (isNew ? rollout.newRuns : rollout.oldRuns).add(outcome);
+    (isNew ? rollout.newByRoute : rollout.oldByRoute)[route].add(outcome);
+    if (!rollout.stoppedHere && !rollout.decided(RolloutState::Completed) && evidenceAgainst(rollout)) {
+        rollout.stoppedHere = true;
+    }
+}
+
+bool RolloutBook::isBad(const VersionRuns &newRuns, const VersionRuns &oldRuns)
+{
+    const bool failing = newRuns.failed >= leastFailures && newRuns.failedShare() >= leastFailedShare
+        && newRuns.failedShare() >= failureFactor * oldRuns.failedShare();
+    const bool slow = newRuns.timed >= leastTimed && oldRuns.timed >= leastTimed
+        && newRuns.meanFirstByte() > slowFactor * oldRuns.meanFirstByte() + slowSlackSeconds;
+    return failing || slow;
+}
+
+bool RolloutBook::evidenceAgainst(const Rollout &rollout)
+{
+    for (const auto &[route, runs] : rollout.newByRoute) {
+        const auto old = rollout.oldByRoute.find(route);
+        if (isBad(runs, old == rollout.oldByRoute.end() ? VersionRuns{} : old->second)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+std::optional<RolloutStatus> RolloutBook::due(const std::string &service, base::TimePoint now) const
+{
+    const auto *rollout = find(service);
+    if (rollout == nullptr || rollout->decided(RolloutState::Completed) || rollout->decided(RolloutState::Reverted)) {
+        return std::nullopt;
+    }
+    const auto &toVersion = rollout->order.toVersion;
+    if (rollout->stoppedHere) {
+        return RolloutStatus{toVersion, RolloutState::Reverted};
+    }
+    if (progress(*rollout, now) >= completeAt) {
+        return RolloutStatus{toVersion, RolloutState::Completed};
+    }
+    const bool begun = rollout->decided(RolloutState::InProgress);
+    return begun ? std::nullopt : std::optional(RolloutStatus{toVersion, RolloutState::InProgress});
+}
+
+std::vector<std::string> RolloutBook::underWay() const
+{
+    std::vector<std::string> services;
+    for (const auto &[service, rollout] : m_rollouts) {
+        if (rollout.orderRow != 0) {
+            services.push_back(service);
+        }
+    }
+    return services;
+}
+
+std::string RolloutBook::evidence(const std::string &service) const
+{
+    const auto *rollout = find(service);
+    if (rollout == nullptr) {
+        return "none";
+    }
+    return fmt::format("new:{}/{}/{:.3f}s,old:{}/{}/{:.3f}s",
+                       rollout->newRuns.failed,
+                       rollout->newRuns.total,
+                       rollout->newRuns.meanFirstByte(),
+                       rollout->oldRuns.failed,
+                       rollout->oldRuns.total,
+                       rollout->oldRuns.meanFirstByte());
+}
+
+} // namespace ibisfork::gateway
--- /dev/null
+++ b/src/gateway/rolloutbook.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <ibisfork/base/clock.h>
+
+#include "gateway/enginebook.h"
+
+namespace ibisfork::gateway {
+
+/// Which engines of a service a request should run at while a roll-out is under way.
+enum class VersionPreference {
+    Any, ///< No roll-out is under way.
+    Old,
+    New,
+};
+
+/// How a run ended, as evidence about its version.
+struct RunOutcome
+{
+    bool failed = false;
+    /// Time to the first byte of the answer, if there was an answer.
+    std::optional<base::Duration> firstByte;
+};
+
+/// Runs of one version, in all or of one route.
+struct VersionRuns
+{
+    unsigned total = 0;
+    unsigned failed = 0;
+    unsigned timed = 0;
+    double firstByteSeconds = 0;
+
+    void add(const RunOutcome &outcome);
+    double failedShare() const { return total == 0 ? 0.0 : static_cast<double>(failed) / total; }
+    double meanFirstByte() const { return timed == 0 ? 0.0 : firstByteSeconds / timed; }
+};
+
+/// The roll-outs that operators have ordered, and the evidence about their versions.
+///
+/// A small share of the requests goes to the new version in the first half of the period; after that all of them move,
+/// and before the end of the period the roll-out is completed. Evidence against the version ends its use at once.
+class RolloutBook
+{
+public:
+    /// @p sessionGap: requests of a session that follow each other within it stay on one version.
+    explicit RolloutBook(base::Duration sessionGap)
+        : m_sessionGap(sessionGap)
+    { }
+
+    /// @p orderRow: the order's row version, by which a later order is told apart. @p elapsed: how long ago it began.
+    void setOrder(const RolloutOrder &order, std::uint64_t orderRow, base::Duration elapsed, base::TimePoint now);
+    void removeOrder(const std::string &service);
+    void setStatus(const std::string &service, const RolloutStatus &status);
+
+    /// @p subject: what stays on one version, a session or the request alone.
+    VersionPreference prefer(const std::string &service, const std::string &subject, bool isSession, base::TimePoint now);
+    /// Those of @p engines that may run the request, the preferred version if it has any.
+    std::vector<Engine *>
+    permitted(const std::string &service, std::vector<Engine *> engines, VersionPreference preference) const;
+
+    void noteSession(const std::string &subject, const std::string &version, base::TimePoint now);
+    void noteOutcome(const std::string &service,
+                     const std::string &version,
+                     const std::string &route,
+                     const RunOutcome &outcome);
+
+    /// What should be said of the roll-out of @p service now, if that has changed.
+    std::optional<RolloutStatus> due(const std::string &service, base::TimePoint now) const;
+    /// Services with a roll-out under way.
+    std::vector<std::string> underWay() const;
+    /// The evidence in short, for logs.
+    std::string evidence(const std::string &service) const;
+
+private:
+    struct Rollout
+    {
+        RolloutOrder order;
+        std::uint64_t orderRow = 0;
+        base::TimePoint begun{};
+        std::optional<RolloutStatus> status;
+        bool stoppedHere = false;
+        VersionRuns newRuns;
+        VersionRuns oldRuns;
+        std::map<std::string, VersionRuns> newByRoute;
+        std::map<std::string, VersionRuns> oldByRoute;
+
+        bool decided(RolloutState state) const;
+        bool stopped() const { return stoppedHere || decided(RolloutState::Reverted); }
+    };
+
+    struct Pin
+    {
+        std::string version;
+        base::TimePoint last{};
+    };
+
+    static double progress(const Rollout &rollout, base::TimePoint now);
+    static bool isBad(const VersionRuns &newRuns, const VersionRuns &oldRuns);
+    static bool evidenceAgainst(const Rollout &rollout);
+    const Rollout *find(const std::string &service) const;
+    const Pin *pinOf(const std::string &subject, base::TimePoint now) const;
+    void forgetOldPins(base::TimePoint now);
+
+    base::Duration m_sessionGap;
+    std::map<std::string, Rollout> m_rollouts;
+    std::map<std::string, Pin> m_pins;
+    base::TimePoint m_lastSweep{};
+};
+
+} // namespace ibisfork::gateway
--- /dev/null
+++ b/src/http/upstreamconnection.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <ibisfork/base/clock.h>
+
+#include "http/messageparser.h"
+#include "net/address.h"
+#include "net/libevent.h"
+
+namespace ibisfork::http {
+
+/// Why an exchange on a connection came to nothing.
+enum class ConnectionFailure {
+    Connect, ///< No connection came about, so nothing was sent.
+    Lost, ///< Reset or closed before the answer was whole; what was sent may have run.
+    Malformed, ///< The bytes were no answer.
+};
+
+/// One connection to an upstream or to the platform's store, for one request at a time.
+class UpstreamConnection
+{
+public:
+    /// What happens to the request that was sent. None of them may destroy the connection at once.
+    struct Handlers
+    {
+        std::function<void(const ResponseHead &)> onHead;
+        std::function<void(std::string_view)> onBody;
+        std::function<void()> onComplete;
+        std::function<void(ConnectionFailure)> onFailure;
+    };
+
+    UpstreamConnection(event_base *base, const net::Address &address);
+    UpstreamConnection(const UpstreamConnection &) = delete;
+    UpstreamConnection &operator=(const UpstreamConnection &) = delete;
+
+    /// Sends @p bytes, a whole request, as soon as the connection is open. @p bodyless: the answer to HEAD.
+    void send(std::string bytes, bool bodyless, Handlers handlers);
+
+    bool connected() const { return m_connected; }
+    /// True once a request may have left for the other end.
+    bool sent() const { return m_sent; }
+    /// True if another request may be sent: the last answer was whole, nothing followed it, and the other end keeps the
+    /// connection.
+    bool reusable() const;
+    /// How long the other end keeps an idle connection, if it says.
+    std::optional<std::chrono::seconds> idleAllowed() const { return m_idleAllowed; }
+
+    /// No handler is called any more; the connection closes when it is destroyed.
+    void abandon();
+
+    /// Bytes of the answer that are not read any more while this is set.
+    void pauseReading(bool paused);
+
+private:
+    static void onRead(bufferevent *, void *self);
+    static void onEvent(bufferevent *, short what, void *self);
+
+    void readMore();
+    void fail(ConnectionFailure failure);
+    void complete();
+    void writePending();
+
+    struct BufferEventDeleter
+    {
+        void operator()(bufferevent *item) const { bufferevent_free(item); }
+    };
+
+    std::unique_ptr<bufferevent, BufferEventDeleter> m_bufferEvent;
+    MessageParser m_parser;
+    Handlers m_handlers;
+    std::string m_pending;
+    std::optional<std::chrono::seconds> m_idleAllowed;
+    bool m_connected = false;
+    bool m_sent = false;
+    bool m_abandoned = false;
+    bool m_busy = false;
+    bool m_broken = false;
+};
+
+} // namespace ibisfork::http
--- /dev/null
+++ b/src/settings/gatewaysettings.cpp
@@ -0,0 +1,98 @@
+#include "settings/gatewaysettings.h"
+
+#include <fstream>
+#include <sstream>
+
+#include <fmt/format.h>
+
+#include "settings/exceptions.h"
+#include "yaml/yamlfields.h"
+
+namespace ibisfork::settings {
+
+namespace {
+
+using yaml::YamlFields;
+
+constexpr const char *storeField = "store";
+constexpr double mostRatio = 100;
+constexpr double mostCount = 1e9;
+
+net::Address addressFrom(YamlFields &fields, const char *name)
+{
+    return net::Address::parse(fields.required<std::string>(name, "an address of the form IP:PORT"));
+}
+
+FleetBounds boundsFrom(YamlFields fields)
+{
+    FleetBounds bounds;
+    bounds.resendRatio = fields.optionalInRange("resend_ratio", bounds.resendRatio, 0, mostRatio);
+    bounds.resendExtra = fields.optionalInRange("resend_extra", bounds.resendExtra, 0, mostCount);
+    bounds.resendWindow = fields.optionalMilliseconds("resend_window", bounds.resendWindow);
+    bounds.coldFactor = fields.optionalInRange("cold_factor", bounds.coldFactor, 0, mostRatio);
+    bounds.coldTolerance = fields.optionalInRange("cold_tolerance", bounds.coldTolerance, 0, mostCount);
+    bounds.sessionGap = fields.optionalMilliseconds("session_gap", bounds.sessionGap);
+    bounds.shutdownGrace = fields.optionalMilliseconds("shutdown_grace", bounds.shutdownGrace);
+    fields.refuseUnknown();
+    return bounds;
+}
+
+GatewaySettings read(const std::string &text)
+{
+    YamlFields document(YAML::Load(text), "document");
+    GatewaySettings settings;
+    settings.node = readNode(YamlFields(document.map("node"), "node"));
+    YamlFields listen(document.map("listen"), "listen");
+    settings.callers = addressFrom(listen, "callers");
+    settings.readiness = addressFrom(listen, "readiness");
+    settings.operators = addressFrom(listen, "operators");
+    listen.refuseUnknown();
+    YamlFields store(document.map(storeField), storeField);
+    settings.store = addressFrom(store, "address");
+    store.refuseUnknown();
+    settings.bounds = boundsFrom(YamlFields(document.map("bounds"), "bounds"));
+    settings.logLevel = readLogLevel(document, settings.logLevel);
+    document.refuseUnknown();
+    return settings;
+}
+
+std::string textOf(const std::string &path)
+{
+    const std::ifstream file(path);
+    if (!file) {
+        throw SettingsError(fmt::format(errormessage::unreadable, path));
+    }
+    std::stringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+} // namespace
+
+bool areGatewaySettings(const std::string &path)
+{
+    try {
+        const auto document = YAML::Load(textOf(path));
+        return document.IsMap() && document[storeField].IsDefined();
+    } catch (const YAML::Exception &error) {
+        throw SettingsError(fmt::format("{}: line {}: {}", path, error.mark.line + 1, error.msg));
+    }
+}
+
+GatewaySettings parseGatewaySettings(const std::string &text, const std::string &path)
+{
+    try {
+        return read(text);
+    } catch (const YAML::Exception &error) {
+        throw SettingsError(fmt::format("{}: line {}: {}", path, error.mark.line + 1, error.msg));
+    } catch (const base::Error &error) {
+        throw SettingsError(fmt::format(errormessage::inFile, path, error.what()));
+    }
+}
+
+GatewaySettings readGatewaySettings(const std::string &path)
+{
+    return parseGatewaySettings(textOf(path), path);
+}
+
+} // namespace ibisfork::settings
--- /dev/null
+++ b/src/settings/gatewaysettings.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <chrono>
+#include <string>
+
+#include "net/address.h"
+#include "settings/settings.h"
+
+namespace ibisfork::settings {
+
+/// Bounds that the deployment sets on what all nodes do together.
+struct FleetBounds
+{
+    double resendRatio = 0.2;
+    double resendExtra = 10;
+    std::chrono::milliseconds resendWindow{10000};
+    double coldFactor = 1.0;
+    double coldTolerance = 0;
+    std::chrono::milliseconds sessionGap{5000};
+    /// Time from the request to stop until the process is killed.
+    std::chrono::milliseconds shutdownGrace{8000};
+};
+
+/// Settings of a daemon that takes its configuration and its list of engines from the platform's store.
+struct GatewaySettings
+{
+    NodeSettings node;
+    net::Address callers;
+    net::Address readiness;
+    net::Address operators;
+    net::Address store;
+    FleetBounds bounds;
+    base::LogLevel logLevel = base::LogLevel::Info;
+};
+
+/// True if the settings in @p path are of this kind. Throws SettingsError.
+bool areGatewaySettings(const std::string &path);
+
+/// Reads and checks the settings in @p path. Throws SettingsError.
+GatewaySettings readGatewaySettings(const std::string &path);
+
+/// The same for @p text; @p path is used in messages.
+GatewaySettings parseGatewaySettings(const std::string &text, const std::string &path);
+
+} // namespace ibisfork::settings
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -27,16 +27,6 @@
     return net::Address::parse(fields.required<std::string>(name, "an address of the form IP:PORT"));
 }
 
-NodeSettings nodeFrom(YamlFields fields)
-{
-    NodeSettings node;
-    node.name = fields.required<std::string>("name", "a name");
-    node.failureDomain = fields.required<std::string>("failure_domain", "a name");
-    node.region = fields.required<std::string>("region", "a name");
-    fields.refuseUnknown();
-    return node;
-}
-
 ListenSettings listenFrom(YamlFields fields)
 {
     ListenSettings listen;
@@ -103,7 +93,7 @@
 {
     YamlFields document(YAML::Load(text), "document");
     Settings settings;
-    settings.node = nodeFrom(YamlFields(document.map("node"), "node"));
+    settings.node = readNode(YamlFields(document.map("node"), "node"));
     settings.listen = listenFrom(YamlFields(document.map("listen"), "listen"));
     settings.peers = peersFrom(YamlFields(document.map("peers"), "peers"));
     settings.tls = tlsFrom(YamlFields(document.map("tls"), "tls"));
@@ -112,13 +102,28 @@
     platform.refuseUnknown();
     settings.timing = timingFrom(YamlFields(document.map("timing"), "timing"));
     settings.limits = limitsFrom(YamlFields(document.map("limits"), "limits"));
-    settings.logLevel = document.optionalName("log_level", logLevelNames, settings.logLevel);
+    settings.logLevel = readLogLevel(document, settings.logLevel);
     document.refuseUnknown();
     return settings;
 }
 
 } // namespace
 
+NodeSettings readNode(YamlFields fields)
+{
+    NodeSettings node;
+    node.name = fields.required<std::string>("name", "a name");
+    node.failureDomain = fields.required<std::string>("failure_domain", "a name");
+    node.region = fields.required<std::string>("region", "a name");
+    fields.refuseUnknown();
+    return node;
+}
+
+base::LogLevel readLogLevel(YamlFields &document, base::LogLevel fallback)
+{
+    return document.optionalName("log_level", logLevelNames, fallback);
+}
+
 Settings parseSettings(const std::string &text, const std::string &path)
 {
     try {
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -6,6 +6,7 @@
 #include <ibisfork/base/log.h>
 
 #include "net/address.h"
+#include "yaml/yamlfields.h"
 
 namespace ibisfork::settings {
 
@@ -88,6 +89,10 @@
     base::LogLevel logLevel = base::LogLevel::Info;
 };
 
+/// Parts that all kinds of settings share. They throw yaml::FieldError.
+NodeSettings readNode(yaml::YamlFields fields);
+base::LogLevel readLogLevel(yaml::YamlFields &document, base::LogLevel fallback);
+
 /// Reads and checks the settings in @p path. Throws SettingsError.
 Settings readSettings(const std::string &path);
 
