--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -48,6 +48,8 @@
     std::map<std::string, RecentMean> firstBytes;
     /// The node is shutting down; connections close behind their answers.
     bool stopping = false;
+    /// So late in the shutdown that a stream which begins now may not end in time.
+    bool stoppingLate = false;
 
     RecentMean &firstByte(const std::string &route);
 };
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -94,6 +94,10 @@
     if (!admit()) {
         return;
     }
+    if (m_context.stoppingLate && m_route->repeatability == Repeatability::Stream) {
+        refuse(statusUnavailable, "node_stops", retryAfterFull);
+        return;
+    }
     m_endsAt = std::min<base::TimePoint>(m_endsAt, m_start + m_route->timeout);
     std::uint32_t total = 0;
     for (const auto &share : m_route->services) {
@@ -210,6 +214,7 @@
     m_engineVersion = engine.entry.softwareVersion;
     m_tried.push_back(m_engineId);
     ++m_sends;
+    ++m_runs;
     m_sentAt = now;
     m_lastProgress = now;
     m_answer = {};
@@ -253,7 +258,6 @@
     if (m_answer.notRun) {
         return;
     }
-    ++m_runs;
     m_firstByteAfter = now - m_sentAt;
     m_context.firstByte(m_route->name).add(base::toSeconds(*m_firstByteAfter));
     if (wantsSecondRun()) {
@@ -367,8 +371,8 @@
         miss({EngineFault::Failed, true, "engine_failed"});
         return;
     }
-    if (failed && mayGoOn(true)) {
-        miss({EngineFault::Failed, true, "engine_failed"});
+    if (failed && takeResend(true)) {
+        miss({EngineFault::Failed, true, "engine_failed", true});
         return;
     }
     if (failed) {
@@ -427,20 +431,24 @@
     m_context.view.engines().noteFault(m_engineId, miss.fault, coldPeriod(), now);
     m_lastReason = miss.reason;
     m_mayHaveRun = m_mayHaveRun || miss.mayHaveRun;
-    if (miss.mayHaveRun && m_firstByteAfter == std::nullopt) {
-        ++m_runs;
+    if (!miss.mayHaveRun) {
+        --m_runs;
     }
     m_firstByteAfter.reset();
     releaseConnection();
-    const bool resend = mayGoOn(miss.mayHaveRun)
-        && m_context.resends.take(m_service, m_context.view.nodes(), now);
-    if (resend) {
+    if (miss.resendTaken || takeResend(miss.mayHaveRun)) {
         dispatch();
     } else {
         giveUp(miss.reason);
     }
 }
 
+bool Exchange::takeResend(bool mayHaveRun)
+{
+    return mayGoOn(mayHaveRun)
+        && m_context.resends.take(m_service, m_context.view.nodes(), base::monotonicNow());
+}
+
 bool Exchange::mayGoOn(bool mayHaveRun) const
 {
     if (mayHaveRun && !repeatable()) {
@@ -542,9 +550,10 @@
     }
     if (m_phase == Phase::Connecting) {
         miss({EngineFault::Unreachable, false, "connect_timeout"});
-    } else if (mayGoOn(true)) {
-        miss({EngineFault::Silent, true, "engine_silent"});
+    } else if (takeResend(true)) {
+        miss({EngineFault::Silent, true, "engine_silent", true});
     } else {
+        // Nowhere else to go: the engine may still answer.
         m_lastProgress = now;
         arm();
     }
@@ -587,6 +596,7 @@
         .field("workspace", m_workspace.empty() ? "-" : m_workspace)
         .field("engine", m_engineId.empty() ? "-" : m_engineId)
         .field("model", m_model.empty() ? "-" : m_model)
+        .field("confidence", m_answer.confidence.value_or(-1))
         .field("sends", m_sends)
         .field("first_byte_ms", m_firstByteAfter ? base::toMilliseconds(*m_firstByteAfter) : -1)
         .field("took_ms", base::toMilliseconds(took))
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -51,6 +51,8 @@
         /// The engine may have run the request.
         bool mayHaveRun = false;
         const char *reason = "";
+        /// The resend budget has been charged for going on.
+        bool resendTaken = false;
     };
 
     bool admit();
@@ -74,6 +76,7 @@
 
     void releaseConnection();
     void miss(const Miss &miss);
+    bool takeResend(bool mayHaveRun);
     bool mayGoOn(bool mayHaveRun) const;
     void giveUp(const char *reason);
     void refuse(int status, const char *reason, std::chrono::milliseconds retryAfter);
@@ -117,6 +120,7 @@
 
     std::vector<std::string> m_tried;
     unsigned m_sends = 0;
+    /// Sends that may have run.
     unsigned m_runs = 0;
     bool m_mayHaveRun = false;
     bool m_streamBegun = false;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -14,14 +14,16 @@
 constexpr std::chrono::milliseconds stopTickInterval{50};
 /// The balancer asks once a second and needs two misses.
 constexpr std::chrono::milliseconds leastStopTime{3200};
+/// By then the balancer has sent the last new connection; kept ones that are idle are closed.
+constexpr std::chrono::milliseconds balancerNotices{2400};
 /// Left of the grace when what still runs is cut off.
 constexpr std::chrono::milliseconds cutOffMargin{500};
 /// Failures of the store this recent put removals in doubt.
 constexpr std::chrono::milliseconds shakyFor{2500};
 /// Orders and configurations are wanted at once; a question held longer hides a dead connection.
-constexpr WatchTiming operatorTiming{std::chrono::milliseconds(1200), std::chrono::milliseconds(0)};
+constexpr WatchTiming operatorTiming{std::chrono::milliseconds(2000), std::chrono::milliseconds(0)};
 /// Engines write their entries all the time; changes are taken together.
-constexpr WatchTiming engineTiming{std::chrono::milliseconds(1200), std::chrono::milliseconds(600)};
+constexpr WatchTiming engineTiming{std::chrono::milliseconds(1200), std::chrono::milliseconds(900)};
 constexpr WatchTiming statusTiming{std::chrono::milliseconds(3000), std::chrono::milliseconds(300)};
 constexpr WatchTiming ownTiming{std::chrono::milliseconds(5000), std::chrono::milliseconds(500)};
 constexpr int statusOk = 200;
@@ -159,7 +161,8 @@
         EventLog::state("stop_cuts_off").field("exchanges", m_callers.exchanges());
         m_callers.cutOff();
     }
-    if (elapsed >= leastStopTime) {
+    if (elapsed >= balancerNotices) {
+        m_context.stoppingLate = true;
         m_callers.closeIdle();
     }
     const bool idle = m_callers.exchanges() == 0 && m_callers.connections() == 0;
--- a/src/gateway/modelpolicy.cpp
+++ b/src/gateway/modelpolicy.cpp
@@ -2,9 +2,16 @@
 
 namespace ibisfork::gateway {
 
+namespace {
+
+/// Below this the largest model is more likely to be needed than not.
+constexpr int leastConfidence = 50;
+
+} // namespace
+
 std::string ModelPolicy::first(const std::vector<std::string> &models, double) const
 {
-    return models.back();
+    return models.front();
 }
 
 std::string ModelPolicy::larger(const std::vector<std::string> &models) const
@@ -12,9 +19,9 @@
     return models.back();
 }
 
-bool ModelPolicy::worthSecondRun(const std::vector<std::string> &, const std::string &, int) const
+bool ModelPolicy::worthSecondRun(const std::vector<std::string> &models, const std::string &model, int confidence) const
 {
-    return false;
+    return model != models.back() && confidence < leastConfidence;
 }
 
 } // namespace ibisfork::gateway
