Share the start of roll-outs; doubt removals only in the first answer after an outage

Change: the first node that sees an order writes its start beside the status; the watch says which answer is the first after an outage; a status counts only for the order before it; waiting prompt tokens count as load.

--- a/src/gateway/enginebook.cpp
+++ b/src/gateway/enginebook.cpp
@@ -107,9 +107,17 @@
     return engines;
 }
 
-void EngineBook::noteSent(const std::string &id)
+void EngineBook::notePromptRead(const std::string &id, std::uint32_t promptTokens)
 {
     if (auto *engine = find(id)) {
+        engine->unansweredTokens -= std::min<std::uint64_t>(engine->unansweredTokens, promptTokens);
+    }
+}
+
+void EngineBook::noteSent(const std::string &id, std::uint32_t promptTokens)
+{
+    if (auto *engine = find(id)) {
+        engine->unansweredTokens += promptTokens;
         ++engine->inFlight;
         ++engine->sentSinceReport;
     }
--- a/src/gateway/enginebook.h
+++ b/src/gateway/enginebook.h
@@ -53,6 +53,8 @@
     base::TimePoint reportedAt{};
     unsigned sentSinceReport = 0;
     unsigned doneSinceReport = 0;
+    /// Prompt tokens that this node has sent and whose answers have not begun.
+    std::uint64_t unansweredTokens = 0;
 
     /// Requests that it is expected to hold now. @p nodes: how many nodes send to it.
     double expectedLoad(base::TimePoint now, unsigned nodes) const;
@@ -78,7 +80,9 @@
     std::vector<Engine *> ofService(const std::string &service);
     const std::map<std::string, Engine> &all() const { return m_engines; }
 
-    void noteSent(const std::string &id);
+    void noteSent(const std::string &id, std::uint32_t promptTokens);
+    /// The answer has begun, or will not come: the prompt of @p promptTokens no longer waits.
+    void notePromptRead(const std::string &id, std::uint32_t promptTokens);
     void noteEnded(const std::string &id);
     void noteLoad(const std::string &id, const EngineLoad &load, base::TimePoint now);
     void noteSuccess(const std::string &id);
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -1,6 +1,7 @@
 #include "gateway/exchange.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <fmt/format.h>
 
@@ -220,7 +221,8 @@
     m_answer = {};
     m_answerBody.clear();
     m_splitter.reset();
-    m_context.view.engines().noteSent(m_engineId);
+    m_context.view.engines().noteSent(m_engineId, m_call.promptTokens);
+    m_promptWaits = true;
     m_connection = m_context.pool.take(m_engineId, engine.entry.address, !repeatable(), now);
     m_phase = m_connection->connected() ? Phase::AwaitingHead : Phase::Connecting;
     const auto head = platform::encodeDispatch(m_request.head, dispatchTo(engine, now));
@@ -259,6 +261,7 @@
         return;
     }
     m_firstByteAfter = now - m_sentAt;
+    promptRead();
     m_context.firstByte(m_route->name).add(base::toSeconds(*m_firstByteAfter));
     if (wantsSecondRun()) {
         const auto model = m_context.models.larger(m_route->models);
@@ -403,11 +406,19 @@
     }
 }
 
+void Exchange::promptRead()
+{
+    if (std::exchange(m_promptWaits, false)) {
+        m_context.view.engines().notePromptRead(m_engineId, m_call.promptTokens);
+    }
+}
+
 void Exchange::releaseConnection()
 {
     if (!m_connection) {
         return;
     }
+    promptRead();
     m_context.view.engines().noteEnded(m_engineId);
     m_paused = false;
     m_context.pool.give(m_engineId, std::move(m_connection), base::monotonicNow());
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -74,6 +74,7 @@
     void completeStream();
     void completeBuffered();
 
+    void promptRead();
     void releaseConnection();
     void miss(const Miss &miss);
     bool takeResend(bool mayHaveRun);
@@ -125,6 +126,7 @@
     bool m_mayHaveRun = false;
     bool m_streamBegun = false;
     bool m_paused = false;
+    bool m_promptWaits = false;
     std::optional<std::uint64_t> m_lastEvent;
     std::optional<base::Duration> m_firstByteAfter;
     const char *m_lastReason = "";
--- a/src/gateway/fleetview.cpp
+++ b/src/gateway/fleetview.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "gateway/eventlog.h"
+#include "gateway/rolloutstart.h"
 #include "platform/codecerror.h"
 #include "platform/factcodec.h"
 
@@ -50,7 +51,7 @@
     }
     try {
         const auto order = platform::decodeRolloutOrder(row.data);
-        m_rollouts.setOrder(order, row.version, base::Duration::zero(), now);
+        m_rollouts.setOrder(order, row.version, now);
         EventLog::state("rollout_order")
             .field("service", order.service)
             .field("to", order.toVersion)
@@ -61,11 +62,11 @@
     }
 }
 
-void FleetView::takeOperatorRows(const std::vector<Row> &rows, bool whole, base::TimePoint now)
+void FleetView::takeOperatorRows(const TableChange &change, base::TimePoint now)
 {
     std::set<std::string> evacuated;
     std::set<std::string> ordered;
-    for (const auto &row : rows) {
+    for (const auto &row : change.rows) {
         if (row.key == platform::configurationKey()) {
             takeConfiguration(row);
         } else if (const auto service = platform::rolloutServiceOf(row.key)) {
@@ -81,7 +82,7 @@
             }
         }
     }
-    if (!whole) {
+    if (!change.whole) {
         return;
     }
     m_evacuated = evacuated;
@@ -113,10 +114,11 @@
     }
 }
 
-void FleetView::takeEngineRows(const std::vector<Row> &rows, bool whole, bool doubtful, base::TimePoint now)
+void FleetView::takeEngineRows(const TableChange &change, base::TimePoint now)
 {
+    const bool doubtful = change.afterOutage;
     std::set<std::string> present;
-    for (const auto &row : rows) {
+    for (const auto &row : change.rows) {
         if (row.removed) {
             EventLog::state("engine_unlisted").field("engine", row.key).field("doubtful", doubtful);
             m_engines.remove(row.key, doubtful, now);
@@ -125,47 +127,64 @@
             takeEngine(row, now);
         }
     }
-    if (whole) {
+    if (change.whole) {
         m_engines.keepOnly(present, doubtful, now);
         m_knowsEngines = true;
     }
 }
 
-void FleetView::takeStatusRows(const std::vector<Row> &rows, bool whole)
+void FleetView::takeStatusRows(const TableChange &change)
 {
-    if (whole) {
+    if (change.whole) {
         m_statusVersions.clear();
     }
-    for (const auto &row : rows) {
+    for (const auto &row : change.rows) {
         const auto service = platform::rolloutServiceOf(row.key);
         if (!service || row.removed) {
             continue;
         }
         m_statusVersions[*service] = row.version;
         try {
-            m_rollouts.setStatus(*service, platform::decodeRolloutStatus(row.data));
+            m_rollouts.setStatus(*service, platform::decodeRolloutStatus(row.data), row.version);
         } catch (const platform::CodecError &error) {
             logUnreadable(row, error);
         }
     }
 }
 
-void FleetView::takeNodeRows(const std::vector<Row> &rows, bool whole)
+void FleetView::takeRolloutStart(const Row &row, std::int64_t storeNowMs, base::TimePoint now)
 {
-    if (whole) {
+    const auto service = row.key.substr(rolloutStartPrefix.size());
+    const auto start = decodeRolloutStart(row.data);
+    if (row.removed || !start) {
+        return;
+    }
+    const auto elapsed = std::chrono::milliseconds(std::max<std::int64_t>(0, storeNowMs - start->storeMs));
+    m_rollouts.setStart(service, start->orderRow, now - elapsed);
+}
+
+void FleetView::takeOwnRows(const TableChange &change, std::int64_t storeNowMs, base::TimePoint now)
+{
+    if (change.whole) {
         m_nodes.clear();
     }
-    for (const auto &row : rows) {
-        if (!std::string_view(row.key).starts_with(nodePrefix)) {
-            continue;
-        }
-        if (row.removed) {
+    for (const auto &row : change.rows) {
+        const std::string_view key = row.key;
+        if (key.starts_with(rolloutStartPrefix)) {
+            takeRolloutStart(row, storeNowMs, now);
+        } else if (key.starts_with(nodePrefix) && row.removed) {
             m_nodes.erase(row.key);
-        } else {
+        } else if (key.starts_with(nodePrefix)) {
             m_nodes.insert(row.key);
         }
     }
-    EventLog::state("nodes").field("count", m_nodes.size());
+    EventLog::state("own_rows").field("nodes", m_nodes.size()).field("rows", change.rows.size());
+}
+
+void FleetView::takeStatus(const std::string &service, const RolloutStatus &status, std::uint64_t row)
+{
+    m_statusVersions[service] = row;
+    m_rollouts.setStatus(service, status, row);
 }
 
 void FleetView::expire(base::TimePoint now)
--- a/src/gateway/fleetview.h
+++ b/src/gateway/fleetview.h
@@ -9,6 +9,7 @@
 #include "gateway/enginebook.h"
 #include "gateway/rolloutbook.h"
 #include "gateway/rows.h"
+#include "gateway/tablewatch.h"
 
 namespace ibisfork::gateway {
 
@@ -21,11 +22,14 @@
         : m_rollouts(sessionGap)
     { }
 
-    /// Take what a table of the store holds. @p whole: @p rows are all of them. @p doubtful: the store was in trouble.
-    void takeOperatorRows(const std::vector<Row> &rows, bool whole, base::TimePoint now);
-    void takeEngineRows(const std::vector<Row> &rows, bool whole, bool doubtful, base::TimePoint now);
-    void takeStatusRows(const std::vector<Row> &rows, bool whole);
-    void takeNodeRows(const std::vector<Row> &rows, bool whole);
+    /// Take what a table of the store holds.
+    void takeOperatorRows(const TableChange &change, base::TimePoint now);
+    void takeEngineRows(const TableChange &change, base::TimePoint now);
+    void takeStatusRows(const TableChange &change);
+    /// @p storeNowMs: the store's clock at @p now.
+    void takeOwnRows(const TableChange &change, std::int64_t storeNowMs, base::TimePoint now);
+    /// Takes the status that this node has written itself.
+    void takeStatus(const std::string &service, const RolloutStatus &status, std::uint64_t row);
     /// Ends the doubt about engines whose time is up.
     void expire(base::TimePoint now);
 
@@ -34,6 +38,7 @@
     EngineBook &engines() { return m_engines; }
     const EngineBook &engines() const { return m_engines; }
     RolloutBook &rollouts() { return m_rollouts; }
+    const RolloutBook &rollouts() const { return m_rollouts; }
     const std::set<std::string> &evacuated() const { return m_evacuated; }
     /// Nodes that may be sending to the engines; at least 1.
     unsigned nodes() const;
@@ -47,6 +52,7 @@
     void takeConfiguration(const Row &row);
     void takeRollout(const std::string &service, const Row &row, base::TimePoint now);
     void takeEngine(const Row &row, base::TimePoint now);
+    void takeRolloutStart(const Row &row, std::int64_t storeNowMs, base::TimePoint now);
 
     ConfigurationPtr m_configuration;
     std::uint64_t m_configurationRow = 0;
@@ -58,8 +64,10 @@
     std::set<std::string> m_nodes;
 };
 
-/// The table of this system's own rows, and the prefix of the keys under which nodes stand there.
+/// The table of this system's own rows, and the prefixes of the keys under which nodes and the starts of roll-outs stand
+/// there.
 inline constexpr const char *ownTable = "ibisfork";
 inline constexpr std::string_view nodePrefix = "node/";
+inline constexpr std::string_view rolloutStartPrefix = "rollout/";
 
 } // namespace ibisfork::gateway
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include "gateway/eventlog.h"
+#include "gateway/rolloutstart.h"
 #include "platform/callcodec.h"
 #include "platform/factcodec.h"
 
@@ -18,8 +19,6 @@
 constexpr std::chrono::milliseconds balancerNotices{2400};
 /// Left of the grace when what still runs is cut off.
 constexpr std::chrono::milliseconds cutOffMargin{500};
-/// Failures of the store this recent put removals in doubt.
-constexpr std::chrono::milliseconds shakyFor{2500};
 /// Orders and configurations are wanted at once; a question held longer hides a dead connection.
 constexpr WatchTiming operatorTiming{std::chrono::milliseconds(2000), std::chrono::milliseconds(0)};
 /// Engines write their entries all the time; changes are taken together.
@@ -35,18 +34,18 @@
 Gateway::Gateway(event_base *base, const settings::GatewaySettings &settings, base::MetricsRegistry &metrics)
     : m_context(base, settings, metrics)
     , m_store(base, settings.store, metrics)
-    , m_operatorTable(base, m_store, platform::operatorsTable(), operatorTiming, [this](const auto &rows, bool whole) {
-        m_context.view.takeOperatorRows(rows, whole, base::monotonicNow());
+    , m_operatorTable(base, m_store, platform::operatorsTable(), operatorTiming, [this](const TableChange &change) {
+        m_context.view.takeOperatorRows(change, base::monotonicNow());
         driveRollouts();
     })
-    , m_engineTable(base, m_store, platform::enginesTable(), engineTiming, [this](const auto &rows, bool whole) {
-        m_context.view.takeEngineRows(rows, whole, storeShaky(), base::monotonicNow());
+    , m_engineTable(base, m_store, platform::enginesTable(), engineTiming, [this](const TableChange &change) {
+        m_context.view.takeEngineRows(change, base::monotonicNow());
     })
-    , m_statusTable(base, m_store, platform::statusTable(), statusTiming, [this](const auto &rows, bool whole) {
-        m_context.view.takeStatusRows(rows, whole);
+    , m_statusTable(base, m_store, platform::statusTable(), statusTiming, [this](const TableChange &change) {
+        m_context.view.takeStatusRows(change);
     })
-    , m_ownTable(base, m_store, ownTable, ownTiming, [this](const auto &rows, bool whole) {
-        m_context.view.takeNodeRows(rows, whole);
+    , m_ownTable(base, m_store, ownTable, ownTiming, [this](const TableChange &change) {
+        m_context.view.takeOwnRows(change, m_ownTable.storeNowMs(), base::monotonicNow());
     })
     , m_callers(m_context, settings.callers)
     , m_readiness(base, settings.readiness, [this](const std::string &path) {
@@ -73,12 +72,6 @@
     return !m_context.stopping && m_context.view.configuration() != nullptr && m_context.view.knowsEngines();
 }
 
-bool Gateway::storeShaky() const
-{
-    const auto failure = m_engineTable.lastFailure();
-    return failure && base::monotonicNow() - *failure < shakyFor;
-}
-
 void Gateway::register_()
 {
     if (m_registered || m_registering) {
@@ -89,9 +82,9 @@
     row.table = ownTable;
     row.key = std::string(nodePrefix) + m_context.settings.node.name;
     row.data = m_context.settings.callers.text();
-    m_store.write({row}, [this](WriteOutcome outcome) {
+    m_store.write({row}, [this](const WriteResult &result) {
         m_registering = false;
-        m_registered = outcome == WriteOutcome::Done;
+        m_registered = result.outcome == WriteOutcome::Done;
     });
 }
 
@@ -119,6 +112,15 @@
     }
 }
 
+ConditionalWrite Gateway::startRow(const std::string &service) const
+{
+    ConditionalWrite row;
+    row.table = ownTable;
+    row.key = std::string(rolloutStartPrefix) + service;
+    row.data = encodeRolloutStart({m_context.view.rollouts().orderRow(service), m_operatorTable.storeNowMs()});
+    return row;
+}
+
 void Gateway::say(const std::string &service, const RolloutStatus &status)
 {
     m_saying.insert(service);
@@ -132,11 +134,18 @@
         .field("to", status.toVersion)
         .field("state", static_cast<int>(status.state))
         .field("evidence", m_context.view.rollouts().evidence(service));
-    m_store.write({row}, [this, service, status](WriteOutcome outcome) {
+    std::vector<ConditionalWrite> rows{row};
+    if (status.state == RolloutState::InProgress) {
+        rows.push_back(startRow(service));
+    }
+    m_store.write(rows, [this, service, status](const WriteResult &result) {
         m_saying.erase(service);
-        EventLog::state("rollout_status_written").field("service", service).field("outcome", static_cast<int>(outcome));
-        if (outcome == WriteOutcome::Done) {
-            m_context.view.rollouts().setStatus(service, status);
+        EventLog::state("rollout_status_written")
+            .field("service", service)
+            .field("outcome", static_cast<int>(result.outcome))
+            .field("row", result.version);
+        if (result.outcome == WriteOutcome::Done) {
+            m_context.view.takeStatus(service, status, result.version);
         }
     });
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -37,10 +37,10 @@
     void stopTick();
     void register_();
     void driveRollouts();
+    ConditionalWrite startRow(const std::string &service) const;
     void say(const std::string &service, const RolloutStatus &status);
     InfoAnswer answerOperators(const std::string &path) const;
     std::string describe() const;
-    bool storeShaky() const;
 
     Context m_context;
     StoreClient m_store;
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -11,6 +11,8 @@
 /// Cost of an engine whose runs all fail, in units of a full engine.
 constexpr double faultCost = 3.0;
 constexpr double coldCost = 0.3;
+/// Prompt tokens that hold up an engine as much as if all its slots were taken.
+constexpr double tokensLikeFullEngine = 40000;
 constexpr double otherDomainCost = 0.01;
 /// How much busier than the least busy engine, as a share of its slots, the engine with the cached part may be.
 constexpr double cachedPartWorth = 0.2;
@@ -32,6 +34,7 @@
 {
     const auto slots = std::max(1U, engine.entry.slots);
     double cost = engine.expectedLoad(now, request.nodes) / slots;
+    cost += static_cast<double>(engine.unansweredTokens) / tokensLikeFullEngine;
     cost += faultCost * engine.faultShare;
     cost += engine.cold(now) ? coldCost : 0;
     cost += engine.entry.failureDomain == request.failureDomain ? 0 : otherDomainCost;
--- a/src/gateway/rolloutbook.cpp
+++ b/src/gateway/rolloutbook.cpp
@@ -50,34 +50,53 @@
 
 bool RolloutBook::Rollout::decided(RolloutState state) const
 {
-    return status && status->toVersion == order.toVersion && status->state == state;
+    return status && statusRow > orderRow && status->toVersion == order.toVersion && status->state == state;
 }
 
-void RolloutBook::setOrder(const RolloutOrder &order,
-                           std::uint64_t orderRow,
-                           base::Duration elapsed,
-                           base::TimePoint now)
+void RolloutBook::setOrder(const RolloutOrder &order, std::uint64_t orderRow, base::TimePoint now)
 {
     auto &rollout = m_rollouts[order.service];
     if (rollout.orderRow == orderRow) {
         return;
     }
-    const auto status = rollout.status;
-    rollout = Rollout{};
-    rollout.status = status;
-    rollout.order = order;
-    rollout.orderRow = orderRow;
-    rollout.begun = now - elapsed;
+    Rollout next;
+    next.status = rollout.status;
+    next.statusRow = rollout.statusRow;
+    next.start = rollout.start;
+    next.order = order;
+    next.orderRow = orderRow;
+    next.begun = next.start.orderRow == orderRow ? next.start.begun : now;
+    rollout = std::move(next);
+}
+
+void RolloutBook::setStart(const std::string &service, std::uint64_t orderRow, base::TimePoint begun)
+{
+    auto &rollout = m_rollouts[service];
+    rollout.start = {orderRow, begun};
+    if (rollout.orderRow == orderRow) {
+        rollout.begun = std::min(rollout.begun, begun);
+    }
+}
+
+std::uint64_t RolloutBook::orderRow(const std::string &service) const
+{
+    const auto *rollout = find(service);
+    return rollout == nullptr ? 0 : rollout->orderRow;
 }
 
 void RolloutBook::removeOrder(const std::string &service)
 {
-    m_rollouts.erase(service);
+    auto &rollout = m_rollouts[service];
+    rollout.orderRow = 0;
 }
 
-void RolloutBook::setStatus(const std::string &service, const RolloutStatus &status)
+void RolloutBook::setStatus(const std::string &service, const RolloutStatus &status, std::uint64_t statusRow)
 {
-    m_rollouts[service].status = status;
+    auto &rollout = m_rollouts[service];
+    if (statusRow >= rollout.statusRow) {
+        rollout.status = status;
+        rollout.statusRow = statusRow;
+    }
 }
 
 const RolloutBook::Rollout *RolloutBook::find(const std::string &service) const
--- a/src/gateway/rolloutbook.h
+++ b/src/gateway/rolloutbook.h
@@ -52,10 +52,15 @@
         : m_sessionGap(sessionGap)
     { }
 
-    /// @p orderRow: the order's row version, by which a later order is told apart. @p elapsed: how long ago it began.
-    void setOrder(const RolloutOrder &order, std::uint64_t orderRow, base::Duration elapsed, base::TimePoint now);
+    /// @p orderRow: the order's row version, by which a later order is told apart.
+    void setOrder(const RolloutOrder &order, std::uint64_t orderRow, base::TimePoint now);
+    /// The order that stands in row version @p orderRow was first seen by a node at @p begun.
+    void setStart(const std::string &service, std::uint64_t orderRow, base::TimePoint begun);
     void removeOrder(const std::string &service);
-    void setStatus(const std::string &service, const RolloutStatus &status);
+    /// @p statusRow: its row version; what was said before an order does not concern it.
+    void setStatus(const std::string &service, const RolloutStatus &status, std::uint64_t statusRow);
+    /// Row version of the order under way, 0 if there is none.
+    std::uint64_t orderRow(const std::string &service) const;
 
     /// @p subject: what stays on one version, a session or the request alone.
     VersionPreference prefer(const std::string &service, const std::string &subject, bool isSession, base::TimePoint now);
@@ -77,12 +82,20 @@
     std::string evidence(const std::string &service) const;
 
 private:
+    struct Start
+    {
+        std::uint64_t orderRow = 0;
+        base::TimePoint begun{};
+    };
+
     struct Rollout
     {
         RolloutOrder order;
         std::uint64_t orderRow = 0;
         base::TimePoint begun{};
         std::optional<RolloutStatus> status;
+        std::uint64_t statusRow = 0;
+        Start start;
         bool stoppedHere = false;
         VersionRuns newRuns;
         VersionRuns oldRuns;
--- a/src/gateway/rows.h
+++ b/src/gateway/rows.h
@@ -45,4 +45,11 @@
     Unknown, ///< No answer: it may have been done, or may be done later.
 };
 
+struct WriteResult
+{
+    WriteOutcome outcome = WriteOutcome::Unknown;
+    /// Row version of the written rows, if the write was done.
+    std::uint64_t version = 0;
+};
+
 } // namespace ibisfork::gateway
--- a/src/gateway/storeclient.cpp
+++ b/src/gateway/storeclient.cpp
@@ -179,12 +179,15 @@
     });
 }
 
-void StoreClient::write(const std::vector<ConditionalWrite> &writes, std::function<void(WriteOutcome)> done)
+void StoreClient::write(const std::vector<ConditionalWrite> &writes, std::function<void(const WriteResult &)> done)
 {
     const auto head = platform::encodeTransactionHead(m_address.text());
     const auto bytes = http::serializeRequest(head, platform::encodeTransaction(writes));
-    send(bytes, answerTimeout, [done](int status, const std::string &) {
-        done(decodeWrite(status));
+    send(bytes, answerTimeout, [done](int status, const std::string &body) {
+        const auto outcome = decodeWrite(status);
+        const auto answer = outcome == WriteOutcome::Done ? decodeRead(status, body) : ReadResult(StoreFailure::Refused);
+        const auto *batch = std::get_if<RowBatch>(&answer);
+        done({outcome, batch == nullptr ? 0 : batch->version});
     });
 }
 
--- a/src/gateway/storeclient.h
+++ b/src/gateway/storeclient.h
@@ -44,7 +44,7 @@
               std::chrono::milliseconds wait,
               std::function<void(const ReadResult &)> done);
     /// One transaction of @p writes.
-    void write(const std::vector<ConditionalWrite> &writes, std::function<void(WriteOutcome)> done);
+    void write(const std::vector<ConditionalWrite> &writes, std::function<void(const WriteResult &)> done);
 
 private:
     class Call;
--- a/src/gateway/tablewatch.cpp
+++ b/src/gateway/tablewatch.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 #include <ibisfork/base/names.h>
 
@@ -36,7 +37,7 @@
     , m_changed(std::move(changed))
     , m_timer(base, [this] {
         if (m_needAll) {
-            m_gathered.clear();
+            m_gathered = {};
             m_gatherVersion = 0;
             askAll({});
         } else {
@@ -71,8 +72,8 @@
     // Later pages may be newer than the first; the feed then brings some changes twice, which does no harm.
     m_gatherVersion = m_gatherVersion == 0 ? batch.version : std::min(m_gatherVersion, batch.version);
     for (const auto &row : batch.rows) {
-        if (m_gathered.empty() || m_gathered.back().key != row.key) {
-            m_gathered.push_back(row);
+        if (m_gathered.rows.empty() || m_gathered.rows.back().key != row.key) {
+            m_gathered.rows.push_back(row);
         }
     }
     if (batch.more && !batch.rows.empty()) {
@@ -82,8 +83,10 @@
     m_version = m_gatherVersion;
     m_needAll = false;
     m_loaded = true;
-    m_changed(m_gathered, true);
-    m_gathered.clear();
+    m_gathered.whole = true;
+    m_gathered.afterOutage = std::exchange(m_afterOutage, false);
+    m_changed(m_gathered);
+    m_gathered = {};
     next(m_timing.gap);
 }
 
@@ -102,12 +105,18 @@
     const auto &batch = std::get<RowBatch>(result);
     noteAnswer(batch);
     m_version = std::max(m_version, batch.version);
+    const bool afterOutage = std::exchange(m_afterOutage, false);
     if (!batch.rows.empty()) {
-        m_changed(batch.rows, false);
+        m_changed({batch.rows, false, afterOutage});
     }
     next(batch.rows.empty() ? base::Duration::zero() : m_timing.gap);
 }
 
+std::int64_t TableWatch::storeNowMs() const
+{
+    return nowMs() + m_clockOffsetMs;
+}
+
 void TableWatch::noteAnswer(const RowBatch &batch)
 {
     m_lastAnswer = base::monotonicNow();
@@ -115,6 +124,7 @@
     m_failures = 0;
     if (m_away) {
         m_away = false;
+        m_afterOutage = true;
         EventLog::state("store_regained").field("table", m_table).field("version", batch.version);
     }
 }
@@ -126,7 +136,6 @@
         next(base::Duration::zero());
         return;
     }
-    m_lastFailure = base::monotonicNow();
     if (!m_away) {
         m_away = true;
         EventLog::state("store_lost")
--- a/src/gateway/tablewatch.h
+++ b/src/gateway/tablewatch.h
@@ -21,12 +21,21 @@
     std::chrono::milliseconds gap{0};
 };
 
+/// What an answer of the store says of a table.
+struct TableChange
+{
+    std::vector<Row> rows;
+    /// The rows are all rows of the table; otherwise they are changes, in order.
+    bool whole = false;
+    /// The first answer after the store was away. Entries that are missing may have lapsed meanwhile.
+    bool afterOutage = false;
+};
+
 /// Keeps up with one table of the store: a full read, then its changes. While the store is away what was read stays.
 class TableWatch
 {
 public:
-    /// @p whole: @p rows are all rows of the table; otherwise they are changes, in order.
-    using Changed = std::function<void(const std::vector<Row> &rows, bool whole)>;
+    using Changed = std::function<void(const TableChange &)>;
 
     TableWatch(event_base *base, StoreClient &client, std::string table, WatchTiming timing, Changed changed);
     TableWatch(const TableWatch &) = delete;
@@ -38,10 +47,8 @@
     bool loaded() const { return m_loaded; }
     /// When the last answer came; nothing before the first.
     std::optional<base::TimePoint> lastAnswer() const { return m_lastAnswer; }
-    /// When the store last failed to answer as it should.
-    std::optional<base::TimePoint> lastFailure() const { return m_lastFailure; }
-    /// The difference between the store's clock and this node's, in milliseconds, as of the last answer.
-    std::int64_t storeClockOffsetMs() const { return m_clockOffsetMs; }
+    /// The store's steady clock, in milliseconds, as far as it is known.
+    std::int64_t storeNowMs() const;
     std::uint64_t version() const { return m_version; }
 
 private:
@@ -58,16 +65,16 @@
     WatchTiming m_timing;
     Changed m_changed;
     net::Timer m_timer;
-    std::vector<Row> m_gathered;
+    TableChange m_gathered;
     std::uint64_t m_version = 0;
     std::uint64_t m_gatherVersion = 0;
     bool m_loaded = false;
     bool m_needAll = true;
     bool m_away = false;
+    bool m_afterOutage = false;
     unsigned m_failures = 0;
     std::int64_t m_clockOffsetMs = 0;
     std::optional<base::TimePoint> m_lastAnswer;
-    std::optional<base::TimePoint> m_lastFailure;
 };
 
 } // namespace ibisfork::gateway
