--- a/src/gateway/enginebook.cpp
+++ b/src/gateway/enginebook.cpp
@@ -60,19 +60,27 @@
 void EngineBook::remove(const std::string &id, bool doubtful, base::TimePoint now)
 {
     const auto found = m_engines.find(id);
-    if (found == m_engines.end() || found->second.goneAt) {
+    if (found == m_engines.end()) {
         return;
     }
-    found->second.goneAt = doubtful ? now + lapseGrace : now;
+    if (!doubtful) {
+        m_engines.erase(found);
+    } else if (!found->second.goneAt) {
+        found->second.goneAt = now + lapseGrace;
+    }
 }
 
 void EngineBook::keepOnly(const std::set<std::string> &ids, bool doubtful, base::TimePoint now)
 {
+    std::vector<std::string> missing;
     for (const auto &[id, engine] : m_engines) {
         if (!ids.contains(id)) {
-            remove(id, doubtful, now);
+            missing.push_back(id);
         }
     }
+    for (const auto &id : missing) {
+        remove(id, doubtful, now);
+    }
 }
 
 std::vector<std::string> EngineBook::dropGone(base::TimePoint now)
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -262,6 +262,9 @@
     }
     m_firstByteAfter = now - m_sentAt;
     promptRead();
+    if (!m_call.session.empty()) {
+        m_context.view.rollouts().noteSession(m_subject, m_engineVersion, now);
+    }
     m_context.firstByte(m_route->name).add(base::toSeconds(*m_firstByteAfter));
     if (wantsSecondRun()) {
         const auto model = m_context.models.larger(m_route->models);
--- /dev/null
+++ b/tests/gateway/placement_test.cpp
@@ -0,0 +1,160 @@
+#include "gateway/placement.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <set>
+
+namespace ibisfork::gateway {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint64_t seed = 7;
+
+class EnginePlacementTest : public testing::Test
+{
+protected:
+    EnginePlacementTest()
+        : m_placement(seed)
+    {
+        for (int i = 0; i < 6; ++i) {
+            EngineEntry entry;
+            entry.id = "e" + std::to_string(i);
+            entry.service = "s";
+            entry.slots = 64;
+            m_book.put(entry, at(0s));
+        }
+    }
+
+    static base::TimePoint at(base::Duration after) { return base::TimePoint(1000s) + after; }
+    Placement choose(base::Duration after = 0s)
+    {
+        return m_placement.choose(m_book.ofService("s"), m_request, at(after));
+    }
+
+    EngineBook m_book;
+    EnginePlacement m_placement;
+    PlacementRequest m_request;
+};
+
+TEST_F(EnginePlacementTest, sharedPart_engineNotBusy_allNodesChooseTheSame)
+{
+    m_request.sharedPart = "part";
+    std::set<std::string> chosen;
+    for (std::uint64_t node = 0; node < 20; ++node) {
+        EnginePlacement placement(node);
+        chosen.insert(placement.choose(m_book.ofService("s"), m_request, at(0s)).engine->entry.id);
+    }
+    EXPECT_EQ(chosen.size(), 1U);
+}
+
+TEST_F(EnginePlacementTest, sharedPart_engineMuchBusier_anotherIsChosen)
+{
+    m_request.sharedPart = "part";
+    const auto first = choose().engine->entry.id;
+    m_book.noteLoad(first, {60, 20, 64}, at(0s));
+    EXPECT_NE(choose().engine->entry.id, first);
+}
+
+TEST_F(EnginePlacementTest, triedEngines_areNotChosenAgain)
+{
+    for (int i = 0; i < 6; ++i) {
+        const auto chosen = choose().engine;
+        ASSERT_NE(chosen, nullptr);
+        m_request.tried.push_back(chosen->entry.id);
+    }
+    EXPECT_EQ(choose().engine, nullptr);
+    EXPECT_EQ(std::set<std::string>(m_request.tried.begin(), m_request.tried.end()).size(), 6U);
+}
+
+TEST_F(EnginePlacementTest, manyNodes_sameReports_doNotAllChooseTheIdleEngine)
+{
+    for (int i = 1; i < 6; ++i) {
+        m_book.noteLoad("e" + std::to_string(i), {8, 0, 64}, at(0s));
+    }
+    m_book.noteLoad("e0", {0, 0, 64}, at(0s));
+    int toIdle = 0;
+    constexpr std::uint64_t nodes = 60;
+    for (std::uint64_t node = 0; node < nodes; ++node) {
+        EnginePlacement placement(node);
+        toIdle += placement.choose(m_book.ofService("s"), m_request, at(0s)).engine->entry.id == "e0" ? 1 : 0;
+    }
+    EXPECT_LT(toIdle, static_cast<int>(nodes) / 2);
+}
+
+TEST_F(EnginePlacementTest, engineWithLongPromptsWaiting_isPassedOver)
+{
+    m_book.noteSent("e0", 200000);
+    int toWaiting = 0;
+    for (int i = 0; i < 200; ++i) {
+        toWaiting += choose().engine->entry.id == "e0" ? 1 : 0;
+    }
+    // Only if both draws are that engine.
+    EXPECT_LT(toWaiting, 20);
+}
+
+TEST_F(EnginePlacementTest, engineAtRest_others_areChosen)
+{
+    m_book.noteFault("e0", EngineFault::Silent, 0s, at(0s));
+    for (int i = 0; i < 100; ++i) {
+        EXPECT_NE(choose().engine->entry.id, "e0");
+    }
+}
+
+TEST_F(EnginePlacementTest, allEnginesAtRest_oneIsTriedAllTheSame)
+{
+    for (int i = 0; i < 6; ++i) {
+        m_book.noteFault("e" + std::to_string(i), EngineFault::Silent, 0s, at(0s));
+    }
+    EXPECT_NE(choose().engine, nullptr);
+}
+
+TEST_F(EnginePlacementTest, coldEngines_startsOfAllNodes_keepTheRateInEverySecond)
+{
+    constexpr unsigned nodes = 7;
+    constexpr double coldRate = 17;
+    m_request.coldRate = coldRate;
+    m_request.nodes = nodes;
+    std::map<std::string, std::vector<base::Duration>> starts;
+    for (unsigned node = 0; node < nodes; ++node) {
+        EngineBook book = m_book;
+        EnginePlacement placement(node);
+        for (auto *engine : book.ofService("s")) {
+            engine->coldUntil = at(10s);
+        }
+        for (base::Duration now = 0ms; now < 5s; now += 5ms) {
+            const auto placed = placement.choose(book.ofService("s"), m_request, at(now));
+            if (placed.engine != nullptr) {
+                starts[placed.engine->entry.id].push_back(now);
+            }
+        }
+    }
+    for (auto &[id, times] : starts) {
+        std::sort(times.begin(), times.end());
+        std::size_t first = 0;
+        for (std::size_t last = 0; last < times.size(); ++last) {
+            while (times[last] - times[first] >= 1s) {
+                ++first;
+            }
+            EXPECT_LE(last - first + 1, static_cast<std::size_t>(coldRate) + nodes) << id;
+        }
+    }
+    EXPECT_EQ(starts.size(), 6U);
+}
+
+TEST_F(EnginePlacementTest, onlyColdEnginesBeyondTheirRate_saysWhenToComeBack)
+{
+    m_request.coldRate = 2;
+    for (auto *engine : m_book.ofService("s")) {
+        engine->coldUntil = at(10s);
+    }
+    for (int i = 0; i < 6; ++i) {
+        EXPECT_NE(choose().engine, nullptr);
+    }
+    const auto placed = choose();
+    EXPECT_EQ(placed.engine, nullptr);
+    ASSERT_TRUE(placed.retryAt);
+    EXPECT_EQ(*placed.retryAt, at(500ms));
+}
+
+} // namespace ibisfork::gateway
--- /dev/null
+++ b/tests/gateway/rolloutbook_test.cpp
@@ -0,0 +1,160 @@
+#include "gateway/rolloutbook.h"
+
+#include <gtest/gtest.h>
+
+namespace ibisfork::gateway {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint64_t orderRow = 30;
+
+class RolloutBookTest : public testing::Test
+{
+protected:
+    RolloutBookTest()
+        : m_book(5s)
+    {
+        m_book.setOrder({"s", "v2", 24s}, orderRow, at(0s));
+    }
+
+    static base::TimePoint at(base::Duration after) { return base::TimePoint(1000s) + after; }
+
+    double newShare(base::Duration after)
+    {
+        constexpr int requests = 4000;
+        int chosen = 0;
+        for (int i = 0; i < requests; ++i) {
+            const auto preference = m_book.prefer("s", "r" + std::to_string(i), false, at(after));
+            chosen += preference == VersionPreference::New ? 1 : 0;
+        }
+        return static_cast<double>(chosen) / requests;
+    }
+
+    void runs(const std::string &version, int good, int bad, base::Duration firstByte = 50ms)
+    {
+        for (int i = 0; i < good; ++i) {
+            m_book.noteOutcome("s", version, "r", {false, firstByte});
+        }
+        for (int i = 0; i < bad; ++i) {
+            m_book.noteOutcome("s", version, "r", {true, firstByte});
+        }
+    }
+
+    RolloutBook m_book;
+};
+
+TEST_F(RolloutBookTest, share_firstHalf_staysBelowTheUsualExposure)
+{
+    EXPECT_GT(newShare(1s), 0.0);
+    EXPECT_LT(newShare(11s), 0.12);
+}
+
+TEST_F(RolloutBookTest, share_afterTheMove_isAll)
+{
+    EXPECT_EQ(newShare(15s), 1.0);
+}
+
+TEST_F(RolloutBookTest, goodVersion_nearTheEnd_isCompletedOnce)
+{
+    EXPECT_EQ(m_book.due("s", at(1s))->state, RolloutState::InProgress);
+    m_book.setStatus("s", {"v2", RolloutState::InProgress}, orderRow + 1);
+    EXPECT_FALSE(m_book.due("s", at(15s)));
+    runs("v2", 100, 0);
+    EXPECT_EQ(m_book.due("s", at(20s))->state, RolloutState::Completed);
+    m_book.setStatus("s", {"v2", RolloutState::Completed}, orderRow + 2);
+    EXPECT_FALSE(m_book.due("s", at(23s)));
+    EXPECT_EQ(newShare(23s), 1.0);
+}
+
+TEST_F(RolloutBookTest, failingVersion_fewFailures_isLeftAtOnce)
+{
+    runs("v1", 60, 1);
+    runs("v2", 3, 3);
+    EXPECT_EQ(newShare(2s), 0.0);
+    EXPECT_EQ(m_book.due("s", at(2s))->state, RolloutState::Reverted);
+}
+
+TEST_F(RolloutBookTest, versionFailingOnOneRoute_manyGoodRunsOnOthers_isLeft)
+{
+    for (int i = 0; i < 200; ++i) {
+        m_book.noteOutcome("s", "v2", "fine", {false, 50ms});
+        m_book.noteOutcome("s", "v1", "fine", {false, 50ms});
+        m_book.noteOutcome("s", "v1", "broken", {false, 50ms});
+    }
+    for (int i = 0; i < 3; ++i) {
+        m_book.noteOutcome("s", "v2", "broken", {true, 50ms});
+    }
+    EXPECT_EQ(m_book.due("s", at(2s))->state, RolloutState::Reverted);
+}
+
+TEST_F(RolloutBookTest, slowVersion_isLeft)
+{
+    runs("v1", 60, 0, 60ms);
+    runs("v2", 6, 0, 600ms);
+    EXPECT_EQ(m_book.due("s", at(2s))->state, RolloutState::Reverted);
+}
+
+TEST_F(RolloutBookTest, bothVersionsFail_underTheSameTrouble_newOneIsKept)
+{
+    runs("v1", 60, 40);
+    runs("v2", 6, 4);
+    EXPECT_GT(newShare(2s), 0.0);
+}
+
+TEST_F(RolloutBookTest, session_runningOnOld_staysThereInTheFirstHalf)
+{
+    for (int i = 0; i < 200; ++i) {
+        const auto subject = "session" + std::to_string(i);
+        m_book.noteSession(subject, "v1", at(1s));
+        EXPECT_EQ(m_book.prefer("s", subject, true, at(3s)), VersionPreference::Old);
+    }
+}
+
+TEST_F(RolloutBookTest, session_runningOnNew_staysThere)
+{
+    for (int i = 0; i < 200; ++i) {
+        const auto subject = "session" + std::to_string(i);
+        m_book.noteSession(subject, "v2", at(1s));
+        EXPECT_EQ(m_book.prefer("s", subject, true, at(3s)), VersionPreference::New);
+    }
+}
+
+TEST_F(RolloutBookTest, startWrittenByAnotherNode_lateReader_goesByIt)
+{
+    RolloutBook late(5s);
+    late.setStart("s", orderRow, at(0s));
+    late.setOrder({"s", "v2", 24s}, orderRow, at(13s));
+    EXPECT_EQ(late.prefer("s", "any", false, at(15s)), VersionPreference::New);
+    RolloutBook later(5s);
+    later.setOrder({"s", "v2", 24s}, orderRow, at(13s));
+    later.setStart("s", orderRow, at(0s));
+    EXPECT_EQ(later.prefer("s", "any", false, at(15s)), VersionPreference::New);
+}
+
+TEST_F(RolloutBookTest, startOfAnEarlierOrder_isNotTaken)
+{
+    RolloutBook book(5s);
+    book.setStart("s", orderRow - 1, at(0s));
+    book.setOrder({"s", "v2", 24s}, orderRow, at(13s));
+    EXPECT_FALSE(book.due("s", at(15s)) && book.due("s", at(15s))->state == RolloutState::Completed);
+}
+
+TEST_F(RolloutBookTest, statusOfAnEarlierOrder_newOrderOfTheSameVersion_beginsAnew)
+{
+    m_book.setStatus("s", {"v2", RolloutState::Reverted}, orderRow + 1);
+    EXPECT_EQ(newShare(2s), 0.0);
+    m_book.setOrder({"s", "v2", 24s}, orderRow + 5, at(30s));
+    EXPECT_GT(newShare(32s), 0.0);
+}
+
+TEST_F(RolloutBookTest, engines_ofTheNewVersionMissing_oldOnesServeItsShare)
+{
+    Engine old;
+    old.entry.softwareVersion = "v1";
+    EXPECT_EQ(m_book.permitted("s", {&old}, VersionPreference::New).size(), 1U);
+    Engine next;
+    next.entry.softwareVersion = "v2";
+    EXPECT_TRUE(m_book.permitted("s", {&next}, VersionPreference::Old).empty());
+}
+
+} // namespace ibisfork::gateway
