Give long prompts engines of their own; find silence later

Change: PromptLanes divides the engines by rendezvous hashing in the ratio of the work; a stream goes on elsewhere only after the whole pause that is in time; the wait for the first byte grows with the prompt.

--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -10,6 +10,7 @@
 #include "gateway/fleetview.h"
 #include "gateway/modelpolicy.h"
 #include "gateway/placement.h"
+#include "gateway/promptlanes.h"
 #include "gateway/resendbudget.h"
 #include "settings/gatewaysettings.h"
 
@@ -44,6 +45,8 @@
     EnginePlacement placement;
     ResendBudget resends;
     ModelPolicy models;
+    /// Long and short prompts, by service.
+    std::map<std::string, PromptLanes> lanes;
     /// Seconds to the first byte of an answer, by route.
     std::map<std::string, RecentMean> firstBytes;
     /// The node is shutting down; connections close behind their answers.
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -31,10 +31,12 @@
 /// Waits for an engine that may take a request later, as a share of the objective.
 constexpr int waitDivisor = 4;
 /// A stream goes on elsewhere when it pauses for this share of the pause that is still in time.
-constexpr double pauseShare = 0.7;
+constexpr double pauseShare = 1.0;
 /// The first byte is late when it takes so many times what it usually takes, and at least so long.
 constexpr double firstByteFactor = 5;
 constexpr std::chrono::milliseconds leastFirstByteBound{500};
+/// Prompt tokens that a busy engine reads in a millisecond.
+constexpr std::uint32_t slowTokensPerMs = 15;
 constexpr std::chrono::milliseconds leastPlainBound{250};
 constexpr double plainBoundFactor = 1.5;
 /// Times to come back: an engine is full for a short time, a missing one longer.
@@ -117,6 +119,7 @@
     m_subject = isSession ? m_workspace + '/' + m_call.session : m_call.id;
     m_preference = m_context.view.rollouts().prefer(m_service, m_subject, isSession, m_start);
     m_context.resends.countRequest(m_service, m_start);
+    m_context.lanes[m_service].count(ownTokens());
     dispatch();
 }
 
@@ -153,6 +156,11 @@
     return service == nullptr ? base::Duration::zero() : base::Duration(service->coldPeriod);
 }
 
+std::uint32_t Exchange::ownTokens() const
+{
+    return m_call.promptParts.empty() ? m_call.promptTokens : m_call.promptParts.back().tokens;
+}
+
 void Exchange::dispatch()
 {
     const auto now = base::monotonicNow();
@@ -167,7 +175,11 @@
     request.tried = m_tried;
     request.nodes = m_context.view.nodes();
     request.coldRate = service == nullptr ? 0 : service->coldRate;
-    const auto placement = m_context.placement.choose(m_context.view.usable(m_service, m_preference), request, now);
+    const auto usable = m_context.view.usable(m_service, m_preference);
+    auto placement = m_context.placement.choose(m_context.lanes[m_service].enginesFor(ownTokens(), usable), request, now);
+    if (placement.engine == nullptr) {
+        placement = m_context.placement.choose(usable, request, now);
+    }
     if (placement.engine == nullptr) {
         noEngine(placement);
         return;
@@ -519,7 +531,8 @@
     }
     const auto usual = std::chrono::duration<double>(m_context.firstByte(m_route->name).value());
     const auto bound = std::chrono::duration_cast<base::Duration>(usual * firstByteFactor);
-    return std::clamp<base::Duration>(bound + leastFirstByteBound, leastFirstByteBound, m_route->objective);
+    const auto reading = std::chrono::milliseconds(m_call.promptTokens / slowTokensPerMs);
+    return std::min<base::Duration>(bound + leastFirstByteBound + reading, m_route->objective + reading);
 }
 
 void Exchange::arm()
