Test the whole node against stand-ins of the platform's wire

Change: stand-ins for the store, engines and callers in one process; faults of engines in a table for both kinds of request; smuggled requests, streams that go on elsewhere, drains, evacuations, outages, shutdown, a bad roll-out.

--- /dev/null
+++ b/tests/gateway/gateway_test.cpp
@@ -0,0 +1,567 @@
+#include "gateway/gateway.h"
+
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+
+#include "standins.h"
+
+namespace ibisfork::gateway {
+
+using namespace std::chrono_literals;
+using nlohmann::json;
+using test::FakeCaller;
+using test::FakeEngine;
+using test::FakeStore;
+
+/// A node in this process, with stand-ins for the store and for engines.
+class GatewayTest : public testing::Test
+{
+protected:
+    GatewayTest()
+        : m_base(net::makeEventBase())
+        , m_store(m_base.get())
+        , m_configuration(configuration())
+    {
+        m_settings.node = {"n1", "d1", "r1"};
+        m_settings.callers = {"127.0.0.1", 0};
+        m_settings.readiness = {"127.0.0.1", 0};
+        m_settings.operators = {"127.0.0.1", 0};
+        m_settings.store = m_store.address();
+        m_settings.bounds.resendRatio = 0.9;
+        m_settings.bounds.resendExtra = 50;
+    }
+
+    static json route(const std::string &name, const std::string &path, const std::string &kind, int attempts)
+    {
+        return {{"name", name},
+                {"hostname", "h.example"},
+                {"pathPrefix", path},
+                {"routeType", kind},
+                {"timeoutMs", 2000},
+                {"goalMs", 300},
+                {"priority", 1},
+                {"service", "s"},
+                {"maxAttempts", attempts},
+                {"public", false},
+                {"resumable", kind == "streaming"},
+                {"itlTargetMs", 300}};
+    }
+
+    static json configuration()
+    {
+        return {{"version", 7},
+                {"routes",
+                 {route("read", "/read/", "idempotent", 2),
+                  route("book", "/book/", "non_idempotent", 1),
+                  route("chat", "/chat/", "streaming", 3)}},
+                {"services", {{{"name", "s"}, {"healthPath", "/healthz"}, {"maxConns", 100}}}},
+                {"limits",
+                 {{"maxHeaderBytes", 4096},
+                  {"maxBodyBytes", 10000},
+                  {"headerTimeoutMs", 300},
+                  {"idleTimeoutMs", 15000}}},
+                {"tenants", {{{"name", "w1"}, {"apiKeys", {"key1"}}}}}};
+    }
+
+    FakeEngine &addEngine(const std::string &id, const std::string &domain = "d1", const std::string &version = "v1")
+    {
+        m_engines[id] = std::make_unique<FakeEngine>(m_base.get());
+        list(id, "ready", domain, version);
+        return *m_engines[id];
+    }
+
+    void list(const std::string &id,
+              const std::string &state,
+              const std::string &domain = "d1",
+              const std::string &version = "v1")
+    {
+        m_store.put("servers",
+                    id,
+                    json{{"service", "s"},
+                         {"address", m_engines[id]->address().text()},
+                         {"zone", domain},
+                         {"version", version},
+                         {"slots", 8},
+                         {"state", state},
+                         {"coldLeftMs", 0},
+                         {"seq", 1}}
+                        .dump());
+    }
+
+    void configure() { m_store.put("op", "config", m_configuration.dump()); }
+
+    void start()
+    {
+        configure();
+        m_gateway = std::make_unique<Gateway>(m_base.get(), m_settings, m_metrics);
+        m_gateway->start();
+        ASSERT_TRUE(until([this] { return m_gateway->ready(); }));
+    }
+
+    bool until(const std::function<bool()> &condition, base::Duration within = 5s)
+    {
+        const auto end = base::monotonicNow() + within;
+        while (!condition()) {
+            if (base::monotonicNow() > end) {
+                return false;
+            }
+            runFor(2ms);
+        }
+        return true;
+    }
+
+    void runFor(base::Duration time)
+    {
+        const auto microseconds = std::chrono::duration_cast<std::chrono::microseconds>(time).count();
+        const timeval delay{microseconds / 1000000, microseconds % 1000000};
+        event_base_loopexit(m_base.get(), &delay);
+        event_base_dispatch(m_base.get());
+    }
+
+    static std::string request(const std::string &method,
+                               const std::string &path,
+                               const std::string &headers = {},
+                               const std::string &body = {})
+    {
+        return method + " " + path + " HTTP/1.1\r\nHost: h.example\r\nIbisfork-Attempt-Id: a1\r\n"
+            + "Ibisfork-Credential: key1\r\n" + headers
+            + (method == "GET" ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n") + "\r\n" + body;
+    }
+
+    test::Answer ask(const std::string &bytes, base::Duration within = 5s)
+    {
+        FakeCaller caller(m_base.get(), m_gateway->callers());
+        caller.send(bytes);
+        until([&] { return caller.done(); }, within);
+        return caller.answer();
+    }
+
+    net::EventBasePtr m_base;
+    FakeStore m_store;
+    json m_configuration;
+    settings::GatewaySettings m_settings;
+    base::MetricsRegistry m_metrics;
+    std::map<std::string, std::unique_ptr<FakeEngine>> m_engines;
+    std::unique_ptr<Gateway> m_gateway;
+};
+
+TEST_F(GatewayTest, request_toItsRoute_isForwardedWithoutKeyAndWithWorkspace)
+{
+    auto &engine = addEngine("e1");
+    engine.willReply({test::plainReply(200, "hello")});
+    start();
+    const auto answer = ask(request("POST", "/book/x?q=1", "X-Own: 5\r\nIbisfork-Tenant: other\r\n", "abc"));
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_EQ(answer.body, "hello");
+    EXPECT_EQ(answer.headers.find("Ibisfork-Response-Seal"), "s");
+    ASSERT_EQ(engine.requests().size(), 1U);
+    const auto &seen = engine.requests().front();
+    EXPECT_EQ(seen.head.target, "/book/x?q=1");
+    EXPECT_EQ(seen.body, "abc");
+    EXPECT_EQ(seen.head.headers.find("Ibisfork-Tenant"), "w1");
+    EXPECT_EQ(seen.head.headers.count("Ibisfork-Tenant"), 1U);
+    EXPECT_FALSE(seen.head.headers.find("Ibisfork-Credential"));
+    EXPECT_EQ(seen.head.headers.find("X-Own"), "5");
+    EXPECT_EQ(seen.head.headers.find("Ibisfork-Expect-Instance"), "e1");
+}
+
+TEST_F(GatewayTest, headersOfTheSystem_sentByACaller_areNotForwarded)
+{
+    auto &engine = addEngine("e1");
+    engine.willReply({test::plainReply(200, "")});
+    start();
+    ask(request("GET", "/read/x", "Ibisfork-Hold: 1\r\nIbisfork-Pin-Ms: 9\r\nKv-From: a\r\nIbisfork-Kv-Backup: b\r\n"));
+    ASSERT_EQ(engine.requests().size(), 1U);
+    const auto &headers = engine.requests().front().head.headers;
+    EXPECT_FALSE(headers.find("Ibisfork-Hold"));
+    EXPECT_FALSE(headers.find("Ibisfork-Pin-Ms"));
+    EXPECT_FALSE(headers.find("Kv-From"));
+    EXPECT_FALSE(headers.find("Ibisfork-Kv-Backup"));
+}
+
+TEST_F(GatewayTest, unknownRouteAndKey_areRefusedAndNotRun)
+{
+    auto &engine = addEngine("e1");
+    engine.willReply({test::plainReply(200, "")});
+    start();
+    EXPECT_EQ(ask(request("GET", "/other/x")).status, 404);
+    auto stranger = request("GET", "/read/x");
+    stranger.replace(stranger.find("key1"), 4, "key9");
+    EXPECT_EQ(ask(stranger).status, 401);
+    EXPECT_TRUE(engine.requests().empty());
+}
+
+TEST_F(GatewayTest, storeAway_freshNode_answersComeBackLater)
+{
+    m_store.setMode(test::StoreMode::Refusing);
+    m_gateway = std::make_unique<Gateway>(m_base.get(), m_settings, m_metrics);
+    m_gateway->start();
+    const auto answer = ask(request("GET", "/read/x"));
+    EXPECT_EQ(answer.status, 503);
+    EXPECT_TRUE(answer.headers.find("Retry-After"));
+    EXPECT_FALSE(m_gateway->ready());
+}
+
+TEST_F(GatewayTest, storeSilent_runningNode_servesOn)
+{
+    auto &engine = addEngine("e1");
+    engine.willReply({test::plainReply(200, "hello")});
+    start();
+    m_store.setMode(test::StoreMode::Silent);
+    runFor(3s);
+    const auto before = base::monotonicNow();
+    EXPECT_EQ(ask(request("GET", "/read/x")).status, 200);
+    EXPECT_LT(base::monotonicNow() - before, 500ms);
+    EXPECT_TRUE(m_gateway->ready());
+}
+
+TEST_F(GatewayTest, historyGone_changesMeanwhile_areReadWhole)
+{
+    auto &engine = addEngine("e1");
+    engine.willReply({test::plainReply(200, "hello")});
+    start();
+    m_store.dropHistory();
+    m_configuration["version"] = 8;
+    m_configuration["routes"].push_back(route("more", "/more/", "idempotent", 2));
+    configure();
+    EXPECT_TRUE(until([this] { return ask(request("GET", "/more/x")).status == 200; }, 4s));
+}
+
+TEST_F(GatewayTest, olderConfiguration_isNotTaken)
+{
+    addEngine("e1").willReply({test::plainReply(200, "hello")});
+    start();
+    m_configuration["version"] = 6;
+    m_configuration["routes"].erase(0);
+    configure();
+    runFor(300ms);
+    EXPECT_EQ(ask(request("GET", "/read/x")).status, 200);
+}
+
+TEST_F(GatewayTest, unreadableEntry_namesNoEngineAndHarmsNoOther)
+{
+    addEngine("e1").willReply({test::plainReply(200, "hello")});
+    m_store.put("servers", "e2", "{\"service\": 5}");
+    m_store.put("servers", "e3", "\xff\xfe");
+    start();
+    EXPECT_EQ(ask(request("GET", "/read/x")).status, 200);
+}
+
+/// How an engine may treat a request, and what callers of each kind get when a second engine is well.
+struct FaultCase
+{
+    const char *name;
+    test::EngineReply reply;
+    int idempotentStatus;
+    int atMostOnceStatus;
+};
+
+std::ostream &operator<<(std::ostream &out, const FaultCase &item)
+{
+    return out << item.name;
+}
+
+class EngineFaultTest : public GatewayTest, public testing::WithParamInterface<FaultCase>
+{
+protected:
+    /// Two engines that both do it once and are well then.
+    void startFaulty()
+    {
+        for (const auto *id : {"e1", "e2"}) {
+            addEngine(id).willReply({GetParam().reply, test::plainReply(200, "good")});
+        }
+        start();
+    }
+
+    std::size_t sent() const { return m_engines.at("e1")->requests().size() + m_engines.at("e2")->requests().size(); }
+};
+
+TEST_P(EngineFaultTest, idempotentRequest_getsTheExpectedAnswer)
+{
+    // One engine is well from the start, so the second send finds it.
+    startFaulty();
+    const auto answer = ask(request("GET", "/read/x"));
+    EXPECT_EQ(answer.status, GetParam().idempotentStatus);
+    EXPECT_LE(sent(), 2U);
+}
+
+TEST_P(EngineFaultTest, requestThatMayRunOnce_runsAtMostOnce)
+{
+    startFaulty();
+    const auto answer = ask(request("POST", "/book/x", {}, "abc"));
+    EXPECT_EQ(answer.status, GetParam().atMostOnceStatus);
+    const bool refusedByEngine = GetParam().reply.bytes.find("Not-Executed") != std::string::npos;
+    EXPECT_LE(sent(), refusedByEngine ? 2U : 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Faults,
+    EngineFaultTest,
+    testing::Values(FaultCase{"reset before the answer", {"", false, true}, 502, 502},
+                    FaultCase{"closed before the answer", {"", true}, 502, 502},
+                    FaultCase{"silent", {""}, 504, 504},
+                    FaultCase{"own failure", test::plainReply(500, "bad"), 500, 500},
+                    FaultCase{"bytes that are no answer", {"hello\r\n\r\n", true}, 502, 502},
+                    FaultCase{"answer cut short",
+                              {"HTTP/1.1 200 OK\r\nIbisfork-Attempt-Id: ID\r\nIbisfork-Response-Seal: s\r\n"
+                               "Content-Length: 9\r\n\r\nabc",
+                               true},
+                              502,
+                              502},
+                    FaultCase{"answer without length, reset",
+                              {"HTTP/1.1 200 OK\r\nIbisfork-Attempt-Id: ID\r\nIbisfork-Response-Seal: s\r\n\r\nabc",
+                               false,
+                               true},
+                              502,
+                              502},
+                    FaultCase{"success without signature", test::plainReply(200, "abc", ""), 502, 502},
+                    FaultCase{"answer to another request",
+                              {"HTTP/1.1 200 OK\r\nIbisfork-Attempt-Id: zz\r\nIbisfork-Response-Seal: s\r\n"
+                               "Content-Length: 3\r\n\r\nabc"},
+                              502,
+                              502}));
+
+TEST_F(GatewayTest, idempotentRequest_oneEngineFaulty_isServedByTheOther)
+{
+    // The engine that has the fault is drawn first in half of the runs, so several requests are sent.
+    addEngine("e1").willReply({{"", false, true}});
+    addEngine("e2").willReply({test::plainReply(200, "good")});
+    start();
+    for (int i = 0; i < 10; ++i) {
+        EXPECT_EQ(ask(request("GET", "/read/x")).status, 200);
+    }
+}
+
+TEST_F(GatewayTest, engineRefuses_allFull_callerIsToldNotRunAndWhenToComeBack)
+{
+    addEngine("e1").willReply({test::refusal(503)});
+    addEngine("e2").willReply({test::refusal(503)});
+    start();
+    const auto answer = ask(request("POST", "/book/x", {}, "abc"));
+    EXPECT_EQ(answer.status, 503);
+    EXPECT_TRUE(answer.headers.find("Retry-After"));
+}
+
+TEST_F(GatewayTest, addressOfAnotherEngine_answers421_isPassedOver)
+{
+    addEngine("e1").willReply({test::plainReply(421, "", "Ibisfork-Instance-Id: zz\r\n")});
+    addEngine("e2").willReply({test::plainReply(200, "good")});
+    start();
+    for (int i = 0; i < 6; ++i) {
+        EXPECT_EQ(ask(request("POST", "/book/x", {}, "abc")).status, 200);
+    }
+}
+
+TEST_F(GatewayTest, answerWithoutLength_connectionEndsCleanly_isForwardedWhole)
+{
+    addEngine("e1").willReply(
+        {{"HTTP/1.1 200 OK\r\nIbisfork-Attempt-Id: ID\r\nIbisfork-Response-Seal: s\r\n\r\nabc", true}});
+    start();
+    const auto answer = ask(request("GET", "/read/x"));
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_EQ(answer.body, "abc");
+    EXPECT_TRUE(answer.complete);
+}
+
+TEST_F(GatewayTest, extraAnswer_onAKeptConnection_belongsToNoRequest)
+{
+    auto twice = test::plainReply(200, "one");
+    twice.bytes += "HTTP/1.1 200 OK\r\nIbisfork-Attempt-Id: a1\r\nIbisfork-Response-Seal: s\r\nContent-Length: 3\r\n\r\ntwo";
+    addEngine("e1").willReply({twice, test::plainReply(200, "three")});
+    start();
+    EXPECT_EQ(ask(request("GET", "/read/x")).body, "one");
+    EXPECT_EQ(ask(request("GET", "/read/x")).body, "three");
+}
+
+TEST_F(GatewayTest, engineLeaving_getsNoNewRequest)
+{
+    auto &leaving = addEngine("e1");
+    leaving.willReply({test::plainReply(200, "one")});
+    auto &other = addEngine("e2");
+    other.willReply({test::plainReply(200, "two")});
+    start();
+    list("e1", "draining");
+    runFor(1500ms);
+    const auto before = leaving.requests().size();
+    for (int i = 0; i < 8; ++i) {
+        EXPECT_EQ(ask(request("GET", "/read/x")).body, "two");
+    }
+    EXPECT_EQ(leaving.requests().size(), before);
+}
+
+TEST_F(GatewayTest, failureDomainTakenOut_getsNothingUntilItIsBack)
+{
+    auto &out = addEngine("e1", "d1");
+    out.willReply({test::plainReply(200, "one")});
+    addEngine("e2", "d2").willReply({test::plainReply(200, "two")});
+    start();
+    m_store.put("op", "evacuate/d1", "{}");
+    runFor(200ms);
+    for (int i = 0; i < 8; ++i) {
+        EXPECT_EQ(ask(request("GET", "/read/x")).body, "two");
+    }
+    EXPECT_TRUE(out.requests().empty());
+    m_store.remove("op", "evacuate/d1");
+    runFor(200ms);
+    EXPECT_TRUE(until([&] { return ask(request("GET", "/read/x")).body == "one"; }));
+}
+
+TEST_F(GatewayTest, revokedKey_isRefused)
+{
+    addEngine("e1").willReply({test::plainReply(200, "one")});
+    start();
+    m_configuration["version"] = 8;
+    m_configuration["tenants"][0]["apiKeys"] = {"key2"};
+    configure();
+    EXPECT_TRUE(until([this] { return ask(request("GET", "/read/x")).status == 401; }, 1s));
+}
+
+TEST_F(GatewayTest, stream_isForwardedEventByEvent)
+{
+    addEngine("e1").willReply({test::streamReply(1, 5)});
+    start();
+    const auto answer = ask(request("POST", "/chat/x", {}, "abc"));
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_TRUE(answer.complete);
+    EXPECT_EQ(answer.body.find("id: 1"), 0U);
+    EXPECT_NE(answer.body.find("data: t5"), std::string::npos);
+}
+
+TEST_F(GatewayTest, stream_brokenMidEvent_goesOnElsewhereWithoutGapOrRepeat)
+{
+    for (const auto *id : {"e1", "e2"}) {
+        auto &engine = addEngine(id);
+        engine.willReply({test::brokenStream(1, 3)});
+        engine.willResumeWith(test::streamReply(4, 6));
+    }
+    start();
+    const auto answer = ask(request("POST", "/chat/x", {}, "abc"));
+    EXPECT_TRUE(answer.complete);
+    std::string expected;
+    for (int i = 1; i <= 6; ++i) {
+        expected += "id: " + std::to_string(i) + "\ndata: t" + std::to_string(i) + "\n\n";
+    }
+    EXPECT_EQ(answer.body, expected);
+    EXPECT_EQ(m_engines["e1"]->requests().size(), 1U);
+    EXPECT_EQ(m_engines["e2"]->requests().size(), 1U);
+    for (const auto *id : {"e1", "e2"}) {
+        const auto last = m_engines[id]->requests().front().head.headers.find("Last-Event-Id");
+        EXPECT_TRUE(!last || last == "3");
+    }
+}
+
+TEST_F(GatewayTest, stream_silentEngine_goesOnElsewhereAfterTheFirstIsClosed)
+{
+    addEngine("e1").willReply({{""}});
+    addEngine("e2").willReply({test::streamReply(1, 2)});
+    start();
+    for (int i = 0; i < 4; ++i) {
+        const auto answer = ask(request("POST", "/chat/x", {}, "abc"));
+        EXPECT_TRUE(answer.complete);
+        EXPECT_EQ(answer.status, 200);
+    }
+    EXPECT_TRUE(until([&] { return m_engines["e1"]->open() == 0; }));
+}
+
+TEST_F(GatewayTest, callerLeaves_runAtTheEngineIsEnded)
+{
+    auto &engine = addEngine("e1");
+    engine.willReply({{""}});
+    start();
+    auto caller = std::make_unique<FakeCaller>(m_base.get(), m_gateway->callers());
+    caller->send(request("POST", "/book/x", {}, "abc"));
+    ASSERT_TRUE(until([&] { return engine.requests().size() == 1; }));
+    caller->leave();
+    EXPECT_TRUE(until([&] { return engine.open() == 0; }, 500ms));
+}
+
+TEST_F(GatewayTest, timeout_ofTheRoute_isKeptWithinHalfASecond)
+{
+    addEngine("e1").willReply({{""}});
+    start();
+    const auto before = base::monotonicNow();
+    const auto answer = ask(request("POST", "/book/x", {}, "abc"));
+    EXPECT_EQ(answer.status, 504);
+    EXPECT_LT(base::monotonicNow() - before, 2500ms);
+}
+
+TEST_F(GatewayTest, patience_ofTheCaller_isHandedOnAsWhatIsLeft)
+{
+    auto &engine = addEngine("e1");
+    engine.willReply({test::plainReply(200, "")});
+    start();
+    ask(request("GET", "/read/x", "Ibisfork-Deadline-Ms: 700\r\n"));
+    ASSERT_EQ(engine.requests().size(), 1U);
+    const std::string left(engine.requests().front().head.headers.find("Ibisfork-Deadline-Ms").value_or("-1"));
+    EXPECT_LE(std::stoi(left), 700);
+    EXPECT_GT(std::stoi(left), 500);
+}
+
+TEST_F(GatewayTest, smuggledRequest_endsInOne400AndAClosedConnection)
+{
+    auto &engine = addEngine("e1");
+    engine.willReply({test::plainReply(200, "")});
+    start();
+    const auto hidden = request("GET", "/read/hidden");
+    for (const std::string &length : {std::string("Content-Length : 70"), std::string("Content-Length: +7")}) {
+        const auto answer = ask("POST /book/x HTTP/1.1\r\nHost: h.example\r\nIbisfork-Credential: key1\r\n" + length
+                                + "\r\n\r\n" + hidden);
+        EXPECT_EQ(answer.status, 400);
+        EXPECT_EQ(answer.headers.find("Connection"), "close");
+    }
+    EXPECT_TRUE(engine.requests().empty());
+}
+
+TEST_F(GatewayTest, bodyAboveTheLimit_is413)
+{
+    addEngine("e1").willReply({test::plainReply(200, "")});
+    start();
+    EXPECT_EQ(ask(request("POST", "/book/x", {}, std::string(20000, 'x'))).status, 413);
+}
+
+TEST_F(GatewayTest, headThatNeverEnds_isGivenUp)
+{
+    addEngine("e1").willReply({test::plainReply(200, "")});
+    start();
+    EXPECT_EQ(ask("GET /read/x HTTP/1.1\r\nHost: h").status, 408);
+}
+
+TEST_F(GatewayTest, shutdown_runningRequest_isAnsweredAndNoneIsCut)
+{
+    m_settings.bounds.shutdownGrace = 4500ms;
+    auto &engine = addEngine("e1");
+    engine.willReply({test::plainReply(200, "one")});
+    start();
+    bool stopped = false;
+    m_gateway->stop([&] { stopped = true; });
+    EXPECT_FALSE(m_gateway->ready());
+    const auto answer = ask(request("GET", "/read/x"));
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_EQ(answer.headers.find("Connection"), "close");
+    EXPECT_TRUE(until([&] { return stopped; }, 5s));
+}
+
+TEST_F(GatewayTest, rollout_failingVersion_isRevertedInTheStore)
+{
+    addEngine("e1").willReply({test::plainReply(200, "one")});
+    addEngine("e2", "d1", "v2").willReply({test::plainReply(500, "bad")});
+    start();
+    m_store.put("op", "rollout/s", json{{"service", "s"}, {"to", "v2"}, {"periodS", 60}}.dump());
+    const auto state = [this] {
+        const auto row = m_store.find("status", "rollout/s");
+        return row ? json::parse(*row).value("state", "") : std::string();
+    };
+    EXPECT_TRUE(until([&] { return state() == "in_progress"; }));
+    EXPECT_TRUE(m_store.find("ibisfork", "rollout/s"));
+    int asked = 0;
+    while (state() != "reverted" && asked < 600) {
+        auto bytes = request("GET", "/read/x");
+        bytes.replace(bytes.find("Id: a1"), 6, "Id: b" + std::to_string(asked++));
+        ask(bytes);
+    }
+    EXPECT_EQ(state(), "reverted");
+    EXPECT_LE(m_engines["e2"]->requests().size(), 10U);
+}
+
+} // namespace ibisfork::gateway
--- /dev/null
+++ b/tests/gateway/standins.cpp
@@ -0,0 +1,422 @@
+#include "standins.h"
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+
+#include <fmt/format.h>
+#include <openssl/evp.h>
+
+#include "net/deletelater.h"
+
+namespace ibisfork::gateway::test {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int statusOk = 200;
+constexpr int statusGone = 410;
+constexpr int statusConditionFailed = 412;
+constexpr int statusUnavailable = 503;
+
+std::string toBase64(const std::string &bytes)
+{
+    std::string out((bytes.size() + 2) / 3 * 4 + 1, '\0');
+    const auto length = EVP_EncodeBlock(reinterpret_cast<unsigned char *>(out.data()),
+                                        reinterpret_cast<const unsigned char *>(bytes.data()),
+                                        static_cast<int>(bytes.size()));
+    out.resize(static_cast<std::size_t>(length));
+    return out;
+}
+
+std::string fromBase64(const std::string &text)
+{
+    std::string out(text.size(), '\0');
+    const auto length = EVP_DecodeBlock(reinterpret_cast<unsigned char *>(out.data()),
+                                        reinterpret_cast<const unsigned char *>(text.data()),
+                                        static_cast<int>(text.size()));
+    const auto padding = std::count(text.begin(), text.end(), '=');
+    out.resize(static_cast<std::size_t>(length - padding));
+    return out;
+}
+
+std::string chunk(const std::string &bytes)
+{
+    return fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes);
+}
+
+std::string events(int from, int to)
+{
+    std::string out;
+    for (int i = from; i <= to; ++i) {
+        out += chunk(fmt::format("id: {}\ndata: t{}\n\n", i, i));
+    }
+    return out;
+}
+
+constexpr const char *streamHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nIbisfork-Attempt-Id: ID\r\n"
+                                   "Ibisfork-Response-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+} // namespace
+
+EngineReply plainReply(int status, const std::string &body, const std::string &moreHeaders)
+{
+    return {fmt::format("HTTP/1.1 {} X\r\nIbisfork-Attempt-Id: ID\r\n{}Content-Length: {}\r\n\r\n{}",
+                        status,
+                        moreHeaders,
+                        body.size(),
+                        body)};
+}
+
+EngineReply refusal(int status)
+{
+    return plainReply(status, "", "Ibisfork-Not-Executed: 1\r\n");
+}
+
+EngineReply streamReply(int from, int to)
+{
+    return {streamHead + events(from, to) + "0\r\n\r\n"};
+}
+
+EngineReply brokenStream(int from, int to)
+{
+    return {streamHead + events(from, to) + chunk(fmt::format("id: {}\nda", to + 1)), true};
+}
+
+FakeStore::FakeStore(event_base *base)
+    : m_base(base)
+    , m_port(base, {"127.0.0.1", 0}, [this](evutil_socket_t socket) { accept(socket); })
+{ }
+
+void FakeStore::accept(evutil_socket_t socket)
+{
+    http::CallerConnection::Handlers handlers;
+    handlers.onRequest = [this](http::CallerConnection &connection, const http::Request &request) {
+        answer(connection, request);
+    };
+    const auto forget = [this](http::CallerConnection &connection) {
+        std::erase_if(m_waiting, [&](const Waiting &item) { return item.connection == &connection; });
+    };
+    handlers.onCallerLeft = forget;
+    handlers.onClosed = [this, forget](http::CallerConnection &connection) {
+        forget(connection);
+        const auto found = m_connections.find(&connection);
+        if (found != m_connections.end()) {
+            net::deleteLater(m_base, std::move(found->second));
+            m_connections.erase(found);
+        }
+    };
+    auto connection
+        = std::make_unique<http::CallerConnection>(m_base, socket, http::CallerBounds{}, std::move(handlers));
+    m_connections.emplace(connection.get(), std::move(connection));
+}
+
+std::string FakeStore::parameter(const std::string &target, const std::string &name)
+{
+    const auto at = target.find(name + "=");
+    if (at == std::string::npos) {
+        return {};
+    }
+    const auto from = at + name.size() + 1;
+    return target.substr(from, target.find('&', from) - from);
+}
+
+json FakeStore::row(const std::string &table, const std::string &key, const Stored &stored) const
+{
+    json out{{"table", table}, {"part", ""}, {"key", key}, {"rowVersion", stored.version}};
+    if (stored.removed) {
+        out["deleted"] = true;
+    } else {
+        out["data"] = toBase64(stored.data);
+    }
+    return out;
+}
+
+void FakeStore::send(http::CallerConnection &connection, int status, json body)
+{
+    body["rowVersion"] = m_version;
+    body["nowMs"] = base::toMilliseconds(base::monotonicNow().time_since_epoch());
+    connection.sendAnswer(status, {}, body.dump(), false);
+}
+
+void FakeStore::answer(http::CallerConnection &connection, const http::Request &request)
+{
+    const auto &target = request.head.target;
+    if (m_mode == StoreMode::Silent) {
+        return;
+    }
+    if (m_mode == StoreMode::Refusing) {
+        connection.sendAnswer(statusUnavailable, {}, {}, false);
+        return;
+    }
+    if (target.starts_with("/ibisfork/rows-get")) {
+        answerRead(connection, parameter(target, "table"));
+    } else if (target.starts_with("/ibisfork/rows-feed")) {
+        answerFeed(connection, target);
+    } else {
+        answerWrite(connection, request.body);
+    }
+}
+
+void FakeStore::answerRead(http::CallerConnection &connection, const std::string &table)
+{
+    json rows = json::array();
+    for (const auto &[key, stored] : m_tables[table]) {
+        if (!stored.removed) {
+            rows.push_back(row(table, key, stored));
+        }
+    }
+    send(connection, statusOk, {{"rows", rows}, {"hasMore", false}});
+}
+
+void FakeStore::answerFeed(http::CallerConnection &connection, const std::string &target)
+{
+    const auto table = parameter(target, "table");
+    const auto since = std::stoull(parameter(target, "sinceRev"));
+    if (since < m_historyFrom) {
+        send(connection, statusGone, json::object());
+        return;
+    }
+    if (tellChanges(connection, table, since, false)) {
+        return;
+    }
+    auto timer = std::make_unique<net::Timer>(m_base, [this, &connection, table, since] {
+        tellChanges(connection, table, since, true);
+    });
+    timer->startOnce(std::chrono::milliseconds(std::stoll(parameter(target, "waitMs"))));
+    m_waiting.push_back({&connection, table, since, std::move(timer)});
+}
+
+bool FakeStore::tellChanges(http::CallerConnection &connection,
+                            const std::string &table,
+                            std::uint64_t since,
+                            bool force)
+{
+    json rows = json::array();
+    for (const auto &[key, stored] : m_tables[table]) {
+        if (stored.version > since) {
+            rows.push_back(row(table, key, stored));
+        }
+    }
+    if (rows.empty() && !force) {
+        return false;
+    }
+    send(connection, statusOk, {{"rows", rows}});
+    return true;
+}
+
+void FakeStore::wake(const std::string &table)
+{
+    if (m_mode != StoreMode::Serving && m_mode != StoreMode::LosingWriteAnswers) {
+        return;
+    }
+    std::vector<Waiting> woken;
+    for (auto &item : m_waiting) {
+        if (item.table == table) {
+            woken.push_back(std::move(item));
+        }
+    }
+    std::erase_if(m_waiting, [&](const Waiting &item) { return item.timer == nullptr; });
+    for (auto &item : woken) {
+        tellChanges(*item.connection, table, item.since, true);
+    }
+}
+
+void FakeStore::answerWrite(http::CallerConnection &connection, const std::string &body)
+{
+    const auto document = json::parse(body);
+    for (const auto &condition : document["expectedRev"]) {
+        const auto &stored = m_tables[condition["table"]][condition["key"]];
+        const auto version = stored.removed ? 0 : stored.version;
+        if (version != condition["rowVersion"]) {
+            send(connection, statusConditionFailed, {{"rows", json::array()}});
+            return;
+        }
+    }
+    ++m_version;
+    for (const auto &item : document["write"]) {
+        m_tables[item["table"]][item["key"]] = {fromBase64(item["data"]), m_version, false};
+    }
+    if (m_mode != StoreMode::LosingWriteAnswers) {
+        send(connection, statusOk, json::object());
+    }
+    for (const auto &item : document["write"]) {
+        wake(item["table"]);
+    }
+}
+
+void FakeStore::put(const std::string &table, const std::string &key, const std::string &data)
+{
+    m_tables[table][key] = {data, ++m_version, false};
+    wake(table);
+}
+
+void FakeStore::remove(const std::string &table, const std::string &key)
+{
+    m_tables[table][key] = {{}, ++m_version, true};
+    wake(table);
+}
+
+std::optional<std::string> FakeStore::find(const std::string &table, const std::string &key) const
+{
+    const auto rows = m_tables.find(table);
+    if (rows == m_tables.end() || !rows->second.contains(key) || rows->second.at(key).removed) {
+        return std::nullopt;
+    }
+    return rows->second.at(key).data;
+}
+
+class FakeEngine::Connection
+{
+public:
+    Connection(FakeEngine &engine, evutil_socket_t socket)
+        : m_engine(engine)
+        , m_socket(socket)
+        , m_events(bufferevent_socket_new(engine.m_base, socket, BEV_OPT_CLOSE_ON_FREE))
+        , m_parser(http::MessageKind::Request, 65536, [this](std::string_view bytes) { m_body += bytes; })
+    {
+        bufferevent_setcb(m_events, &onRead, &onWritten, &onEvent, this);
+        bufferevent_enable(m_events, EV_READ | EV_WRITE);
+    }
+
+    ~Connection() { bufferevent_free(m_events); }
+    Connection(const Connection &) = delete;
+    Connection &operator=(const Connection &) = delete;
+
+private:
+    static void onRead(bufferevent *, void *self) { static_cast<Connection *>(self)->read(); }
+
+    static void onWritten(bufferevent *, void *self)
+    {
+        auto &connection = *static_cast<Connection *>(self);
+        if (connection.m_reply.close || connection.m_reply.reset) {
+            connection.end();
+        }
+    }
+
+    static void onEvent(bufferevent *, short what, void *self)
+    {
+        if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+            static_cast<Connection *>(self)->drop();
+        }
+    }
+
+    void read()
+    {
+        auto *input = bufferevent_get_input(m_events);
+        std::string bytes(evbuffer_get_length(input), '\0');
+        evbuffer_remove(input, bytes.data(), bytes.size());
+        std::string_view rest = bytes;
+        while (!rest.empty() && m_parser.state() != http::ParseState::Malformed) {
+            rest.remove_prefix(m_parser.feed(rest));
+            if (m_parser.state() == http::ParseState::Complete) {
+                reply();
+            }
+        }
+    }
+
+    void reply()
+    {
+        const http::Request request{m_parser.takeRequest(), std::move(m_body)};
+        m_body.clear();
+        m_parser.reset();
+        m_reply = m_engine.nextReply(request);
+        if (!m_reply.bytes.empty()) {
+            bufferevent_write(m_events, m_reply.bytes.data(), m_reply.bytes.size());
+        } else if (m_reply.close || m_reply.reset) {
+            end();
+        }
+    }
+
+    void end()
+    {
+        if (m_reply.reset) {
+            const linger now{1, 0};
+            setsockopt(m_socket, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+        }
+        drop();
+    }
+
+    void drop()
+    {
+        const auto found = m_engine.m_connections.find(this);
+        if (found != m_engine.m_connections.end()) {
+            net::deleteLater(m_engine.m_base, std::move(found->second));
+            m_engine.m_connections.erase(found);
+        }
+    }
+
+    FakeEngine &m_engine;
+    evutil_socket_t m_socket;
+    bufferevent *m_events;
+    http::MessageParser m_parser;
+    std::string m_body;
+    EngineReply m_reply;
+};
+
+FakeEngine::FakeEngine(event_base *base)
+    : m_base(base)
+    , m_port(base, {"127.0.0.1", 0}, [this](evutil_socket_t socket) { accept(socket); })
+{ }
+
+FakeEngine::~FakeEngine() = default;
+
+void FakeEngine::accept(evutil_socket_t socket)
+{
+    auto connection = std::make_unique<Connection>(*this, socket);
+    m_connections.emplace(connection.get(), std::move(connection));
+}
+
+EngineReply FakeEngine::nextReply(const http::Request &request)
+{
+    m_requests.push_back(request);
+    EngineReply reply;
+    if (m_resumeReply && request.head.headers.find("Last-Event-Id")) {
+        reply = *m_resumeReply;
+    } else if (!m_replies.empty()) {
+        reply = m_replies.front();
+        if (m_replies.size() > 1) {
+            m_replies.pop_front();
+        }
+    }
+    const std::string id(request.head.headers.find("Ibisfork-Attempt-Id").value_or(""));
+    for (auto at = reply.bytes.find("Id: ID"); at != std::string::npos; at = reply.bytes.find("Id: ID")) {
+        reply.bytes.replace(at, 6, "Id: " + id);
+    }
+    return reply;
+}
+
+FakeCaller::FakeCaller(event_base *base, const net::Address &address)
+    : m_base(base)
+    , m_connection(std::make_unique<http::UpstreamConnection>(base, address))
+{ }
+
+void FakeCaller::send(const std::string &bytes)
+{
+    m_answer = {};
+    http::UpstreamConnection::Handlers handlers;
+    handlers.onHead = [this](const http::ResponseHead &head) {
+        m_answer.status = head.status;
+        m_answer.headers = head.headers;
+    };
+    handlers.onBody = [this](std::string_view part) {
+        m_answer.body += part;
+    };
+    handlers.onComplete = [this] {
+        m_answer.complete = true;
+    };
+    handlers.onFailure = [this](http::ConnectionFailure) {
+        m_answer.broken = true;
+    };
+    m_connection->send(bytes, false, std::move(handlers));
+}
+
+void FakeCaller::leave()
+{
+    m_connection->abandon();
+    net::deleteLater(m_base, std::move(m_connection));
+}
+
+} // namespace ibisfork::gateway::test
--- /dev/null
+++ b/tests/gateway/standins.h
@@ -0,0 +1,148 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "gateway/callerport.h"
+#include "gateway/gateway.h"
+#include "http/callerconnection.h"
+#include "http/upstreamconnection.h"
+#include "net/timer.h"
+
+namespace ibisfork::gateway::test {
+
+/// How a stand-in of the store treats its callers.
+enum class StoreMode { Serving, Refusing, Silent, LosingWriteAnswers };
+
+/// Speaks the store's part of the platform's wire from memory.
+class FakeStore
+{
+public:
+    explicit FakeStore(event_base *base);
+
+    net::Address address() const { return m_port.address(); }
+    void put(const std::string &table, const std::string &key, const std::string &data);
+    void remove(const std::string &table, const std::string &key);
+    std::optional<std::string> find(const std::string &table, const std::string &key) const;
+    void setMode(StoreMode mode) { m_mode = mode; }
+    /// Changes before now are no longer to be had.
+    void dropHistory() { m_historyFrom = m_version; }
+
+private:
+    struct Stored
+    {
+        std::string data;
+        std::uint64_t version = 0;
+        bool removed = false;
+    };
+
+    struct Waiting
+    {
+        http::CallerConnection *connection;
+        std::string table;
+        std::uint64_t since = 0;
+        std::unique_ptr<net::Timer> timer;
+    };
+
+    void accept(evutil_socket_t socket);
+    void answer(http::CallerConnection &connection, const http::Request &request);
+    void answerRead(http::CallerConnection &connection, const std::string &table);
+    void answerFeed(http::CallerConnection &connection, const std::string &target);
+    void answerWrite(http::CallerConnection &connection, const std::string &body);
+    bool tellChanges(http::CallerConnection &connection, const std::string &table, std::uint64_t since, bool force);
+    void wake(const std::string &table);
+    void send(http::CallerConnection &connection, int status, nlohmann::json body);
+    static std::string parameter(const std::string &target, const std::string &name);
+    nlohmann::json row(const std::string &table, const std::string &key, const Stored &stored) const;
+
+    event_base *m_base;
+    StoreMode m_mode = StoreMode::Serving;
+    std::uint64_t m_version = 1;
+    std::uint64_t m_historyFrom = 0;
+    std::map<std::string, std::map<std::string, Stored>> m_tables;
+    std::map<http::CallerConnection *, std::unique_ptr<http::CallerConnection>> m_connections;
+    std::vector<Waiting> m_waiting;
+    ListeningPort m_port;
+};
+
+/// What a stand-in of an engine does with one request.
+struct EngineReply
+{
+    /// Sent as they are; "ID" stands for the request's id.
+    std::string bytes;
+    /// Then the connection is closed, or reset.
+    bool close = false;
+    bool reset = false;
+};
+
+EngineReply plainReply(int status, const std::string &body, const std::string &moreHeaders = "Ibisfork-Response-Seal: s\r\n");
+EngineReply refusal(int status);
+/// A whole stream of events @p from to @p to.
+EngineReply streamReply(int from, int to);
+/// The same, broken off behind the last event and half of another.
+EngineReply brokenStream(int from, int to);
+
+/// Takes requests and answers them with bytes of the test's choice.
+class FakeEngine
+{
+public:
+    explicit FakeEngine(event_base *base);
+    ~FakeEngine();
+
+    net::Address address() const { return m_port.address(); }
+    /// Replies for the requests to come, in order; the last one serves all further requests.
+    void willReply(std::deque<EngineReply> replies) { m_replies = std::move(replies); }
+    /// The reply to requests that go on behind an event.
+    void willResumeWith(EngineReply reply) { m_resumeReply = std::move(reply); }
+    const std::vector<http::Request> &requests() const { return m_requests; }
+    std::size_t open() const { return m_connections.size(); }
+
+private:
+    class Connection;
+
+    void accept(evutil_socket_t socket);
+    EngineReply nextReply(const http::Request &request);
+
+    event_base *m_base;
+    std::deque<EngineReply> m_replies;
+    std::optional<EngineReply> m_resumeReply;
+    std::vector<http::Request> m_requests;
+    std::map<Connection *, std::unique_ptr<Connection>> m_connections;
+    ListeningPort m_port;
+};
+
+/// An answer as a caller sees it.
+struct Answer
+{
+    int status = 0;
+    http::HeaderList headers;
+    std::string body;
+    bool complete = false;
+    bool broken = false;
+};
+
+/// Sends one request on a connection of its own.
+class FakeCaller
+{
+public:
+    FakeCaller(event_base *base, const net::Address &address);
+
+    void send(const std::string &bytes);
+    const Answer &answer() const { return m_answer; }
+    bool done() const { return m_answer.complete || m_answer.broken; }
+    void leave();
+
+private:
+    event_base *m_base;
+    std::unique_ptr<http::UpstreamConnection> m_connection;
+    Answer m_answer;
+};
+
+} // namespace ibisfork::gateway::test
