Keep sessions on the old version through the first half of a roll-out

Change: sessions move in the second half only, by hash, once and for good; the memory of sessions at a node is gone. Ruled out: a shared record of sessions, a write for each. Durations in settings may have fractions.

--- a/src/gateway/context.cpp
+++ b/src/gateway/context.cpp
@@ -25,7 +25,6 @@
     , settings(gatewaySettings)
     , metrics(registry)
     , random(std::random_device{}())
-    , view(gatewaySettings.bounds.sessionGap)
     , pool(eventBase, registry)
     , placement(random())
     , resends(resendBound(gatewaySettings.bounds))
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -274,9 +274,6 @@
     }
     m_firstByteAfter = now - m_sentAt;
     promptRead();
-    if (!m_call.session.empty()) {
-        m_context.view.rollouts().noteSession(m_subject, m_engineVersion, now);
-    }
     m_context.firstByte(m_route->name).add(base::toSeconds(*m_firstByteAfter));
     if (wantsSecondRun()) {
         const auto model = m_context.models.larger(m_route->models);
@@ -618,6 +615,7 @@
     m_context.metrics.histogram("ibisfork_request_seconds", {{"route", route}}).observe(base::toSeconds(took));
     EventLog(status >= firstSuccess && status < firstRedirect ? Importance::Routine : Importance::Failure, "request")
         .field("id", m_call.id)
+        .field("session", m_call.session.empty() ? "-" : m_call.session)
         .field("route", route)
         .field("configuration", m_configuration ? m_configuration->version : 0)
         .field("workspace", m_workspace.empty() ? "-" : m_workspace)
--- a/src/gateway/fleetview.h
+++ b/src/gateway/fleetview.h
@@ -18,10 +18,6 @@
 class FleetView
 {
 public:
-    explicit FleetView(base::Duration sessionGap)
-        : m_rollouts(sessionGap)
-    { }
-
     /// Take what a table of the store holds.
     void takeOperatorRows(const TableChange &change, base::TimePoint now);
     void takeEngineRows(const TableChange &change, base::TimePoint now);
--- a/src/gateway/rolloutbook.cpp
+++ b/src/gateway/rolloutbook.cpp
@@ -28,8 +28,6 @@
 constexpr double slowFactor = 3.5;
 constexpr double slowSlackSeconds = 0.15;
 
-constexpr std::size_t maxPins = 20000;
-
 double fractionOf(const std::string &subject)
 {
     constexpr std::uint64_t steps = 10000;
@@ -111,17 +109,10 @@
     return base::toSeconds(now - rollout.begun) / base::toSeconds(period);
 }
 
-const RolloutBook::Pin *RolloutBook::pinOf(const std::string &subject, base::TimePoint now) const
-{
-    const auto found = m_pins.find(subject);
-    const bool live = found != m_pins.end() && now - found->second.last <= m_sessionGap;
-    return live ? &found->second : nullptr;
-}
-
 VersionPreference RolloutBook::prefer(const std::string &service,
                                       const std::string &subject,
                                       bool isSession,
-                                      base::TimePoint now)
+                                      base::TimePoint now) const
 {
     const auto *rollout = find(service);
     if (rollout == nullptr) {
@@ -134,11 +125,7 @@
         return VersionPreference::Old;
     }
     const auto done = progress(*rollout, now);
-    const auto *pin = isSession ? pinOf(subject, now) : nullptr;
-    if (pin != nullptr && pin->version == rollout->order.toVersion) {
-        return VersionPreference::New;
-    }
-    if (pin != nullptr && done < moveBegins) {
+    if (isSession && done < moveBegins) {
         return VersionPreference::Old;
     }
     const double share = done < moveBegins ? trialShare : (done < moveEnds ? moveShare : 1.0);
@@ -165,20 +152,6 @@
     return wanted.empty() && !onlyWanted ? engines : wanted;
 }
 
-void RolloutBook::noteSession(const std::string &subject, const std::string &version, base::TimePoint now)
-{
-    if (m_pins.size() >= maxPins || now - m_lastSweep > m_sessionGap) {
-        forgetOldPins(now);
-    }
-    m_pins[subject] = {version, now};
-}
-
-void RolloutBook::forgetOldPins(base::TimePoint now)
-{
-    m_lastSweep = now;
-    std::erase_if(m_pins, [&](const auto &item) { return now - item.second.last > m_sessionGap; });
-}
-
 void RolloutBook::noteOutcome(const std::string &service,
                               const std::string &version,
                               const std::string &route,
--- a/src/gateway/rolloutbook.h
+++ b/src/gateway/rolloutbook.h
@@ -42,16 +42,12 @@
 
 /// The roll-outs that operators have ordered, and the evidence about their versions.
 ///
-/// A small share of the requests goes to the new version in the first half of the period; after that all of them move,
-/// and before the end of the period the roll-out is completed. Evidence against the version ends its use at once.
+/// In the first half of the period a small share of the requests goes to the new version. Sessions stay on the old one:
+/// their requests come to several nodes, and none knows whether a session has begun elsewhere. After that all requests
+/// move, sessions once and for good, and before the end of the period the roll-out is completed. Evidence against the version ends its use at once.
 class RolloutBook
 {
 public:
-    /// @p sessionGap: requests of a session that follow each other within it stay on one version.
-    explicit RolloutBook(base::Duration sessionGap)
-        : m_sessionGap(sessionGap)
-    { }
-
     /// @p orderRow: the order's row version, by which a later order is told apart.
     void setOrder(const RolloutOrder &order, std::uint64_t orderRow, base::TimePoint now);
     /// The order that stands in row version @p orderRow was first seen by a node at @p begun.
@@ -63,12 +59,12 @@
     std::uint64_t orderRow(const std::string &service) const;
 
     /// @p subject: what stays on one version, a session or the request alone.
-    VersionPreference prefer(const std::string &service, const std::string &subject, bool isSession, base::TimePoint now);
+    VersionPreference
+    prefer(const std::string &service, const std::string &subject, bool isSession, base::TimePoint now) const;
     /// Those of @p engines that may run the request, the preferred version if it has any.
     std::vector<Engine *>
     permitted(const std::string &service, std::vector<Engine *> engines, VersionPreference preference) const;
 
-    void noteSession(const std::string &subject, const std::string &version, base::TimePoint now);
     void noteOutcome(const std::string &service,
                      const std::string &version,
                      const std::string &route,
@@ -106,23 +102,12 @@
         bool stopped() const { return stoppedHere || decided(RolloutState::Reverted); }
     };
 
-    struct Pin
-    {
-        std::string version;
-        base::TimePoint last{};
-    };
-
     static double progress(const Rollout &rollout, base::TimePoint now);
     static bool isBad(const VersionRuns &newRuns, const VersionRuns &oldRuns);
     static bool evidenceAgainst(const Rollout &rollout);
     const Rollout *find(const std::string &service) const;
-    const Pin *pinOf(const std::string &subject, base::TimePoint now) const;
-    void forgetOldPins(base::TimePoint now);
 
-    base::Duration m_sessionGap;
     std::map<std::string, Rollout> m_rollouts;
-    std::map<std::string, Pin> m_pins;
-    base::TimePoint m_lastSweep{};
 };
 
 } // namespace ibisfork::gateway
--- a/src/settings/gatewaysettings.cpp
+++ b/src/settings/gatewaysettings.cpp
@@ -31,7 +31,6 @@
     bounds.resendWindow = fields.optionalMilliseconds("resend_window", bounds.resendWindow);
     bounds.coldFactor = fields.optionalInRange("cold_factor", bounds.coldFactor, 0, mostRatio);
     bounds.coldTolerance = fields.optionalInRange("cold_tolerance", bounds.coldTolerance, 0, mostCount);
-    bounds.sessionGap = fields.optionalMilliseconds("session_gap", bounds.sessionGap);
     bounds.shutdownGrace = fields.optionalMilliseconds("shutdown_grace", bounds.shutdownGrace);
     fields.refuseUnknown();
     return bounds;
--- a/src/settings/gatewaysettings.h
+++ b/src/settings/gatewaysettings.h
@@ -16,7 +16,6 @@
     std::chrono::milliseconds resendWindow{10000};
     double coldFactor = 1.0;
     double coldTolerance = 0;
-    std::chrono::milliseconds sessionGap{5000};
     /// Time from the request to stop until the process is killed.
     std::chrono::milliseconds shutdownGrace{8000};
 };
--- a/src/yaml/yamlfields.cpp
+++ b/src/yaml/yamlfields.cpp
@@ -1,6 +1,7 @@
 #include "yaml/yamlfields.h"
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 
 #include <fmt/format.h>
@@ -32,22 +33,25 @@
     return nearest.empty() ? "" : fmt::format("; did you mean '{}'?", nearest);
 }
 
+constexpr double millisecondsPerSecond = 1000;
+constexpr double millisecondsPerMinute = 60000;
+
 std::chrono::milliseconds parseMilliseconds(const std::string &text)
 {
     std::size_t end = 0;
-    const long long amount = std::stoll(text, &end);
+    const double amount = std::stod(text, &end);
     const std::string unit = text.substr(end);
-    if (amount < 0) {
+    if (!(amount >= 0)) {
         throw std::invalid_argument(text);
     }
     if (unit == "ms") {
-        return std::chrono::milliseconds(amount);
+        return std::chrono::milliseconds(std::llround(amount));
     }
     if (unit == "s") {
-        return std::chrono::seconds(amount);
+        return std::chrono::milliseconds(std::llround(amount * millisecondsPerSecond));
     }
     if (unit == "m") {
-        return std::chrono::minutes(amount);
+        return std::chrono::milliseconds(std::llround(amount * millisecondsPerMinute));
     }
     throw std::invalid_argument(text);
 }
--- a/tests/gateway/rolloutbook_test.cpp
+++ b/tests/gateway/rolloutbook_test.cpp
@@ -12,7 +12,6 @@
 {
 protected:
     RolloutBookTest()
-        : m_book(5s)
     {
         m_book.setOrder({"s", "v2", 24s}, orderRow, at(0s));
     }
@@ -101,31 +100,33 @@
     EXPECT_GT(newShare(2s), 0.0);
 }
 
-TEST_F(RolloutBookTest, session_runningOnOld_staysThereInTheFirstHalf)
+TEST_F(RolloutBookTest, session_firstHalf_staysOnOldAtEveryNode)
 {
-    for (int i = 0; i < 200; ++i) {
-        const auto subject = "session" + std::to_string(i);
-        m_book.noteSession(subject, "v1", at(1s));
-        EXPECT_EQ(m_book.prefer("s", subject, true, at(3s)), VersionPreference::Old);
+    for (int i = 0; i < 500; ++i) {
+        EXPECT_EQ(m_book.prefer("s", "session" + std::to_string(i), true, at(11900ms)), VersionPreference::Old);
     }
 }
 
-TEST_F(RolloutBookTest, session_runningOnNew_staysThere)
+TEST_F(RolloutBookTest, session_movedToNew_neverGoesBack)
 {
     for (int i = 0; i < 200; ++i) {
-        const auto subject = "session" + std::to_string(i);
-        m_book.noteSession(subject, "v2", at(1s));
-        EXPECT_EQ(m_book.prefer("s", subject, true, at(3s)), VersionPreference::New);
+        bool moved = false;
+        for (auto after = 0s; after < 24s; after += 1s) {
+            const bool isNew = m_book.prefer("s", "session" + std::to_string(i), true, at(after)) == VersionPreference::New;
+            EXPECT_TRUE(isNew || !moved);
+            moved = isNew;
+        }
+        EXPECT_TRUE(moved);
     }
 }
 
 TEST_F(RolloutBookTest, startWrittenByAnotherNode_lateReader_goesByIt)
 {
-    RolloutBook late(5s);
+    RolloutBook late;
     late.setStart("s", orderRow, at(0s));
     late.setOrder({"s", "v2", 24s}, orderRow, at(13s));
     EXPECT_EQ(late.prefer("s", "any", false, at(15s)), VersionPreference::New);
-    RolloutBook later(5s);
+    RolloutBook later;
     later.setOrder({"s", "v2", 24s}, orderRow, at(13s));
     later.setStart("s", orderRow, at(0s));
     EXPECT_EQ(later.prefer("s", "any", false, at(15s)), VersionPreference::New);
@@ -133,7 +134,7 @@
 
 TEST_F(RolloutBookTest, startOfAnEarlierOrder_isNotTaken)
 {
-    RolloutBook book(5s);
+    RolloutBook book;
     book.setStart("s", orderRow - 1, at(0s));
     book.setOrder({"s", "v2", 24s}, orderRow, at(13s));
     EXPECT_FALSE(book.due("s", at(15s)) && book.due("s", at(15s))->state == RolloutState::Completed);
--- /dev/null
+++ b/tests/settings/gatewaysettings_test.cpp
@@ -0,0 +1,71 @@
+#include "settings/gatewaysettings.h"
+
+#include <gtest/gtest.h>
+
+#include "settings/exceptions.h"
+
+namespace ibisfork::settings {
+
+using namespace std::chrono_literals;
+
+class GatewaySettingsTest : public testing::Test
+{
+protected:
+    static std::string text(const std::string &bounds = {}, const std::string &more = {})
+    {
+        return "node: {name: n1, failure_domain: d1, region: r1}\n"
+               "listen: {callers: '10.0.0.1:1', readiness: '10.0.0.1:2', operators: '10.0.0.1:3'}\n"
+               "store: {address: '10.0.0.9:8223'}\n"
+               "bounds: {"
+            + bounds + "}\n" + more;
+    }
+
+    static std::string errorOf(const std::string &text)
+    {
+        try {
+            parseGatewaySettings(text, "file.yaml");
+        } catch (const SettingsError &error) {
+            return error.what();
+        }
+        return {};
+    }
+};
+
+TEST_F(GatewaySettingsTest, settings_complete_areRead)
+{
+    const auto settings = parseGatewaySettings(text("resend_ratio: 0.9, resend_window: 10s"), "file.yaml");
+    EXPECT_EQ(settings.node.failureDomain, "d1");
+    EXPECT_EQ(settings.store.port, 8223);
+    EXPECT_EQ(settings.bounds.resendRatio, 0.9);
+    EXPECT_EQ(settings.bounds.resendWindow, 10s);
+}
+
+TEST_F(GatewaySettingsTest, duration_withFraction_isRead)
+{
+    EXPECT_EQ(parseGatewaySettings(text("shutdown_grace: 6.5s"), "file.yaml").bounds.shutdownGrace, 6500ms);
+}
+
+TEST_F(GatewaySettingsTest, unknownField_isRefusedWithTheNearestName)
+{
+    const auto error = errorOf(text("resend_ration: 1"));
+    EXPECT_NE(error.find("file.yaml"), std::string::npos);
+    EXPECT_NE(error.find("did you mean 'resend_ratio'"), std::string::npos);
+}
+
+TEST_F(GatewaySettingsTest, durationWithoutUnit_isRefused)
+{
+    EXPECT_NE(errorOf(text("shutdown_grace: 8")).find("shutdown_grace"), std::string::npos);
+}
+
+TEST_F(GatewaySettingsTest, negativeAndEndlessNumbers_areRefused)
+{
+    EXPECT_FALSE(errorOf(text("resend_extra: -1")).empty());
+    EXPECT_FALSE(errorOf(text("resend_window: nans")).empty());
+}
+
+TEST_F(GatewaySettingsTest, missingStore_isNamed)
+{
+    EXPECT_NE(errorOf("node: {name: n1, failure_domain: d1, region: r1}\n").find("callers"), std::string::npos);
+}
+
+} // namespace ibisfork::settings
