Read the store at few nodes and let the others ask them

Change: one reader a failure domain (two from six nodes on) by rendezvous hashing; the others ask them with a long poll in protobuf. Answers carry their age; who gets no fresh one asks the next, at last the store, and where the store turns a node away the readers of other domains or the seeds. Nothing goes back to an older version. InfoPort can answer later. Ruled out: ZeroMQ for these questions: they need the one loop's client with its time limits, and another thread in each process would cost memory that small machines lack; a full mesh.

--- /dev/null
+++ b/src/gateway/factcache.cpp
@@ -0,0 +1,85 @@
+#include "gateway/factcache.h"
+
+#include <algorithm>
+#include <set>
+
+namespace ibisfork::gateway {
+
+namespace {
+
+/// A node that asks for changes has asked before within this time, or reads all rows.
+constexpr std::chrono::seconds removedKept{20};
+
+} // namespace
+
+void FactCache::replace(const std::vector<Row> &rows, std::uint64_t version, bool doubtful, base::TimePoint now)
+{
+    std::set<std::string> present;
+    for (const auto &row : rows) {
+        present.insert(row.key);
+    }
+    std::vector<Row> changes = rows;
+    for (const auto &[key, kept] : m_rows) {
+        if (!kept.row.removed && !present.contains(key)) {
+            changes.push_back({key, {}, version, true, doubtful});
+        }
+    }
+    if (!m_filled) {
+        m_forgotten = version;
+    }
+    m_filled = true;
+    apply(changes, version, now);
+}
+
+void FactCache::apply(const std::vector<Row> &rows, std::uint64_t version, base::TimePoint now)
+{
+    for (const auto &row : rows) {
+        auto &kept = m_rows[row.key];
+        if (kept.row.version <= row.version) {
+            kept = {row, now};
+        }
+    }
+    m_version = std::max(m_version, version);
+    forgetRemoved(now);
+}
+
+void FactCache::forgetRemoved(base::TimePoint now)
+{
+    for (auto item = m_rows.begin(); item != m_rows.end();) {
+        const auto &kept = item->second;
+        if (kept.row.removed && now - kept.since > removedKept) {
+            m_forgotten = std::max(m_forgotten, kept.row.version);
+            item = m_rows.erase(item);
+        } else {
+            ++item;
+        }
+    }
+}
+
+std::vector<Row> FactCache::all() const
+{
+    std::vector<Row> rows;
+    for (const auto &[key, kept] : m_rows) {
+        if (!kept.row.removed) {
+            rows.push_back(kept.row);
+        }
+    }
+    return rows;
+}
+
+std::optional<std::vector<Row>> FactCache::changesAfter(std::uint64_t version) const
+{
+    if (!m_filled || version < m_forgotten) {
+        return std::nullopt;
+    }
+    std::vector<Row> rows;
+    for (const auto &[key, kept] : m_rows) {
+        if (kept.row.version > version) {
+            rows.push_back(kept.row);
+        }
+    }
+    std::sort(rows.begin(), rows.end(), [](const Row &left, const Row &right) { return left.version < right.version; });
+    return rows;
+}
+
+} // namespace ibisfork::gateway
--- /dev/null
+++ b/src/gateway/factdesk.cpp
@@ -0,0 +1,105 @@
+#include "gateway/factdesk.h"
+
+#include <algorithm>
+
+#include "net/deletelater.h"
+
+namespace ibisfork::gateway {
+
+namespace {
+
+constexpr int statusNotFound = 404;
+constexpr int statusHistoryGone = 410;
+constexpr int statusUnavailable = 503;
+constexpr std::chrono::milliseconds longestWait{2000};
+
+} // namespace
+
+FactDesk::FactDesk(event_base *base)
+    : m_base(base)
+{ }
+
+void FactDesk::add(const std::string &table, const TableWatch &watch)
+{
+    m_tables[table].watch = &watch;
+}
+
+void FactDesk::take(const std::string &table, const TableChange &change)
+{
+    const auto now = base::monotonicNow();
+    auto &entry = m_tables.at(table);
+    if (change.whole) {
+        entry.cache.replace(change.rows, change.version, change.afterOutage, now);
+    } else {
+        auto rows = change.rows;
+        for (auto &row : rows) {
+            row.doubtful = row.doubtful || (row.removed && change.afterOutage);
+        }
+        entry.cache.apply(rows, change.version, now);
+    }
+    wake(table);
+}
+
+void FactDesk::wake(const std::string &table)
+{
+    std::list<Waiting> woken;
+    for (auto item = m_waiting.begin(); item != m_waiting.end();) {
+        const auto next = std::next(item);
+        if (item->question.table == table) {
+            woken.splice(woken.end(), m_waiting, item);
+        }
+        item = next;
+    }
+    for (const auto &item : woken) {
+        answerNow(item.question, item.reply);
+    }
+}
+
+void FactDesk::ask(const FactQuestion &question, Reply reply)
+{
+    const auto found = m_tables.find(question.table);
+    if (found == m_tables.end()) {
+        reply({statusNotFound, {}});
+        return;
+    }
+    const auto &cache = found->second.cache;
+    const auto changes = question.after ? cache.changesAfter(*question.after) : std::nullopt;
+    const bool mayWait = changes && changes->empty() && question.wait.count() > 0;
+    if (!mayWait) {
+        answerNow(question, reply);
+        return;
+    }
+    m_waiting.push_back({question, std::move(reply), nullptr});
+    const auto item = std::prev(m_waiting.end());
+    item->timer = std::make_unique<net::Timer>(m_base, [this, item] {
+        std::list<Waiting> due;
+        due.splice(due.end(), m_waiting, item);
+        answerNow(due.front().question, due.front().reply);
+        // The timer is inside its own call.
+        net::deleteLater(m_base, std::move(due.front().timer));
+    });
+    item->timer->startOnce(std::min(question.wait, longestWait));
+}
+
+void FactDesk::answerNow(const FactQuestion &question, const Reply &reply) const
+{
+    const auto &table = m_tables.at(question.table);
+    const auto confirmed = table.watch->confirmedAt();
+    if (!table.cache.filled() || !confirmed) {
+        reply({statusUnavailable, {}});
+        return;
+    }
+    const auto rows = question.after ? table.cache.changesAfter(*question.after) : std::optional(table.cache.all());
+    if (!rows) {
+        reply({statusHistoryGone, {}});
+        return;
+    }
+    RowBatch batch;
+    batch.rows = *rows;
+    batch.version = table.cache.version();
+    batch.storeNowMs = table.watch->storeNowMs();
+    batch.age = std::chrono::duration_cast<std::chrono::milliseconds>(base::monotonicNow() - *confirmed);
+    reply({200, encodeFacts(batch)});
+}
+
+} // namespace ibisfork::gateway
--- /dev/null
+++ b/src/gateway/factmessage.cpp
@@ -0,0 +1,88 @@
+#include "gateway/factmessage.h"
+
+#include <charconv>
+
+#include <fmt/format.h>
+
+#include "gateway/facts.pb.h"
+
+namespace ibisfork::gateway {
+
+namespace {
+
+std::string_view parameter(std::string_view target, std::string_view name)
+{
+    const auto at = target.find(name);
+    if (at == std::string_view::npos) {
+        return {};
+    }
+    const auto value = target.substr(at + name.size());
+    return value.substr(0, value.find('&'));
+}
+
+std::optional<std::uint64_t> number(std::string_view text)
+{
+    std::uint64_t value = 0;
+    const auto result = std::from_chars(text.data(), text.data() + text.size(), value);
+    const bool whole = result.ec == std::errc() && result.ptr == text.data() + text.size() && !text.empty();
+    return whole ? std::optional(value) : std::nullopt;
+}
+
+} // namespace
+
+http::RequestHead encodeQuestion(const FactQuestion &question, const std::string &host)
+{
+    http::RequestHead head{"GET", fmt::format("{}?table={}", factsPath, question.table), {}};
+    if (question.after) {
+        head.target += fmt::format("&after={}&wait_ms={}", *question.after, question.wait.count());
+    }
+    head.headers.add("Host", host);
+    return head;
+}
+
+std::optional<FactQuestion> decodeQuestion(const std::string &target)
+{
+    FactQuestion question;
+    question.table = parameter(target, "table=");
+    if (!target.starts_with(factsPath) || question.table.empty()) {
+        return std::nullopt;
+    }
+    question.after = number(parameter(target, "&after="));
+    question.wait = std::chrono::milliseconds(number(parameter(target, "&wait_ms=")).value_or(0));
+    return question;
+}
+
+std::string encodeFacts(const RowBatch &batch)
+{
+    wire::FactAnswer answer;
+    for (const auto &row : batch.rows) {
+        auto *out = answer.add_rows();
+        out->set_key(row.key);
+        out->set_data(row.data);
+        out->set_version(row.version);
+        out->set_removed(row.removed);
+        out->set_doubtful(row.doubtful);
+    }
+    answer.set_version(batch.version);
+    answer.set_store_now_ms(batch.storeNowMs);
+    answer.set_age_ms(static_cast<std::uint32_t>(batch.age.count()));
+    return answer.SerializeAsString();
+}
+
+std::optional<RowBatch> decodeFacts(const std::string &bytes)
+{
+    wire::FactAnswer answer;
+    if (!answer.ParseFromString(bytes)) {
+        return std::nullopt;
+    }
+    RowBatch batch;
+    for (const auto &row : answer.rows()) {
+        batch.rows.push_back({row.key(), row.data(), row.version(), row.removed(), row.doubtful()});
+    }
+    batch.version = answer.version();
+    batch.storeNowMs = answer.store_now_ms();
+    batch.age = std::chrono::milliseconds(answer.age_ms());
+    return batch;
+}
+
+} // namespace ibisfork::gateway
--- a/src/gateway/fleetview.cpp
+++ b/src/gateway/fleetview.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "gateway/eventlog.h"
+#include "gateway/noderow.h"
 #include "gateway/rolloutstart.h"
 #include "platform/codecerror.h"
 #include "platform/factcodec.h"
@@ -116,10 +117,10 @@
 
 void FleetView::takeEngineRows(const TableChange &change, base::TimePoint now)
 {
-    const bool doubtful = change.afterOutage;
     std::set<std::string> present;
     for (const auto &row : change.rows) {
         if (row.removed) {
+            const bool doubtful = row.doubtful || change.afterOutage;
             EventLog::state("engine_unlisted").field("engine", row.key).field("doubtful", doubtful);
             m_engines.remove(row.key, doubtful, now);
         } else {
@@ -128,7 +129,7 @@
         }
     }
     if (change.whole) {
-        m_engines.keepOnly(present, doubtful, now);
+        m_engines.keepOnly(present, change.afterOutage, now);
         m_knowsEngines = true;
     }
 }
@@ -163,19 +164,43 @@
     m_rollouts.setStart(service, start->orderRow, now - elapsed);
 }
 
+void FleetView::takeNode(const Row &row)
+{
+    const auto name = row.key.substr(nodePrefix.size());
+    m_nodes.erase(name);
+    m_peers.erase(name);
+    if (row.removed) {
+        return;
+    }
+    m_nodes.insert(name);
+    if (auto peer = decodeNodeRow(name, row.data)) {
+        m_peers.emplace(name, std::move(*peer));
+    }
+}
+
+std::vector<FactPeer> FleetView::peersOf(const std::string &self) const
+{
+    std::vector<FactPeer> peers;
+    for (const auto &[name, peer] : m_peers) {
+        if (name != self) {
+            peers.push_back(peer);
+        }
+    }
+    return peers;
+}
+
 void FleetView::takeOwnRows(const TableChange &change, std::int64_t storeNowMs, base::TimePoint now)
 {
     if (change.whole) {
         m_nodes.clear();
+        m_peers.clear();
     }
     for (const auto &row : change.rows) {
         const std::string_view key = row.key;
         if (key.starts_with(rolloutStartPrefix)) {
             takeRolloutStart(row, storeNowMs, now);
-        } else if (key.starts_with(nodePrefix) && row.removed) {
-            m_nodes.erase(row.key);
         } else if (key.starts_with(nodePrefix)) {
-            m_nodes.insert(row.key);
+            takeNode(row);
         }
     }
     EventLog::state("own_rows").field("nodes", m_nodes.size()).field("rows", change.rows.size());
--- a/src/gateway/fleetview.h
+++ b/src/gateway/fleetview.h
@@ -38,6 +38,8 @@
     const std::set<std::string> &evacuated() const { return m_evacuated; }
     /// Nodes that may be sending to the engines; at least 1.
     unsigned nodes() const;
+    /// The nodes that can be asked for facts, without @p self.
+    std::vector<FactPeer> peersOf(const std::string &self) const;
     /// The version of the row of a roll-out's status, 0 if there is none.
     std::uint64_t statusVersion(const std::string &service) const;
 
@@ -48,6 +50,7 @@
     void takeConfiguration(const Row &row);
     void takeRollout(const std::string &service, const Row &row, base::TimePoint now);
     void takeEngine(const Row &row, base::TimePoint now);
+    void takeNode(const Row &row);
     void takeRolloutStart(const Row &row, std::int64_t storeNowMs, base::TimePoint now);
 
     ConfigurationPtr m_configuration;
@@ -58,6 +61,7 @@
     RolloutBook m_rollouts;
     std::map<std::string, std::uint64_t> m_statusVersions;
     std::set<std::string> m_nodes;
+    std::map<std::string, FactPeer> m_peers;
 };
 
 /// The table of this system's own rows, and the prefixes of the keys under which nodes and the starts of roll-outs stand
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include "gateway/eventlog.h"
+#include "gateway/noderow.h"
 #include "gateway/rolloutstart.h"
 #include "platform/callcodec.h"
 #include "platform/factcodec.h"
@@ -20,45 +21,67 @@
 /// Left of the grace when what still runs is cut off.
 constexpr std::chrono::milliseconds cutOffMargin{500};
 /// Orders and configurations are wanted at once; a question held longer hides a dead connection.
-constexpr WatchTiming operatorTiming{std::chrono::milliseconds(2000), std::chrono::milliseconds(0)};
+constexpr WatchTiming operatorTiming{std::chrono::milliseconds(1000), std::chrono::milliseconds(0)};
 /// Engines write their entries all the time; changes are taken together.
-constexpr WatchTiming engineTiming{std::chrono::milliseconds(1200), std::chrono::milliseconds(900)};
-constexpr WatchTiming statusTiming{std::chrono::milliseconds(3000), std::chrono::milliseconds(300)};
-constexpr WatchTiming ownTiming{std::chrono::milliseconds(5000), std::chrono::milliseconds(500)};
+constexpr WatchTiming engineTiming{std::chrono::milliseconds(700), std::chrono::milliseconds(700)};
+/// Rows that rarely change and that nothing urgent hangs on.
+constexpr WatchTiming statusTiming{std::chrono::milliseconds(3000),
+                                   std::chrono::milliseconds(300),
+                                   std::chrono::milliseconds(5000)};
+constexpr WatchTiming ownTiming{std::chrono::milliseconds(3000),
+                                std::chrono::milliseconds(500),
+                                std::chrono::milliseconds(5000)};
 constexpr int statusOk = 200;
 constexpr int statusNotFound = 404;
 constexpr int statusUnavailable = 503;
 
+FactPeer selfOf(const settings::GatewaySettings &settings)
+{
+    return {settings.node.name, settings.node.failureDomain, settings.operators};
+}
+
 } // namespace
 
 Gateway::Gateway(event_base *base, const settings::GatewaySettings &settings, base::MetricsRegistry &metrics)
     : m_context(base, settings, metrics)
     , m_store(base, settings.store, metrics)
-    , m_operatorTable(base, m_store, platform::operatorsTable(), operatorTiming, [this](const TableChange &change) {
+    , m_source(base, m_store, selfOf(settings), settings.seeds, metrics)
+    , m_operatorTable(base, m_source, platform::operatorsTable(), operatorTiming, [this](const TableChange &change) {
         m_context.view.takeOperatorRows(change, base::monotonicNow());
+        m_desk.take(platform::operatorsTable(), change);
         driveRollouts();
     })
-    , m_engineTable(base, m_store, platform::enginesTable(), engineTiming, [this](const TableChange &change) {
+    , m_engineTable(base, m_source, platform::enginesTable(), engineTiming, [this](const TableChange &change) {
         m_context.view.takeEngineRows(change, base::monotonicNow());
+        m_desk.take(platform::enginesTable(), change);
     })
-    , m_statusTable(base, m_store, platform::statusTable(), statusTiming, [this](const TableChange &change) {
+    , m_statusTable(base, m_source, platform::statusTable(), statusTiming, [this](const TableChange &change) {
         m_context.view.takeStatusRows(change);
+        m_desk.take(platform::statusTable(), change);
     })
-    , m_ownTable(base, m_store, ownTable, ownTiming, [this](const TableChange &change) {
+    , m_ownTable(base, m_source, ownTable, ownTiming, [this](const TableChange &change) {
         m_context.view.takeOwnRows(change, m_ownTable.storeNowMs(), base::monotonicNow());
+        m_source.setPeers(m_context.view.peersOf(m_context.settings.node.name));
+        m_desk.take(ownTable, change);
     })
+    , m_desk(base)
     , m_callers(m_context, settings.callers)
-    , m_readiness(base, settings.readiness, [this](const std::string &path) {
-        const bool known = path == platform::readinessPath();
-        return InfoAnswer{known ? (ready() ? statusOk : statusUnavailable) : statusNotFound, {}};
+    , m_readiness(base, settings.readiness, [this](const std::string &target, const InfoPort::Reply &reply) {
+        const bool known = target == platform::readinessPath();
+        reply({known ? (ready() ? statusOk : statusUnavailable) : statusNotFound, {}});
+    })
+    , m_operators(base, settings.operators, [this](const std::string &target, const InfoPort::Reply &reply) {
+        answerOperators(target, reply);
     })
-    , m_operators(base, settings.operators, [this](const std::string &path) { return answerOperators(path); })
     , m_tick(base, [this] { tick(); })
     , m_stopTick(base, [this] { stopTick(); })
 { }
 
 void Gateway::start()
 {
+    for (const auto *watch : {&m_operatorTable, &m_engineTable, &m_statusTable, &m_ownTable}) {
+        m_desk.add(watch->table(), *watch);
+    }
     m_operatorTable.start();
     m_engineTable.start();
     m_statusTable.start();
@@ -81,7 +104,9 @@
     ConditionalWrite row;
     row.table = ownTable;
     row.key = std::string(nodePrefix) + m_context.settings.node.name;
-    row.data = m_context.settings.callers.text();
+    auto self = selfOf(m_context.settings);
+    self.address = m_operators.address();
+    row.data = encodeNodeRow(self);
     m_store.write({row}, [this](const WriteResult &result) {
         m_registering = false;
         m_registered = result.outcome == WriteOutcome::Done;
@@ -182,15 +207,17 @@
     }
 }
 
-InfoAnswer Gateway::answerOperators(const std::string &path) const
+void Gateway::answerOperators(const std::string &target, const InfoPort::Reply &reply)
 {
-    if (path == "/metrics") {
-        return {statusOk, m_context.metrics.render()};
-    }
-    if (path == "/status") {
-        return {statusOk, describe()};
+    if (const auto question = decodeQuestion(target)) {
+        m_desk.ask(*question, [reply](const FactDesk::Answer &answer) { reply({answer.status, answer.body}); });
+    } else if (target == "/metrics") {
+        reply({statusOk, m_context.metrics.render()});
+    } else if (target == "/status") {
+        reply({statusOk, describe()});
+    } else {
+        reply({statusNotFound, {}});
     }
-    return {statusNotFound, {}};
 }
 
 std::string Gateway::describe() const
@@ -198,7 +225,7 @@
     const auto now = base::monotonicNow();
     const auto &view = m_context.view;
     const auto age = [&](const TableWatch &watch) {
-        return watch.lastAnswer() ? base::toMilliseconds(now - *watch.lastAnswer()) : -1;
+        return watch.confirmedAt() ? base::toMilliseconds(now - *watch.confirmedAt()) : -1;
     };
     auto out = fmt::format("configuration version={} age_ms={}\nnodes count={}\n",
                            view.configuration() ? view.configuration()->version : 0,
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -8,6 +8,8 @@
 
 #include "gateway/callerport.h"
 #include "gateway/context.h"
+#include "gateway/factdesk.h"
+#include "gateway/factsource.h"
 #include "gateway/infoport.h"
 #include "gateway/storeclient.h"
 #include "gateway/tablewatch.h"
@@ -39,15 +41,17 @@
     void driveRollouts();
     ConditionalWrite startRow(const std::string &service) const;
     void say(const std::string &service, const RolloutStatus &status);
-    InfoAnswer answerOperators(const std::string &path) const;
+    void answerOperators(const std::string &target, const InfoPort::Reply &reply);
     std::string describe() const;
 
     Context m_context;
     StoreClient m_store;
+    FactSource m_source;
     TableWatch m_operatorTable;
     TableWatch m_engineTable;
     TableWatch m_statusTable;
     TableWatch m_ownTable;
+    FactDesk m_desk;
     CallerPort m_callers;
     InfoPort m_readiness;
     InfoPort m_operators;
--- a/src/gateway/infoport.cpp
+++ b/src/gateway/infoport.cpp
@@ -4,9 +4,9 @@
 
 namespace ibisfork::gateway {
 
-InfoPort::InfoPort(event_base *base, const net::Address &address, Answer answer)
+InfoPort::InfoPort(event_base *base, const net::Address &address, Handler handler)
     : m_base(base)
-    , m_answer(std::move(answer))
+    , m_handler(std::move(handler))
     , m_port(base, address, [this](evutil_socket_t socket) { accept(socket); })
 { }
 
@@ -14,23 +14,44 @@
 {
     http::CallerConnection::Handlers handlers;
     handlers.onRequest = [this](http::CallerConnection &connection, const http::Request &request) {
-        const auto answer = m_answer(request.head.target);
-        http::HeaderList headers;
-        headers.add("Content-Type", "text/plain");
-        connection.sendAnswer(answer.status, headers, answer.body, false);
+        ask(connection, request.head.target);
     };
     handlers.onCallerLeft = [](http::CallerConnection &) {
     };
     handlers.onClosed = [this](http::CallerConnection &connection) {
-        const auto found = m_connections.find(&connection);
-        if (found != m_connections.end()) {
-            net::deleteLater(m_base, std::move(found->second));
-            m_connections.erase(found);
-        }
+        drop(connection);
     };
     auto connection
         = std::make_unique<http::CallerConnection>(m_base, socket, http::CallerBounds{}, std::move(handlers));
-    m_connections.emplace(connection.get(), std::move(connection));
+    auto *key = connection.get();
+    m_connections[key] = {std::move(connection), ++m_serial};
+}
+
+void InfoPort::ask(http::CallerConnection &connection, const std::string &target)
+{
+    const auto serial = m_connections.at(&connection).serial;
+    m_handler(target, [this, key = &connection, serial](const InfoAnswer &answer) { reply(key, serial, answer); });
+}
+
+void InfoPort::reply(http::CallerConnection *connection, std::uint64_t serial, const InfoAnswer &answer)
+{
+    const auto found = m_connections.find(connection);
+    if (found == m_connections.end() || found->second.serial != serial || !connection->answering()) {
+        // Who asked has left meanwhile.
+        return;
+    }
+    http::HeaderList headers;
+    headers.add("Content-Type", "text/plain");
+    connection->sendAnswer(answer.status, headers, answer.body, false);
+}
+
+void InfoPort::drop(http::CallerConnection &connection)
+{
+    const auto found = m_connections.find(&connection);
+    if (found != m_connections.end()) {
+        net::deleteLater(m_base, std::move(found->second.connection));
+        m_connections.erase(found);
+    }
 }
 
 } // namespace ibisfork::gateway
--- a/src/gateway/infoport.h
+++ b/src/gateway/infoport.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -15,22 +16,34 @@
     std::string body;
 };
 
-/// A port that answers questions about the node itself.
+/// A port that answers questions about the node itself, at once or later.
 class InfoPort
 {
 public:
-    using Answer = std::function<InfoAnswer(const std::string &path)>;
+    using Reply = std::function<void(const InfoAnswer &)>;
+    using Handler = std::function<void(const std::string &target, Reply reply)>;
 
-    InfoPort(event_base *base, const net::Address &address, Answer answer);
+    InfoPort(event_base *base, const net::Address &address, Handler handler);
 
     net::Address address() const { return m_port.address(); }
 
 private:
+    struct Connection
+    {
+        std::unique_ptr<http::CallerConnection> connection;
+        /// Tells a connection from a later one that lies at the same place.
+        std::uint64_t serial = 0;
+    };
+
     void accept(evutil_socket_t socket);
+    void ask(http::CallerConnection &connection, const std::string &target);
+    void reply(http::CallerConnection *connection, std::uint64_t serial, const InfoAnswer &answer);
+    void drop(http::CallerConnection &connection);
 
     event_base *m_base;
-    Answer m_answer;
-    std::map<http::CallerConnection *, std::unique_ptr<http::CallerConnection>> m_connections;
+    Handler m_handler;
+    std::map<http::CallerConnection *, Connection> m_connections;
+    std::uint64_t m_serial = 0;
     ListeningPort m_port;
 };
 
--- /dev/null
+++ b/src/gateway/noderow.cpp
@@ -0,0 +1,30 @@
+#include "gateway/noderow.h"
+
+#include <nlohmann/json.hpp>
+
+#include "gateway/eventlog.h"
+#include "net/exceptions.h"
+
+namespace ibisfork::gateway {
+
+std::string encodeNodeRow(const FactPeer &node)
+{
+    return nlohmann::json{{"failure_domain", node.failureDomain}, {"address", node.address.text()}}.dump();
+}
+
+std::optional<FactPeer> decodeNodeRow(const std::string &name, const std::string &text)
+{
+    try {
+        const auto document = nlohmann::json::parse(text);
+        return FactPeer{name,
+                        document.at("failure_domain").get<std::string>(),
+                        net::Address::parse(document.at("address").get<std::string>())};
+    } catch (const nlohmann::json::exception &error) {
+        EventLog::state("node_row_unreadable").field("name", name).field("reason", error.what());
+    } catch (const net::NetError &error) {
+        EventLog::state("node_row_unreadable").field("name", name).field("reason", error.what());
+    }
+    return std::nullopt;
+}
+
+} // namespace ibisfork::gateway
--- a/src/gateway/rows.h
+++ b/src/gateway/rows.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -14,6 +15,8 @@
     std::string data;
     std::uint64_t version = 0;
     bool removed = false;
+    /// It vanished while the store was away, so it may come back.
+    bool doubtful = false;
 };
 
 /// What the store answered to a read.
@@ -25,6 +28,8 @@
     std::uint64_t version = 0;
     /// The store's steady clock, in milliseconds.
     std::int64_t storeNowMs = 0;
+    /// Time since the store said so; more than nothing if another node passed it on.
+    std::chrono::milliseconds age{0};
 };
 
 /// A write of one row that holds only if the row still has @p expectedVersion.
--- a/src/gateway/storeclient.h
+++ b/src/gateway/storeclient.h
@@ -1,8 +1,6 @@
 #pragma once
 
 #include <functional>
-#include <list>
-#include <memory>
 #include <string>
 #include <variant>
 #include <vector>
@@ -11,8 +9,7 @@
 #include <ibisfork/base/metrics.h>
 
 #include "gateway/rows.h"
-#include "http/upstreamconnection.h"
-#include "net/timer.h"
+#include "http/callclient.h"
 
 namespace ibisfork::gateway {
 
@@ -26,13 +23,11 @@
 
 using ReadResult = std::variant<RowBatch, StoreFailure>;
 
-/// The one client of the platform's store. A call that is not answered in time gives up its connection, since nothing
-/// more comes on it.
+/// The one client of the platform's store.
 class StoreClient
 {
 public:
     StoreClient(event_base *base, net::Address address, base::MetricsRegistry &metrics);
-    ~StoreClient();
     StoreClient(const StoreClient &) = delete;
     StoreClient &operator=(const StoreClient &) = delete;
 
@@ -47,19 +42,12 @@
     void write(const std::vector<ConditionalWrite> &writes, std::function<void(const WriteResult &)> done);
 
 private:
-    class Call;
-    using Answered = std::function<void(int status, const std::string &body)>;
+    void send(std::string bytes, base::Duration timeout, http::CallClient::Answered answered);
 
-    void send(std::string bytes, base::Duration timeout, Answered answered);
-    void finished(Call *call);
-    std::unique_ptr<http::UpstreamConnection> takeConnection();
-
-    event_base *m_base;
+    http::CallClient m_client;
     net::Address m_address;
     base::Counter &m_calls;
     base::Counter &m_failures;
-    std::list<std::unique_ptr<Call>> m_callsInFlight;
-    std::vector<std::unique_ptr<http::UpstreamConnection>> m_idle;
 };
 
 } // namespace ibisfork::gateway
--- a/src/gateway/tablewatch.cpp
+++ b/src/gateway/tablewatch.cpp
@@ -22,6 +22,7 @@
 /// Pause after a failed call; it doubles up to the longest, so that a store that comes back is not flooded.
 constexpr std::chrono::milliseconds firstRetryDelay{150};
 constexpr std::chrono::milliseconds longestRetryDelay{600};
+constexpr std::chrono::milliseconds sourceChangeDelay{5};
 
 std::int64_t nowMs()
 {
@@ -30,8 +31,8 @@
 
 } // namespace
 
-TableWatch::TableWatch(event_base *base, StoreClient &client, std::string table, WatchTiming timing, Changed changed)
-    : m_client(client)
+TableWatch::TableWatch(event_base *base, FactSource &source, std::string table, WatchTiming timing, Changed changed)
+    : m_source(source)
     , m_table(std::move(table))
     , m_timing(timing)
     , m_changed(std::move(changed))
@@ -58,16 +59,23 @@
 
 void TableWatch::askAll(const std::string &from)
 {
-    m_client.read(m_table, from, [this](const ReadResult &result) { takeAll(result); });
+    m_source.read(m_table, from, m_timing.longestAge, [this](const ReadResult &result, bool fromStore) {
+        takeAll(result, fromStore);
+    });
 }
 
-void TableWatch::takeAll(const ReadResult &result)
+void TableWatch::takeAll(const ReadResult &result, bool fromStore)
 {
     if (const auto *failure = std::get_if<StoreFailure>(&result)) {
-        noteFailure(*failure);
+        noteFailure(*failure, fromStore);
         return;
     }
     const auto &batch = std::get<RowBatch>(result);
+    if (batch.version < m_version) {
+        // A node that is behind this one; what is known here is never taken back.
+        noteFailure(StoreFailure::NoAnswer, fromStore);
+        return;
+    }
     noteAnswer(batch);
     // Later pages may be newer than the first; the feed then brings some changes twice, which does no harm.
     m_gatherVersion = m_gatherVersion == 0 ? batch.version : std::min(m_gatherVersion, batch.version);
@@ -84,22 +92,27 @@
     m_needAll = false;
     m_loaded = true;
     m_gathered.whole = true;
+    m_gathered.version = m_version;
     m_gathered.afterOutage = std::exchange(m_afterOutage, false);
     m_changed(m_gathered);
     m_gathered = {};
-    next(m_timing.gap);
+    next(fromStore ? m_timing.gap : base::Duration::zero());
 }
 
 void TableWatch::askChanges()
 {
-    m_client.feed(m_table, m_version, m_timing.wait, [this](const ReadResult &result) { takeChanges(result); });
+    m_source.feed(m_table,
+                  m_version,
+                  m_timing.wait,
+                  m_timing.longestAge,
+                  [this](const ReadResult &result, bool fromStore) { takeChanges(result, fromStore); });
 }
 
-void TableWatch::takeChanges(const ReadResult &result)
+void TableWatch::takeChanges(const ReadResult &result, bool fromStore)
 {
     if (const auto *failure = std::get_if<StoreFailure>(&result)) {
         m_needAll = m_needAll || *failure == StoreFailure::HistoryGone;
-        noteFailure(*failure);
+        noteFailure(*failure, fromStore);
         return;
     }
     const auto &batch = std::get<RowBatch>(result);
@@ -107,9 +120,9 @@
     m_version = std::max(m_version, batch.version);
     const bool afterOutage = std::exchange(m_afterOutage, false);
     if (!batch.rows.empty()) {
-        m_changed({batch.rows, false, afterOutage});
+        m_changed({batch.rows, false, m_version, afterOutage});
     }
-    next(batch.rows.empty() ? base::Duration::zero() : m_timing.gap);
+    next(batch.rows.empty() || !fromStore ? base::Duration::zero() : base::Duration(m_timing.gap));
 }
 
 std::int64_t TableWatch::storeNowMs() const
@@ -119,7 +132,7 @@
 
 void TableWatch::noteAnswer(const RowBatch &batch)
 {
-    m_lastAnswer = base::monotonicNow();
+    m_confirmedAt = base::monotonicNow() - batch.age;
     m_clockOffsetMs = batch.storeNowMs - nowMs();
     m_failures = 0;
     if (m_away) {
@@ -129,13 +142,18 @@
     }
 }
 
-void TableWatch::noteFailure(StoreFailure failure)
+void TableWatch::noteFailure(StoreFailure failure, bool fromStore)
 {
     if (failure == StoreFailure::HistoryGone) {
         EventLog::state("store_history_gone").field("table", m_table).field("version", m_version);
         next(base::Duration::zero());
         return;
     }
+    if (!fromStore) {
+        // Another source is asked at once.
+        next(sourceChangeDelay);
+        return;
+    }
     if (!m_away) {
         m_away = true;
         EventLog::state("store_lost")
--- a/src/gateway/tablewatch.h
+++ b/src/gateway/tablewatch.h
@@ -7,7 +7,8 @@
 
 #include <ibisfork/base/clock.h>
 
-#include "gateway/storeclient.h"
+#include "gateway/factsource.h"
+#include "net/timer.h"
 
 namespace ibisfork::gateway {
 
@@ -19,6 +20,8 @@
     std::chrono::milliseconds wait{1500};
     /// Shortest time between two questions; changes in between come in one answer.
     std::chrono::milliseconds gap{0};
+    /// Facts older than this are not taken from another node.
+    std::chrono::milliseconds longestAge{1500};
 };
 
 /// What an answer of the store says of a table.
@@ -27,17 +30,19 @@
     std::vector<Row> rows;
     /// The rows are all rows of the table; otherwise they are changes, in order.
     bool whole = false;
+    /// Version of the table that these rows bring it to.
+    std::uint64_t version = 0;
     /// The first answer after the store was away. Entries that are missing may have lapsed meanwhile.
     bool afterOutage = false;
 };
 
-/// Keeps up with one table of the store: a full read, then its changes. While the store is away what was read stays.
+/// Keeps up with one table, from the store or from another node: a full read, then its changes. While the store is away what was read stays.
 class TableWatch
 {
 public:
     using Changed = std::function<void(const TableChange &)>;
 
-    TableWatch(event_base *base, StoreClient &client, std::string table, WatchTiming timing, Changed changed);
+    TableWatch(event_base *base, FactSource &source, std::string table, WatchTiming timing, Changed changed);
     TableWatch(const TableWatch &) = delete;
     TableWatch &operator=(const TableWatch &) = delete;
 
@@ -45,22 +50,23 @@
 
     /// True once all rows have been read.
     bool loaded() const { return m_loaded; }
-    /// When the last answer came; nothing before the first.
-    std::optional<base::TimePoint> lastAnswer() const { return m_lastAnswer; }
+    /// When the store last confirmed what is known here; nothing before the first answer.
+    std::optional<base::TimePoint> confirmedAt() const { return m_confirmedAt; }
+    const std::string &table() const { return m_table; }
     /// The store's steady clock, in milliseconds, as far as it is known.
     std::int64_t storeNowMs() const;
     std::uint64_t version() const { return m_version; }
 
 private:
     void askAll(const std::string &from);
-    void takeAll(const ReadResult &result);
+    void takeAll(const ReadResult &result, bool fromStore);
     void askChanges();
-    void takeChanges(const ReadResult &result);
+    void takeChanges(const ReadResult &result, bool fromStore);
     void noteAnswer(const RowBatch &batch);
-    void noteFailure(StoreFailure failure);
+    void noteFailure(StoreFailure failure, bool fromStore);
     void next(base::Duration delay);
 
-    StoreClient &m_client;
+    FactSource &m_source;
     std::string m_table;
     WatchTiming m_timing;
     Changed m_changed;
@@ -74,7 +80,7 @@
     bool m_afterOutage = false;
     unsigned m_failures = 0;
     std::int64_t m_clockOffsetMs = 0;
-    std::optional<base::TimePoint> m_lastAnswer;
+    std::optional<base::TimePoint> m_confirmedAt;
 };
 
 } // namespace ibisfork::gateway
--- /dev/null
+++ b/src/http/callclient.cpp
@@ -0,0 +1,115 @@
+#include "http/callclient.h"
+
+#include <algorithm>
+
+#include "net/deletelater.h"
+#include "net/timer.h"
+
+namespace ibisfork::http {
+
+namespace {
+
+constexpr std::size_t maxIdleConnections = 4;
+
+} // namespace
+
+/// One request and the wait for its answer.
+class CallClient::Call
+{
+public:
+    Call(CallClient &client, net::Address address, Answered answered)
+        : m_client(client)
+        , m_address(std::move(address))
+        , m_connection(client.takeConnection(m_address))
+        , m_answered(std::move(answered))
+        , m_timeout(client.m_base, [this] { end(noAnswer); })
+    { }
+
+    void start(std::string bytes, base::Duration timeout)
+    {
+        m_timeout.startOnce(timeout);
+        UpstreamConnection::Handlers handlers;
+        handlers.onHead = [this](const ResponseHead &head) {
+            m_status = head.status;
+        };
+        handlers.onBody = [this](std::string_view part) {
+            m_body.append(part);
+        };
+        handlers.onComplete = [this] {
+            end(m_status);
+        };
+        handlers.onFailure = [this](ConnectionFailure) {
+            end(noAnswer);
+        };
+        m_connection->send(std::move(bytes), false, std::move(handlers));
+    }
+
+    const net::Address &address() const { return m_address; }
+    std::unique_ptr<UpstreamConnection> takeConnection() { return std::move(m_connection); }
+
+private:
+    void end(int status)
+    {
+        m_timeout.stop();
+        if (status == noAnswer) {
+            m_connection->abandon();
+        }
+        const auto answered = std::move(m_answered);
+        const auto body = std::move(m_body);
+        // Nothing of this call is used behind the next line.
+        m_client.finished(this);
+        answered(status, body);
+    }
+
+    CallClient &m_client;
+    net::Address m_address;
+    std::unique_ptr<UpstreamConnection> m_connection;
+    Answered m_answered;
+    net::Timer m_timeout;
+    int m_status = noAnswer;
+    std::string m_body;
+};
+
+CallClient::CallClient(event_base *base)
+    : m_base(base)
+{ }
+
+CallClient::~CallClient() = default;
+
+std::unique_ptr<UpstreamConnection> CallClient::takeConnection(const net::Address &address)
+{
+    auto &idle = m_idle[address.text()];
+    while (!idle.empty()) {
+        auto connection = std::move(idle.back());
+        idle.pop_back();
+        if (connection->reusable()) {
+            return connection;
+        }
+    }
+    return std::make_unique<UpstreamConnection>(m_base, address);
+}
+
+void CallClient::send(const net::Address &address, std::string bytes, base::Duration timeout, Answered answered)
+{
+    m_calls.push_back(std::make_unique<Call>(*this, address, std::move(answered)));
+    m_calls.back()->start(std::move(bytes), timeout);
+}
+
+void CallClient::finished(Call *call)
+{
+    const auto found = std::find_if(m_calls.begin(), m_calls.end(), [&](const auto &item) {
+        return item.get() == call;
+    });
+    auto owned = std::move(*found);
+    m_calls.erase(found);
+    auto connection = owned->takeConnection();
+    auto &idle = m_idle[owned->address().text()];
+    if (connection->reusable() && idle.size() < maxIdleConnections) {
+        idle.push_back(std::move(connection));
+    } else {
+        net::deleteLater(m_base, std::move(connection));
+    }
+    net::deleteLater(m_base, std::move(owned));
+}
+
+} // namespace ibisfork::http
--- a/src/settings/gatewaysettings.cpp
+++ b/src/settings/gatewaysettings.cpp
@@ -49,6 +49,9 @@
     YamlFields store(document.map(storeField), storeField);
     settings.store = addressFrom(store, "address");
     store.refuseUnknown();
+    for (const auto &seed : document.list("seeds")) {
+        settings.seeds.push_back(net::Address::parse(seed.as<std::string>()));
+    }
     settings.bounds = boundsFrom(YamlFields(document.map("bounds"), "bounds"));
     settings.logLevel = readLogLevel(document, settings.logLevel);
     document.refuseUnknown();
--- a/src/settings/gatewaysettings.h
+++ b/src/settings/gatewaysettings.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <string>
+#include <vector>
 
 #include "net/address.h"
 #include "settings/settings.h"
@@ -28,6 +29,8 @@
     net::Address readiness;
     net::Address operators;
     net::Address store;
+    /// Operators' addresses of nodes that can be asked while the store is away; some may be gone.
+    std::vector<net::Address> seeds;
     FleetBounds bounds;
     base::LogLevel logLevel = base::LogLevel::Info;
 };
--- /dev/null
+++ b/tests/gateway/factcache_test.cpp
@@ -0,0 +1,71 @@
+#include "gateway/factcache.h"
+
+#include <gtest/gtest.h>
+
+namespace ibisfork::gateway {
+
+using namespace std::chrono_literals;
+
+class FactCacheTest : public testing::Test
+{
+protected:
+    static base::TimePoint at(base::Duration after) { return base::TimePoint(1000s) + after; }
+    static Row row(const std::string &key, std::uint64_t version) { return {key, "d", version}; }
+    static Row removed(const std::string &key, std::uint64_t version) { return {key, {}, version, true}; }
+
+    FactCache m_cache;
+};
+
+TEST_F(FactCacheTest, cache_notFilled_knowsNoChanges)
+{
+    EXPECT_FALSE(m_cache.changesAfter(5));
+}
+
+TEST_F(FactCacheTest, changes_afterAVersion_comeInOrderWithRemovals)
+{
+    m_cache.replace({row("a", 3), row("b", 4)}, 4, false, at(0s));
+    m_cache.apply({row("a", 9), removed("b", 7)}, 9, at(1s));
+    const auto changes = m_cache.changesAfter(4);
+    ASSERT_TRUE(changes);
+    ASSERT_EQ(changes->size(), 2U);
+    EXPECT_EQ(changes->front().key, "b");
+    EXPECT_TRUE(changes->front().removed);
+    EXPECT_EQ(changes->back().version, 9U);
+    EXPECT_EQ(m_cache.all().size(), 1U);
+}
+
+TEST_F(FactCacheTest, change_olderThanWhatIsKept_isPassedOver)
+{
+    m_cache.replace({row("a", 9)}, 9, false, at(0s));
+    m_cache.apply({removed("a", 7)}, 9, at(0s));
+    EXPECT_EQ(m_cache.all().size(), 1U);
+}
+
+TEST_F(FactCacheTest, rowsMissingInAFullRead_countAsRemoved_inDoubtAfterAnOutage)
+{
+    m_cache.replace({row("a", 3), row("b", 4)}, 4, false, at(0s));
+    m_cache.replace({row("a", 3)}, 8, true, at(5s));
+    const auto changes = m_cache.changesAfter(4);
+    ASSERT_TRUE(changes);
+    ASSERT_EQ(changes->size(), 1U);
+    EXPECT_TRUE(changes->front().removed);
+    EXPECT_TRUE(changes->front().doubtful);
+}
+
+TEST_F(FactCacheTest, versionBeforeTheFirstRead_isNotServed)
+{
+    m_cache.replace({row("a", 3)}, 8, false, at(0s));
+    EXPECT_FALSE(m_cache.changesAfter(7));
+    EXPECT_TRUE(m_cache.changesAfter(8));
+}
+
+TEST_F(FactCacheTest, removalForgotten_olderVersions_mustReadAll)
+{
+    m_cache.replace({row("a", 3), row("b", 3)}, 3, false, at(0s));
+    m_cache.apply({removed("a", 5)}, 5, at(1s));
+    m_cache.apply({row("b", 9)}, 9, at(60s));
+    EXPECT_FALSE(m_cache.changesAfter(4));
+    EXPECT_TRUE(m_cache.changesAfter(5));
+}
+
+} // namespace ibisfork::gateway
--- /dev/null
+++ b/tests/gateway/factsource_test.cpp
@@ -0,0 +1,249 @@
+#include <gtest/gtest.h>
+
+#include "gateway/factdesk.h"
+#include "gateway/factsource.h"
+#include "gateway/infoport.h"
+#include "standins.h"
+
+namespace ibisfork::gateway {
+
+using namespace std::chrono_literals;
+using test::FakeStore;
+using test::StoreMode;
+
+constexpr const char *table = "t";
+constexpr WatchTiming timing{200ms, 0ms, 1500ms};
+
+/// A node reduced to what it does with facts.
+class FactNode
+{
+public:
+    FactNode(event_base *base, const net::Address &store, const std::string &name, const std::string &domain)
+        : m_name(name)
+        , m_domain(domain)
+        , m_store(base, store, m_metrics)
+        , m_desk(base)
+        , m_port(base,
+                 {"127.0.0.1", 0},
+                 [this](const std::string &target, const InfoPort::Reply &reply) {
+                     m_desk.ask(*decodeQuestion(target), [reply](const FactDesk::Answer &answer) {
+                         reply({answer.status, answer.body});
+                     });
+                 })
+        , m_source(base, m_store, {name, domain, m_port.address()}, {}, m_metrics)
+        , m_watch(base, m_source, table, timing, [this](const TableChange &change) { take(change); })
+    {
+        m_desk.add(table, m_watch);
+    }
+
+    FactPeer peer() const { return {m_name, m_domain, m_port.address()}; }
+    void meet(const std::vector<FactPeer> &peers) { m_source.setPeers(peers); }
+    void start() { m_watch.start(); }
+    bool isReader() const { return m_source.isReader(); }
+    std::string value(const std::string &key) const
+    {
+        const auto found = m_rows.find(key);
+        return found == m_rows.end() ? std::string() : found->second.data;
+    }
+    std::uint64_t storeCalls() { return m_metrics.counter("ibisfork_store_calls_total").value(); }
+    bool wentBack() const { return m_wentBack; }
+
+private:
+    void take(const TableChange &change)
+    {
+        if (change.whole) {
+            m_rows.clear();
+        }
+        for (const auto &row : change.rows) {
+            m_wentBack = m_wentBack || row.version < m_rows[row.key].version;
+            m_rows[row.key] = row;
+        }
+        m_desk.take(table, change);
+    }
+
+    std::string m_name;
+    std::string m_domain;
+    base::MetricsRegistry m_metrics;
+    StoreClient m_store;
+    FactDesk m_desk;
+    InfoPort m_port;
+    FactSource m_source;
+    TableWatch m_watch;
+    std::map<std::string, Row> m_rows;
+    bool m_wentBack = false;
+};
+
+class FactSourceTest : public testing::Test
+{
+protected:
+    FactSourceTest()
+        : m_base(net::makeEventBase())
+        , m_store(m_base.get())
+    {
+        m_store.put(table, "k", "one");
+    }
+
+    /// @p perDomain nodes in each of two domains, which know of each other.
+    void start(int perDomain)
+    {
+        for (const std::string domain : {"d1", "d2"}) {
+            for (int i = 0; i < perDomain; ++i) {
+                const auto name = domain + "-" + std::to_string(i);
+                m_nodes[name] = std::make_unique<FactNode>(m_base.get(), m_store.address(), name, domain);
+            }
+        }
+        for (auto &[name, node] : m_nodes) {
+            node->meet(peersOf(name));
+        }
+        for (auto &[name, node] : m_nodes) {
+            node->start();
+        }
+    }
+
+    std::vector<FactPeer> peersOf(const std::string &self) const
+    {
+        std::vector<FactPeer> peers;
+        for (const auto &[name, node] : m_nodes) {
+            if (name != self) {
+                peers.push_back(node->peer());
+            }
+        }
+        return peers;
+    }
+
+    bool allHold(const std::string &value)
+    {
+        return until([&] {
+            return std::all_of(m_nodes.begin(), m_nodes.end(), [&](const auto &item) {
+                return item.second->value("k") == value;
+            });
+        });
+    }
+
+    bool until(const std::function<bool()> &condition, base::Duration within = 5s)
+    {
+        const auto end = base::monotonicNow() + within;
+        while (!condition()) {
+            if (base::monotonicNow() > end) {
+                return false;
+            }
+            runFor(5ms);
+        }
+        return true;
+    }
+
+    void runFor(base::Duration time)
+    {
+        const auto microseconds = std::chrono::duration_cast<std::chrono::microseconds>(time).count();
+        const timeval delay{microseconds / 1000000, microseconds % 1000000};
+        event_base_loopexit(m_base.get(), &delay);
+        event_base_dispatch(m_base.get());
+    }
+
+    std::string readerOf(const std::string &domain) const
+    {
+        for (const auto &[name, node] : m_nodes) {
+            if (name.starts_with(domain) && node->isReader()) {
+                return name;
+            }
+        }
+        return {};
+    }
+
+    net::EventBasePtr m_base;
+    FakeStore m_store;
+    std::map<std::string, std::unique_ptr<FactNode>> m_nodes;
+};
+
+TEST_F(FactSourceTest, change_inTheStore_reachesAllThroughOneReaderADomain)
+{
+    start(4);
+    ASSERT_TRUE(allHold("one"));
+    // Who asked a reader before it knew anything went to the store, and comes back to the reader.
+    runFor(2500ms);
+    std::map<std::string, std::uint64_t> callsBefore;
+    for (auto &[name, node] : m_nodes) {
+        callsBefore[name] = node->storeCalls();
+    }
+    m_store.put(table, "k", "two");
+    EXPECT_TRUE(allHold("two"));
+    runFor(500ms);
+    int readers = 0;
+    for (auto &[name, node] : m_nodes) {
+        readers += node->isReader() ? 1 : 0;
+        EXPECT_TRUE(node->isReader() || node->storeCalls() == callsBefore[name]) << name;
+    }
+    EXPECT_EQ(readers, 2);
+}
+
+TEST_F(FactSourceTest, largeDomain_hasTwoReaders)
+{
+    start(8);
+    ASSERT_TRUE(allHold("one"));
+    int readers = 0;
+    for (auto &[name, node] : m_nodes) {
+        readers += node->isReader() ? 1 : 0;
+    }
+    EXPECT_EQ(readers, 4);
+}
+
+TEST_F(FactSourceTest, readerGone_changes_stillReachTheOthersOfItsDomain)
+{
+    start(4);
+    ASSERT_TRUE(allHold("one"));
+    m_nodes.erase(readerOf("d1"));
+    m_store.put(table, "k", "two");
+    EXPECT_TRUE(allHold("two"));
+}
+
+TEST_F(FactSourceTest, storeAway_allKeepWhatTheyKnow_andCatchUpAfterwards)
+{
+    start(3);
+    ASSERT_TRUE(allHold("one"));
+    m_store.setMode(StoreMode::Refusing);
+    runFor(2s);
+    EXPECT_TRUE(allHold("one"));
+    m_store.setMode(StoreMode::Serving);
+    m_store.put(table, "k", "two");
+    EXPECT_TRUE(allHold("two"));
+    for (auto &[name, node] : m_nodes) {
+        EXPECT_FALSE(node->wentBack()) << name;
+    }
+}
+
+TEST_F(FactSourceTest, nodeWithoutStore_newNode_learnsFromAReaderOfAnotherDomain)
+{
+    start(2);
+    ASSERT_TRUE(allHold("one"));
+    // Its store is a port on which nobody listens.
+    FactNode cutOff(m_base.get(), {"127.0.0.1", 1}, "d3-0", "d3");
+    cutOff.meet(peersOf("d3-0"));
+    cutOff.start();
+    EXPECT_TRUE(until([&] { return cutOff.value("k") == "one"; }));
+    m_store.put(table, "k", "two");
+    EXPECT_TRUE(until([&] { return cutOff.value("k") == "two"; }));
+}
+
+TEST_F(FactSourceTest, readerWhoseFactsAreOld_isLeft)
+{
+    // The reader knows a store that falls silent; the one that asks it reaches the other store.
+    FakeStore silent(m_base.get());
+    silent.put(table, "k", "old");
+    std::unique_ptr<FactNode> reader;
+    std::unique_ptr<FactNode> asker;
+    for (int i = 0; !reader || !reader->isReader() || asker->isReader(); ++i) {
+        reader = std::make_unique<FactNode>(m_base.get(), silent.address(), "a" + std::to_string(i), "d4");
+        asker = std::make_unique<FactNode>(m_base.get(), m_store.address(), "b" + std::to_string(i), "d4");
+        reader->meet({asker->peer()});
+        asker->meet({reader->peer()});
+    }
+    reader->start();
+    ASSERT_TRUE(until([&] { return reader->value("k") == "old"; }));
+    asker->start();
+    ASSERT_TRUE(until([&] { return asker->value("k") == "old"; }));
+    silent.setMode(StoreMode::Silent);
+    m_store.put(table, "k", "new");
+    EXPECT_TRUE(until([&] { return asker->value("k") == "new"; }, 4s));
+}
+
+} // namespace ibisfork::gateway
