Format and lint what the platform's path added

Cause: the new modules had not been through the formatter and the linter. Change: formatted; parameters by reference; a name that ended in an underscore.

--- a/src/gateway/callerport.cpp
+++ b/src/gateway/callerport.cpp
@@ -83,16 +83,14 @@
     };
     const auto &configuration = m_context.view.configuration();
     const auto bounds = configuration ? configuration->callerBounds : http::CallerBounds{};
-    auto connection
-        = std::make_unique<http::CallerConnection>(m_context.base, socket, bounds, std::move(handlers));
+    auto connection = std::make_unique<http::CallerConnection>(m_context.base, socket, bounds, std::move(handlers));
     m_connections.emplace(connection.get(), std::move(connection));
 }
 
 void CallerPort::begin(http::CallerConnection &connection, http::Request request)
 {
-    auto exchange = std::make_unique<Exchange>(m_context, connection, std::move(request), [this, &connection] {
-        end(connection);
-    });
+    auto exchange = std::make_unique<Exchange>(
+        m_context, connection, std::move(request), [this, &connection] { end(connection); });
     auto *started = exchange.get();
     m_exchanges.emplace(&connection, std::move(exchange));
     started->begin();
--- a/src/gateway/connectionpool.cpp
+++ b/src/gateway/connectionpool.cpp
@@ -34,8 +34,10 @@
     return idle.connection->reusable() && now - idle.since < longest;
 }
 
-std::unique_ptr<http::UpstreamConnection>
-ConnectionPool::take(const std::string &engineId, const net::Address &address, bool careful, base::TimePoint now)
+std::unique_ptr<http::UpstreamConnection> ConnectionPool::take(const std::string &engineId,
+                                                               const net::Address &address,
+                                                               bool careful,
+                                                               base::TimePoint now)
 {
     auto &list = m_idle[engineId];
     while (!list.empty()) {
--- a/src/gateway/connectionpool.h
+++ b/src/gateway/connectionpool.h
@@ -20,8 +20,10 @@
 
     /// A connection to @p engineId, kept or new. @p careful: only one that has been idle for so short a time that the
     /// engine will hardly be closing it, since a request lost that way can't be repeated.
-    std::unique_ptr<http::UpstreamConnection>
-    take(const std::string &engineId, const net::Address &address, bool careful, base::TimePoint now);
+    std::unique_ptr<http::UpstreamConnection> take(const std::string &engineId,
+                                                   const net::Address &address,
+                                                   bool careful,
+                                                   base::TimePoint now);
     /// Keeps @p connection if it can be used again.
     void give(const std::string &engineId, std::unique_ptr<http::UpstreamConnection> connection, base::TimePoint now);
     /// Closes all connections to @p engineId.
--- a/src/gateway/context.cpp
+++ b/src/gateway/context.cpp
@@ -20,7 +20,9 @@
     m_value += meanWeight * (value - m_value);
 }
 
-Context::Context(event_base *eventBase, const settings::GatewaySettings &gatewaySettings, base::MetricsRegistry &registry)
+Context::Context(event_base *eventBase,
+                 const settings::GatewaySettings &gatewaySettings,
+                 base::MetricsRegistry &registry)
     : base(eventBase)
     , settings(gatewaySettings)
     , metrics(registry)
--- a/src/gateway/enginebook.h
+++ b/src/gateway/enginebook.h
@@ -65,7 +65,8 @@
 class EngineBook
 {
 public:
-    /// Takes an entry as the platform lists it. True if it is new, or says something else than before of state or start.
+    /// Takes an entry as the platform lists it. True if it is new, or says something else than before of state or
+    /// start.
     bool put(const EngineEntry &entry, base::TimePoint now);
     /// The platform lists the engine no more. @p doubtful: the store was in trouble, so the entry may have lapsed only;
     /// it then counts until @p now plus the time in which living engines are back.
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -176,7 +176,8 @@
     request.nodes = m_context.view.nodes();
     request.coldRate = service == nullptr ? 0 : service->coldRate;
     const auto usable = m_context.view.usable(m_service, m_preference);
-    auto placement = m_context.placement.choose(m_context.lanes[m_service].enginesFor(ownTokens(), usable), request, now);
+    auto placement
+        = m_context.placement.choose(m_context.lanes[m_service].enginesFor(ownTokens(), usable), request, now);
     if (placement.engine == nullptr) {
         placement = m_context.placement.choose(usable, request, now);
     }
@@ -252,7 +253,8 @@
         onFailure(failure);
     };
     arm();
-    m_connection->send(http::serializeRequest(head, m_request.body), m_request.head.method == "HEAD", std::move(handlers));
+    m_connection->send(
+        http::serializeRequest(head, m_request.body), m_request.head.method == "HEAD", std::move(handlers));
 }
 
 void Exchange::onHead(const http::ResponseHead &head)
@@ -396,10 +398,7 @@
         m_context.view.engines().noteSuccess(m_engineId);
     }
     releaseConnection();
-    m_caller.sendAnswer(m_answer.status,
-                        platform::answerHeaders(m_answerHead),
-                        m_answerBody,
-                        m_context.stopping);
+    m_caller.sendAnswer(m_answer.status, platform::answerHeaders(m_answerHead), m_answerBody, m_context.stopping);
     finish(failed ? "engine_failed" : "answered", m_answer.status);
 }
 
@@ -468,8 +467,7 @@
 
 bool Exchange::takeResend(bool mayHaveRun)
 {
-    return mayGoOn(mayHaveRun)
-        && m_context.resends.take(m_service, m_context.view.nodes(), base::monotonicNow());
+    return mayGoOn(mayHaveRun) && m_context.resends.take(m_service, m_context.view.nodes(), base::monotonicNow());
 }
 
 bool Exchange::mayGoOn(bool mayHaveRun) const
--- a/src/gateway/factsource.cpp
+++ b/src/gateway/factsource.cpp
@@ -43,7 +43,7 @@
 FactSource::FactSource(event_base *base,
                        StoreClient &store,
                        FactPeer self,
-                       std::vector<net::Address> seeds,
+                       const std::vector<net::Address> &seeds,
                        base::MetricsRegistry &metrics)
     : m_store(store)
     , m_self(std::move(self))
@@ -169,17 +169,18 @@
     m_peerCalls.add();
     const auto head = encodeQuestion(question, peer.address.text());
     const auto timeout = question.wait + peerAnswerTimeout;
-    const auto answered = [this, name = peer.name, table = question.table, longestAge, done](int status, const std::string &body) {
-        const auto batch = status == statusOk ? decodeFacts(body) : std::nullopt;
-        if (status == statusHistoryGone) {
-            done(StoreFailure::HistoryGone, false);
-        } else if (!batch || batch->age > longestAge) {
-            noteFailure(name, table, batch ? batch->age : std::chrono::milliseconds(0), peerRest);
-            done(StoreFailure::NoAnswer, false);
-        } else {
-            done(*batch, false);
-        }
-    };
+    const auto answered
+        = [this, name = peer.name, table = question.table, longestAge, done](int status, const std::string &body) {
+              const auto batch = status == statusOk ? decodeFacts(body) : std::nullopt;
+              if (status == statusHistoryGone) {
+                  done(StoreFailure::HistoryGone, false);
+              } else if (!batch || batch->age > longestAge) {
+                  noteFailure(name, table, batch ? batch->age : std::chrono::milliseconds(0), peerRest);
+                  done(StoreFailure::NoAnswer, false);
+              } else {
+                  done(*batch, false);
+              }
+          };
     m_client.send(peer.address, http::serializeRequest(head, {}), timeout, answered);
 }
 
--- a/src/gateway/factsource.h
+++ b/src/gateway/factsource.h
@@ -34,7 +34,7 @@
     FactSource(event_base *base,
                StoreClient &store,
                FactPeer self,
-               std::vector<net::Address> seeds,
+               const std::vector<net::Address> &seeds,
                base::MetricsRegistry &metrics);
 
     /// The nodes that are known, without this one.
@@ -73,7 +73,10 @@
                  std::chrono::milliseconds longestAge,
                  const Done &done);
     void askStore(const std::function<void(std::function<void(const ReadResult &)>)> &call, const Done &done);
-    void noteFailure(const std::string &name, const std::string &table, std::chrono::milliseconds age, base::Duration rest);
+    void noteFailure(const std::string &name,
+                     const std::string &table,
+                     std::chrono::milliseconds age,
+                     base::Duration rest);
 
     StoreClient &m_store;
     FactPeer m_self;
--- a/src/gateway/fleetview.h
+++ b/src/gateway/fleetview.h
@@ -64,8 +64,8 @@
     std::map<std::string, FactPeer> m_peers;
 };
 
-/// The table of this system's own rows, and the prefixes of the keys under which nodes and the starts of roll-outs stand
-/// there.
+/// The table of this system's own rows, and the prefixes of the keys under which nodes and the starts of roll-outs
+/// stand there.
 inline constexpr const char *ownTable = "ibisfork";
 inline constexpr std::string_view nodePrefix = "node/";
 inline constexpr std::string_view rolloutStartPrefix = "rollout/";
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -46,33 +46,51 @@
     : m_context(base, settings, metrics)
     , m_store(base, settings.store, metrics)
     , m_source(base, m_store, selfOf(settings), settings.seeds, metrics)
-    , m_operatorTable(base, m_source, platform::operatorsTable(), operatorTiming, [this](const TableChange &change) {
-        m_context.view.takeOperatorRows(change, base::monotonicNow());
-        m_desk.take(platform::operatorsTable(), change);
-        driveRollouts();
-    })
-    , m_engineTable(base, m_source, platform::enginesTable(), engineTiming, [this](const TableChange &change) {
-        m_context.view.takeEngineRows(change, base::monotonicNow());
-        m_desk.take(platform::enginesTable(), change);
-    })
-    , m_statusTable(base, m_source, platform::statusTable(), statusTiming, [this](const TableChange &change) {
-        m_context.view.takeStatusRows(change);
-        m_desk.take(platform::statusTable(), change);
-    })
-    , m_ownTable(base, m_source, ownTable, ownTiming, [this](const TableChange &change) {
-        m_context.view.takeOwnRows(change, m_ownTable.storeNowMs(), base::monotonicNow());
-        m_source.setPeers(m_context.view.peersOf(m_context.settings.node.name));
-        m_desk.take(ownTable, change);
-    })
+    , m_operatorTable(base,
+                      m_source,
+                      platform::operatorsTable(),
+                      operatorTiming,
+                      [this](const TableChange &change) {
+                          m_context.view.takeOperatorRows(change, base::monotonicNow());
+                          m_desk.take(platform::operatorsTable(), change);
+                          driveRollouts();
+                      })
+    , m_engineTable(base,
+                    m_source,
+                    platform::enginesTable(),
+                    engineTiming,
+                    [this](const TableChange &change) {
+                        m_context.view.takeEngineRows(change, base::monotonicNow());
+                        m_desk.take(platform::enginesTable(), change);
+                    })
+    , m_statusTable(base,
+                    m_source,
+                    platform::statusTable(),
+                    statusTiming,
+                    [this](const TableChange &change) {
+                        m_context.view.takeStatusRows(change);
+                        m_desk.take(platform::statusTable(), change);
+                    })
+    , m_ownTable(base,
+                 m_source,
+                 ownTable,
+                 ownTiming,
+                 [this](const TableChange &change) {
+                     m_context.view.takeOwnRows(change, m_ownTable.storeNowMs(), base::monotonicNow());
+                     m_source.setPeers(m_context.view.peersOf(m_context.settings.node.name));
+                     m_desk.take(ownTable, change);
+                 })
     , m_desk(base)
     , m_callers(m_context, settings.callers)
-    , m_readiness(base, settings.readiness, [this](const std::string &target, const InfoPort::Reply &reply) {
-        const bool known = target == platform::readinessPath();
-        reply({known ? (ready() ? statusOk : statusUnavailable) : statusNotFound, {}});
-    })
-    , m_operators(base, settings.operators, [this](const std::string &target, const InfoPort::Reply &reply) {
-        answerOperators(target, reply);
-    })
+    , m_readiness(base,
+                  settings.readiness,
+                  [this](const std::string &target, const InfoPort::Reply &reply) {
+                      const bool known = target == platform::readinessPath();
+                      reply({known ? (ready() ? statusOk : statusUnavailable) : statusNotFound, {}});
+                  })
+    , m_operators(base,
+                  settings.operators,
+                  [this](const std::string &target, const InfoPort::Reply &reply) { answerOperators(target, reply); })
     , m_tick(base, [this] { tick(); })
     , m_stopTick(base, [this] { stopTick(); })
 { }
@@ -86,7 +104,7 @@
     m_engineTable.start();
     m_statusTable.start();
     m_ownTable.start();
-    register_();
+    registerNode();
     m_tick.startEvery(tickInterval);
 }
 
@@ -95,7 +113,7 @@
     return !m_context.stopping && m_context.view.configuration() != nullptr && m_context.view.knowsEngines();
 }
 
-void Gateway::register_()
+void Gateway::registerNode()
 {
     if (m_registered || m_registering) {
         return;
@@ -118,7 +136,7 @@
     const auto now = base::monotonicNow();
     m_context.view.expire(now);
     m_context.pool.dropStale(now);
-    register_();
+    registerNode();
     driveRollouts();
     if (ready() != m_wasReady) {
         m_wasReady = ready();
@@ -235,15 +253,16 @@
         out += fmt::format("evacuated domain={}\n", domain);
     }
     for (const auto &[id, engine] : view.engines().all()) {
-        out += fmt::format("engine id={} service={} domain={} software={} leaving={} cold={} in_flight={} faults={:.2f}\n",
-                           id,
-                           engine.entry.service,
-                           engine.entry.failureDomain,
-                           engine.entry.softwareVersion,
-                           engine.entry.leaving,
-                           engine.cold(now),
-                           engine.inFlight,
-                           engine.faultShare);
+        out += fmt::format(
+            "engine id={} service={} domain={} software={} leaving={} cold={} in_flight={} faults={:.2f}\n",
+            id,
+            engine.entry.service,
+            engine.entry.failureDomain,
+            engine.entry.softwareVersion,
+            engine.entry.leaving,
+            engine.cold(now),
+            engine.inFlight,
+            engine.faultShare);
     }
     return out;
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -37,7 +37,7 @@
 private:
     void tick();
     void stopTick();
-    void register_();
+    void registerNode();
     void driveRollouts();
     ConditionalWrite startRow(const std::string &service) const;
     void say(const std::string &service, const RolloutStatus &status);
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -62,7 +62,9 @@
     return best;
 }
 
-Engine *EnginePlacement::byDraw(const std::vector<Engine *> &usable, const PlacementRequest &request, base::TimePoint now)
+Engine *EnginePlacement::byDraw(const std::vector<Engine *> &usable,
+                                const PlacementRequest &request,
+                                base::TimePoint now)
 {
     std::uniform_int_distribution<std::size_t> draw(0, usable.size() - 1);
     auto *first = usable[draw(m_random)];
--- a/src/gateway/promptlanes.cpp
+++ b/src/gateway/promptlanes.cpp
@@ -33,8 +33,8 @@
     if (engines.size() < leastEngines) {
         return engines;
     }
-    const auto wanted = static_cast<std::size_t>(
-        std::lround(headroom * m_longShare * static_cast<double>(engines.size())));
+    const auto wanted
+        = static_cast<std::size_t>(std::lround(headroom * m_longShare * static_cast<double>(engines.size())));
     if (wanted == 0) {
         return engines;
     }
--- a/src/gateway/rolloutbook.h
+++ b/src/gateway/rolloutbook.h
@@ -44,7 +44,8 @@
 ///
 /// In the first half of the period a small share of the requests goes to the new version. Sessions stay on the old one:
 /// their requests come to several nodes, and none knows whether a session has begun elsewhere. After that all requests
-/// move, sessions once and for good, and before the end of the period the roll-out is completed. Evidence against the version ends its use at once.
+/// move, sessions once and for good, and before the end of the period the roll-out is completed. Evidence against the
+/// version ends its use at once.
 class RolloutBook
 {
 public:
@@ -59,11 +60,14 @@
     std::uint64_t orderRow(const std::string &service) const;
 
     /// @p subject: what stays on one version, a session or the request alone.
-    VersionPreference
-    prefer(const std::string &service, const std::string &subject, bool isSession, base::TimePoint now) const;
+    VersionPreference prefer(const std::string &service,
+                             const std::string &subject,
+                             bool isSession,
+                             base::TimePoint now) const;
     /// Those of @p engines that may run the request, the preferred version if it has any.
-    std::vector<Engine *>
-    permitted(const std::string &service, std::vector<Engine *> engines, VersionPreference preference) const;
+    std::vector<Engine *> permitted(const std::string &service,
+                                    std::vector<Engine *> engines,
+                                    VersionPreference preference) const;
 
     void noteOutcome(const std::string &service,
                      const std::string &version,
--- a/src/gateway/storeclient.cpp
+++ b/src/gateway/storeclient.cpp
@@ -62,7 +62,7 @@
     , m_failures(metrics.counter("ibisfork_store_calls_unanswered_total"))
 { }
 
-void StoreClient::send(std::string bytes, base::Duration timeout, http::CallClient::Answered answered)
+void StoreClient::send(std::string bytes, base::Duration timeout, const http::CallClient::Answered &answered)
 {
     m_calls.add();
     m_client.send(m_address, std::move(bytes), timeout, [this, answered](int status, const std::string &body) {
@@ -73,7 +73,7 @@
     });
 }
 
-void StoreClient::read(const std::string &table, const std::string &from, std::function<void(const ReadResult &)> done)
+void StoreClient::read(const std::string &table, const std::string &from, const std::function<void(const ReadResult &)> &done)
 {
     const auto head = platform::encodeRead(table, from, m_address.text());
     send(http::serializeRequest(head, {}), answerTimeout, [done](int status, const std::string &body) {
@@ -84,7 +84,7 @@
 void StoreClient::feed(const std::string &table,
                        std::uint64_t version,
                        std::chrono::milliseconds wait,
-                       std::function<void(const ReadResult &)> done)
+                       const std::function<void(const ReadResult &)> &done)
 {
     const auto head = platform::encodeFeed(table, version, wait, m_address.text());
     send(http::serializeRequest(head, {}), wait + answerTimeout, [done](int status, const std::string &body) {
@@ -92,13 +92,14 @@
     });
 }
 
-void StoreClient::write(const std::vector<ConditionalWrite> &writes, std::function<void(const WriteResult &)> done)
+void StoreClient::write(const std::vector<ConditionalWrite> &writes, const std::function<void(const WriteResult &)> &done)
 {
     const auto head = platform::encodeTransactionHead(m_address.text());
     const auto bytes = http::serializeRequest(head, platform::encodeTransaction(writes));
     send(bytes, answerTimeout, [done](int status, const std::string &body) {
         const auto outcome = decodeWrite(status);
-        const auto answer = outcome == WriteOutcome::Done ? decodeRead(status, body) : ReadResult(StoreFailure::Refused);
+        const auto answer
+            = outcome == WriteOutcome::Done ? decodeRead(status, body) : ReadResult(StoreFailure::Refused);
         const auto *batch = std::get_if<RowBatch>(&answer);
         done({outcome, batch == nullptr ? 0 : batch->version});
     });
--- a/src/gateway/storeclient.h
+++ b/src/gateway/storeclient.h
@@ -32,17 +32,17 @@
     StoreClient &operator=(const StoreClient &) = delete;
 
     /// All rows of @p table from key @p from on, as many as one answer holds.
-    void read(const std::string &table, const std::string &from, std::function<void(const ReadResult &)> done);
+    void read(const std::string &table, const std::string &from, const std::function<void(const ReadResult &)> &done);
     /// What changed in @p table after @p version; the store answers within @p wait.
     void feed(const std::string &table,
               std::uint64_t version,
               std::chrono::milliseconds wait,
-              std::function<void(const ReadResult &)> done);
+              const std::function<void(const ReadResult &)> &done);
     /// One transaction of @p writes.
-    void write(const std::vector<ConditionalWrite> &writes, std::function<void(const WriteResult &)> done);
+    void write(const std::vector<ConditionalWrite> &writes, const std::function<void(const WriteResult &)> &done);
 
 private:
-    void send(std::string bytes, base::Duration timeout, http::CallClient::Answered answered);
+    void send(std::string bytes, base::Duration timeout, const http::CallClient::Answered &answered);
 
     http::CallClient m_client;
     net::Address m_address;
--- a/src/gateway/tablewatch.cpp
+++ b/src/gateway/tablewatch.cpp
@@ -101,11 +101,10 @@
 
 void TableWatch::askChanges()
 {
-    m_source.feed(m_table,
-                  m_version,
-                  m_timing.wait,
-                  m_timing.longestAge,
-                  [this](const ReadResult &result, bool fromStore) { takeChanges(result, fromStore); });
+    m_source.feed(
+        m_table, m_version, m_timing.wait, m_timing.longestAge, [this](const ReadResult &result, bool fromStore) {
+            takeChanges(result, fromStore);
+        });
 }
 
 void TableWatch::takeChanges(const ReadResult &result, bool fromStore)
--- a/src/gateway/tablewatch.h
+++ b/src/gateway/tablewatch.h
@@ -36,7 +36,8 @@
     bool afterOutage = false;
 };
 
-/// Keeps up with one table, from the store or from another node: a full read, then its changes. While the store is away what was read stays.
+/// Keeps up with one table, from the store or from another node: a full read, then its changes. While the store is away
+/// what was read stays.
 class TableWatch
 {
 public:
--- a/src/http/callclient.cpp
+++ b/src/http/callclient.cpp
@@ -97,9 +97,8 @@
 
 void CallClient::finished(Call *call)
 {
-    const auto found = std::find_if(m_calls.begin(), m_calls.end(), [&](const auto &item) {
-        return item.get() == call;
-    });
+    const auto found
+        = std::find_if(m_calls.begin(), m_calls.end(), [&](const auto &item) { return item.get() == call; });
     auto owned = std::move(*found);
     m_calls.erase(found);
     auto connection = owned->takeConnection();
--- a/src/http/callerconnection.cpp
+++ b/src/http/callerconnection.cpp
@@ -20,7 +20,10 @@
 
 } // namespace
 
-CallerConnection::CallerConnection(event_base *base, evutil_socket_t socket, const CallerBounds &bounds, Handlers handlers)
+CallerConnection::CallerConnection(event_base *base,
+                                   evutil_socket_t socket,
+                                   const CallerBounds &bounds,
+                                   Handlers handlers)
     : m_bounds(bounds)
     , m_handlers(std::move(handlers))
     , m_bufferEvent(bufferevent_socket_new(base, socket, BEV_OPT_CLOSE_ON_FREE))
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -15,15 +15,15 @@
 namespace {
 
 constexpr std::array<std::string_view, 10> hopByHopNames{{"connection",
-                                                           "keep-alive",
-                                                           "proxy-connection",
-                                                           "te",
-                                                           "trailer",
-                                                           "transfer-encoding",
-                                                           "upgrade",
-                                                           "content-length",
-                                                           "expect",
-                                                           "proxy-authenticate"}};
+                                                          "keep-alive",
+                                                          "proxy-connection",
+                                                          "te",
+                                                          "trailer",
+                                                          "transfer-encoding",
+                                                          "upgrade",
+                                                          "content-length",
+                                                          "expect",
+                                                          "proxy-authenticate"}};
 
 char lower(char c)
 {
@@ -94,9 +94,8 @@
 
 std::size_t HeaderList::count(std::string_view name) const
 {
-    return static_cast<std::size_t>(std::count_if(m_headers.begin(), m_headers.end(), [&](const Header &header) {
-        return equalNames(header.name, name);
-    }));
+    return static_cast<std::size_t>(std::count_if(
+        m_headers.begin(), m_headers.end(), [&](const Header &header) { return equalNames(header.name, name); }));
 }
 
 bool isHopByHop(std::string_view name, std::string_view connectionValue)
--- a/src/http/upstreamconnection.cpp
+++ b/src/http/upstreamconnection.cpp
@@ -43,16 +43,19 @@
 
 UpstreamConnection::UpstreamConnection(event_base *base, const net::Address &address)
     : m_bufferEvent(bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE))
-    , m_parser(MessageKind::Response, maxHeadBytes, [this](std::string_view bytes) {
-        if (!m_abandoned) {
-            m_handlers.onBody(bytes);
-        }
-    },
-               [this] {
-        if (!m_abandoned) {
-            m_handlers.onHead(m_parser.response());
-        }
-    })
+    , m_parser(
+          MessageKind::Response,
+          maxHeadBytes,
+          [this](std::string_view bytes) {
+              if (!m_abandoned) {
+                  m_handlers.onBody(bytes);
+              }
+          },
+          [this] {
+              if (!m_abandoned) {
+                  m_handlers.onHead(m_parser.response());
+              }
+          })
 {
     bufferevent_setcb(m_bufferEvent.get(), &onRead, nullptr, &onEvent, this);
     bufferevent_enable(m_bufferEvent.get(), EV_READ | EV_WRITE);
--- a/tests/gateway/factsource_test.cpp
+++ b/tests/gateway/factsource_test.cpp
@@ -114,9 +114,8 @@
     bool allHold(const std::string &value)
     {
         return until([&] {
-            return std::all_of(m_nodes.begin(), m_nodes.end(), [&](const auto &item) {
-                return item.second->value("k") == value;
-            });
+            return std::all_of(
+                m_nodes.begin(), m_nodes.end(), [&](const auto &item) { return item.second->value("k") == value; });
         });
     }
 
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -50,18 +50,16 @@
 
     static json configuration()
     {
-        return {{"version", 7},
-                {"routes",
-                 {route("read", "/read/", "idempotent", 2),
-                  route("book", "/book/", "non_idempotent", 1),
-                  route("chat", "/chat/", "streaming", 3)}},
-                {"services", {{{"name", "s"}, {"healthPath", "/healthz"}, {"maxConns", 100}}}},
-                {"limits",
-                 {{"maxHeaderBytes", 4096},
-                  {"maxBodyBytes", 10000},
-                  {"headerTimeoutMs", 300},
-                  {"idleTimeoutMs", 15000}}},
-                {"tenants", {{{"name", "w1"}, {"apiKeys", {"key1"}}}}}};
+        return {
+            {"version", 7},
+            {"routes",
+             {route("read", "/read/", "idempotent", 2),
+              route("book", "/book/", "non_idempotent", 1),
+              route("chat", "/chat/", "streaming", 3)}},
+            {"services", {{{"name", "s"}, {"healthPath", "/healthz"}, {"maxConns", 100}}}},
+            {"limits",
+             {{"maxHeaderBytes", 4096}, {"maxBodyBytes", 10000}, {"headerTimeoutMs", 300}, {"idleTimeoutMs", 15000}}},
+            {"tenants", {{{"name", "w1"}, {"apiKeys", {"key1"}}}}}};
     }
 
     FakeEngine &addEngine(const std::string &id, const std::string &domain = "d1", const std::string &version = "v1")
@@ -298,29 +296,28 @@
 INSTANTIATE_TEST_SUITE_P(
     Faults,
     EngineFaultTest,
-    testing::Values(FaultCase{"reset before the answer", {"", false, true}, 502, 502},
-                    FaultCase{"closed before the answer", {"", true}, 502, 502},
-                    FaultCase{"silent", {""}, 504, 504},
-                    FaultCase{"own failure", test::plainReply(500, "bad"), 500, 500},
-                    FaultCase{"bytes that are no answer", {"hello\r\n\r\n", true}, 502, 502},
-                    FaultCase{"answer cut short",
-                              {"HTTP/1.1 200 OK\r\nIbisfork-Attempt-Id: ID\r\nIbisfork-Response-Seal: s\r\n"
-                               "Content-Length: 9\r\n\r\nabc",
-                               true},
-                              502,
-                              502},
-                    FaultCase{"answer without length, reset",
-                              {"HTTP/1.1 200 OK\r\nIbisfork-Attempt-Id: ID\r\nIbisfork-Response-Seal: s\r\n\r\nabc",
-                               false,
-                               true},
-                              502,
-                              502},
-                    FaultCase{"success without signature", test::plainReply(200, "abc", ""), 502, 502},
-                    FaultCase{"answer to another request",
-                              {"HTTP/1.1 200 OK\r\nIbisfork-Attempt-Id: zz\r\nIbisfork-Response-Seal: s\r\n"
-                               "Content-Length: 3\r\n\r\nabc"},
-                              502,
-                              502}));
+    testing::Values(
+        FaultCase{"reset before the answer", {"", false, true}, 502, 502},
+        FaultCase{"closed before the answer", {"", true}, 502, 502},
+        FaultCase{"silent", {""}, 504, 504},
+        FaultCase{"own failure", test::plainReply(500, "bad"), 500, 500},
+        FaultCase{"bytes that are no answer", {"hello\r\n\r\n", true}, 502, 502},
+        FaultCase{"answer cut short",
+                  {"HTTP/1.1 200 OK\r\nIbisfork-Attempt-Id: ID\r\nIbisfork-Response-Seal: s\r\n"
+                   "Content-Length: 9\r\n\r\nabc",
+                   true},
+                  502,
+                  502},
+        FaultCase{"answer without length, reset",
+                  {"HTTP/1.1 200 OK\r\nIbisfork-Attempt-Id: ID\r\nIbisfork-Response-Seal: s\r\n\r\nabc", false, true},
+                  502,
+                  502},
+        FaultCase{"success without signature", test::plainReply(200, "abc", ""), 502, 502},
+        FaultCase{"answer to another request",
+                  {"HTTP/1.1 200 OK\r\nIbisfork-Attempt-Id: zz\r\nIbisfork-Response-Seal: s\r\n"
+                   "Content-Length: 3\r\n\r\nabc"},
+                  502,
+                  502}));
 
 TEST_F(GatewayTest, idempotentRequest_oneEngineFaulty_isServedByTheOther)
 {
@@ -367,7 +364,8 @@
 TEST_F(GatewayTest, extraAnswer_onAKeptConnection_belongsToNoRequest)
 {
     auto twice = test::plainReply(200, "one");
-    twice.bytes += "HTTP/1.1 200 OK\r\nIbisfork-Attempt-Id: a1\r\nIbisfork-Response-Seal: s\r\nContent-Length: 3\r\n\r\ntwo";
+    twice.bytes
+        += "HTTP/1.1 200 OK\r\nIbisfork-Attempt-Id: a1\r\nIbisfork-Response-Seal: s\r\nContent-Length: 3\r\n\r\ntwo";
     addEngine("e1").willReply({twice, test::plainReply(200, "three")});
     start();
     EXPECT_EQ(ask(request("GET", "/read/x")).body, "one");
@@ -505,8 +503,9 @@
     start();
     const auto hidden = request("GET", "/read/hidden");
     for (const std::string &length : {std::string("Content-Length : 70"), std::string("Content-Length: +7")}) {
-        const auto answer = ask("POST /book/x HTTP/1.1\r\nHost: h.example\r\nIbisfork-Credential: key1\r\n" + length
-                                + "\r\n\r\n" + hidden);
+        std::string bytes = "POST /book/x HTTP/1.1\r\nHost: h.example\r\nIbisfork-Credential: key1\r\n";
+        bytes.append(length).append("\r\n\r\n").append(hidden);
+        const auto answer = ask(bytes);
         EXPECT_EQ(answer.status, 400);
         EXPECT_EQ(answer.headers.find("Connection"), "close");
     }
--- a/tests/gateway/rolloutbook_test.cpp
+++ b/tests/gateway/rolloutbook_test.cpp
@@ -11,10 +11,7 @@
 class RolloutBookTest : public testing::Test
 {
 protected:
-    RolloutBookTest()
-    {
-        m_book.setOrder({"s", "v2", 24s}, orderRow, at(0s));
-    }
+    RolloutBookTest() { m_book.setOrder({"s", "v2", 24s}, orderRow, at(0s)); }
 
     static base::TimePoint at(base::Duration after) { return base::TimePoint(1000s) + after; }
 
@@ -112,7 +109,8 @@
     for (int i = 0; i < 200; ++i) {
         bool moved = false;
         for (auto after = 0s; after < 24s; after += 1s) {
-            const bool isNew = m_book.prefer("s", "session" + std::to_string(i), true, at(after)) == VersionPreference::New;
+            const bool isNew
+                = m_book.prefer("s", "session" + std::to_string(i), true, at(after)) == VersionPreference::New;
             EXPECT_TRUE(isNew || !moved);
             moved = isNew;
         }
--- a/tests/gateway/standins.cpp
+++ b/tests/gateway/standins.cpp
@@ -182,9 +182,8 @@
     if (tellChanges(connection, table, since, false)) {
         return;
     }
-    auto timer = std::make_unique<net::Timer>(m_base, [this, &connection, table, since] {
-        tellChanges(connection, table, since, true);
-    });
+    auto timer = std::make_unique<net::Timer>(
+        m_base, [this, &connection, table, since] { tellChanges(connection, table, since, true); });
     timer->startOnce(std::chrono::milliseconds(std::stoll(parameter(target, "waitMs"))));
     m_waiting.push_back({&connection, table, since, std::move(timer)});
 }
--- a/tests/gateway/standins.h
+++ b/tests/gateway/standins.h
@@ -82,7 +82,9 @@
     bool reset = false;
 };
 
-EngineReply plainReply(int status, const std::string &body, const std::string &moreHeaders = "Ibisfork-Response-Seal: s\r\n");
+EngineReply plainReply(int status,
+                       const std::string &body,
+                       const std::string &moreHeaders = "Ibisfork-Response-Seal: s\r\n");
 EngineReply refusal(int status);
 /// A whole stream of events @p from to @p to.
 EngineReply streamReply(int from, int to);
--- a/tests/http/messageparser_test.cpp
+++ b/tests/http/messageparser_test.cpp
@@ -42,7 +42,8 @@
 }
 
 class RequestCasesTest : public MessageParserTest, public testing::WithParamInterface<HeadCase>
-{ };
+{
+};
 
 TEST_P(RequestCasesTest, request_fedWhole_endsAsExpected)
 {
@@ -116,8 +117,7 @@
     const std::string first = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc";
     const auto &parser = parse(MessageKind::Request, first);
     EXPECT_EQ(parser.state(), ParseState::Complete);
-    MessageParser again(MessageKind::Request, maxHead, [](std::string_view) {
-    });
+    MessageParser again(MessageKind::Request, maxHead, [](std::string_view) {});
     EXPECT_EQ(again.feed(first + "GET /b HTTP/1.1\r\n\r\n"), first.size());
 }
 
@@ -165,10 +165,7 @@
 {
     std::string order;
     MessageParser parser(
-        MessageKind::Response,
-        maxHead,
-        [&](std::string_view) { order += 'b'; },
-        [&] { order += 'h'; });
+        MessageKind::Response, maxHead, [&](std::string_view) { order += 'b'; }, [&] { order += 'h'; });
     parser.feed("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc");
     EXPECT_EQ(order, "hb");
 }
