Spread the first starts at cold engines; learn from seeds first

Restarted nodes read four tables from the store each. Change: a node's first start is put off by a random part of its interval; seeds are asked before the store.

--- a/src/gateway/enginebook.h
+++ b/src/gateway/enginebook.h
@@ -28,6 +28,8 @@
 public:
     bool ready(base::TimePoint now) const { return now >= m_next; }
     void take(base::TimePoint now, double perSecond);
+    /// No start before @p time.
+    void delayUntil(base::TimePoint time) { m_next = time; }
     base::TimePoint next() const { return m_next; }
 
 private:
@@ -45,6 +47,8 @@
     /// The entry vanished while the store was in trouble; after this it counts as gone.
     std::optional<base::TimePoint> goneAt;
     StartRate coldStarts;
+    /// This node's first start since the engine turned cold has been put off by a random part of its interval.
+    bool coldStartsSpread = false;
     unsigned inFlight = 0;
     unsigned faultsInRow = 0;
     /// Share of its recent runs that failed, from 0 to 1.
--- a/src/gateway/factsource.cpp
+++ b/src/gateway/factsource.cpp
@@ -50,12 +50,13 @@
     , m_client(base)
     , m_peerCalls(metrics.counter("ibisfork_fact_questions_total"))
 {
-    m_order.push_back({storeName, {}});
+    // A node that starts while others run learns from them, and spares the store.
     for (const auto &seed : seeds) {
         if (seed.text() != m_self.address.text()) {
             m_order.push_back({seed.text(), seed});
         }
     }
+    m_order.push_back({storeName, {}});
 }
 
 void FactSource::setPeers(const std::vector<FactPeer> &peers)
--- a/src/gateway/factsource.h
+++ b/src/gateway/factsource.h
@@ -30,7 +30,7 @@
 class FactSource
 {
 public:
-    /// @p seeds: nodes to ask while no others are known and the store is away.
+    /// @p seeds: nodes to ask while no others are known; the store is asked if none of them answers.
     FactSource(event_base *base,
                StoreClient &store,
                FactPeer self,
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -72,6 +72,16 @@
     return cost(*second, request, now) < cost(*first, request, now) ? second : first;
 }
 
+void EnginePlacement::spreadColdStarts(Engine &engine, const PlacementRequest &request, base::TimePoint now)
+{
+    // All nodes hear of a cold engine at about the same time; each one's first start at once would be many together.
+    const double interval = 1.0 / shareOf(request.coldRate, request.nodes);
+    std::uniform_real_distribution<double> draw(0, interval);
+    const std::chrono::duration<double> delay(draw(m_random));
+    engine.coldStarts.delayUntil(now + std::chrono::duration_cast<base::Duration>(delay));
+    engine.coldStartsSpread = true;
+}
+
 Placement EnginePlacement::choose(const std::vector<Engine *> &candidates,
                                   const PlacementRequest &request,
                                   base::TimePoint now)
@@ -87,6 +97,10 @@
             continue;
         }
         const bool limited = request.coldRate > 0 && engine->cold(now);
+        engine->coldStartsSpread = engine->coldStartsSpread && limited;
+        if (limited && !engine->coldStartsSpread) {
+            spreadColdStarts(*engine, request, now);
+        }
         if (limited && !engine->coldStarts.ready(now)) {
             wait(engine->coldStarts.next());
         } else if (now < engine->restUntil) {
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -49,6 +49,7 @@
 private:
     Engine *byPart(const std::vector<Engine *> &usable, const PlacementRequest &request, base::TimePoint now) const;
     Engine *byDraw(const std::vector<Engine *> &usable, const PlacementRequest &request, base::TimePoint now);
+    void spreadColdStarts(Engine &engine, const PlacementRequest &request, base::TimePoint now);
     double cost(const Engine &engine, const PlacementRequest &request, base::TimePoint now) const;
 
     std::mt19937_64 m_random;
--- a/src/gateway/storeclient.cpp
+++ b/src/gateway/storeclient.cpp
@@ -73,7 +73,9 @@
     });
 }
 
-void StoreClient::read(const std::string &table, const std::string &from, const std::function<void(const ReadResult &)> &done)
+void StoreClient::read(const std::string &table,
+                       const std::string &from,
+                       const std::function<void(const ReadResult &)> &done)
 {
     const auto head = platform::encodeRead(table, from, m_address.text());
     send(http::serializeRequest(head, {}), answerTimeout, [done](int status, const std::string &body) {
@@ -92,7 +94,8 @@
     });
 }
 
-void StoreClient::write(const std::vector<ConditionalWrite> &writes, const std::function<void(const WriteResult &)> &done)
+void StoreClient::write(const std::vector<ConditionalWrite> &writes,
+                        const std::function<void(const WriteResult &)> &done)
 {
     const auto head = platform::encodeTransactionHead(m_address.text());
     const auto bytes = http::serializeRequest(head, platform::encodeTransaction(writes));
