--- a/src/ctl/commandtable.cpp
+++ b/src/ctl/commandtable.cpp
@@ -8,6 +8,7 @@
 
 #include "ctl/configcommands.h"
 #include "ctl/fleetcommands.h"
+#include "ctl/logexplain.h"
 #include "ctl/nodecommands.h"
 #include "ctl/rolloutcommands.h"
 
@@ -21,7 +22,7 @@
     return exitcode::ok;
 }
 
-constexpr std::array<Command, 25> commands{{
+constexpr std::array<Command, 27> commands{{
     {"config", "check", "FILE", "check a fleet configuration", "config check fleet.yaml", configCheck},
     {"config", "apply", "FILE", "make it the fleet's", "config apply fleet.yaml --reason 'new engine'", configApply},
     {"config", "diff", "FILE", "rows that apply would change", "config diff fleet.yaml", configDiff},
@@ -58,6 +59,13 @@
     {"upstream", "drain", "ID", "give it no new work", "upstream drain engine-3", upstreamDrain},
     {"upstream", "undrain", "ID", "give it work again", "upstream undrain engine-3", upstreamUndrain},
     {"node", "list", "", "nodes of the fleet", "node list", nodeList},
+    {"node", "view", "", "what one node believes of the platform", "node view --node 10.0.0.1:7301", nodeView},
+    {"log",
+     "explain",
+     "REQUEST-ID",
+     "the lines of a saved log that explain a request",
+     "log explain 9c41 --log node.log",
+     logExplain},
     {"bills",
      "verify",
      "",
--- /dev/null
+++ b/src/ctl/logexplain.cpp
@@ -0,0 +1,65 @@
+#include "ctl/logexplain.h"
+
+#include <algorithm>
+#include <fstream>
+#include <iostream>
+#include <set>
+
+namespace ibisfork::ctl {
+
+namespace {
+
+/// The value of @p key in a line of key=value pairs.
+std::string valueOf(const std::string &line, const std::string &key)
+{
+    const auto at = line.find(" " + key + "=");
+    if (at == std::string::npos) {
+        return {};
+    }
+    const auto from = at + key.size() + 2;
+    return line.substr(from, line.find(' ', from) - from);
+}
+
+bool isEngineState(const std::string &line)
+{
+    const auto event = valueOf(line, "event");
+    return event == "engine" || event == "engine_unlisted" || event == "engine_gone";
+}
+
+} // namespace
+
+std::vector<std::string> linesAbout(const std::string &id, std::istream &log)
+{
+    std::vector<std::string> all;
+    std::set<std::string> engines;
+    for (std::string line; std::getline(log, line);) {
+        if (valueOf(line, "id") == id) {
+            engines.insert(valueOf(line, "engine"));
+        }
+        all.push_back(line);
+    }
+    engines.erase(std::string());
+    std::vector<std::string> out;
+    std::copy_if(all.begin(), all.end(), std::back_inserter(out), [&](const std::string &line) {
+        return valueOf(line, "id") == id || (isEngineState(line) && engines.contains(valueOf(line, "engine")));
+    });
+    return out;
+}
+
+int logExplain(const Invocation &invocation)
+{
+    if (invocation.log.empty()) {
+        throw UsageError("--log FILE is required");
+    }
+    std::ifstream file(invocation.log);
+    if (!file) {
+        throw UsageError("the log " + invocation.log + " can't be read");
+    }
+    const auto lines = linesAbout(invocation.argument, file);
+    for (const auto &line : lines) {
+        std::cout << line << '\n';
+    }
+    return lines.empty() ? exitcode::failure : exitcode::ok;
+}
+
+} // namespace ibisfork::ctl
--- a/src/ctl/nodecommands.cpp
+++ b/src/ctl/nodecommands.cpp
@@ -106,4 +106,38 @@
     return exitcode::ok;
 }
 
+int nodeView(const Invocation &invocation)
+{
+    const auto view = NodeClient(invocation.node).get("/status");
+    if (invocation.output == OutputFormat::Json) {
+        std::cout << view.dump(2) << '\n';
+        return exitcode::ok;
+    }
+    const auto part = [&](const char *name) {
+        return view.value(name, nlohmann::json::object()).dump();
+    };
+    fmt::print(std::cout,
+               "node {}, ready {}, reads store {}, nodes {}, configuration {}\n",
+               part("node"),
+               part("ready"),
+               part("reads_store"),
+               part("nodes"),
+               part("configuration"));
+    fmt::print(
+        std::cout, "ages, ms: {}\nevacuated: {}\nroll-outs: {}\n", part("age_ms"), part("evacuated"), part("rollouts"));
+    Listing listing({"engine", "service", "failure-domain", "software", "leaving", "cold", "in-flight", "faults"});
+    for (const auto &engine : view.value("engines", nlohmann::json::array())) {
+        listing.add({engine.value("id", "?"),
+                     engine.value("service", "?"),
+                     engine.value("failure_domain", "?"),
+                     engine.value("software", "?"),
+                     engine.value("leaving", false) ? "yes" : "no",
+                     engine.value("cold", false) ? "yes" : "no",
+                     fmt::format("{}", engine.value("in_flight", 0)),
+                     fmt::format("{:.2f}", engine.value("fault_share", 0.0))});
+    }
+    listing.print(std::cout, invocation.output);
+    return exitcode::ok;
+}
+
 } // namespace ibisfork::ctl
--- a/src/ctl/nodecommands.h
+++ b/src/ctl/nodecommands.h
@@ -10,6 +10,9 @@
 /// Compares the bills in the platform's table with what the fleet's engines ran.
 int billsVerify(const Invocation &invocation);
 
+/// Prints what one node that reads the platform's store believes.
+int nodeView(const Invocation &invocation);
+
 /// Prints a picture of the fleet.
 int status(const Invocation &invocation);
 
--- a/src/daemon/gatewaymain.cpp
+++ b/src/daemon/gatewaymain.cpp
@@ -7,6 +7,7 @@
 #include "gateway/eventlog.h"
 #include "gateway/gateway.h"
 #include "net/libevent.h"
+#include "settings/exceptions.h"
 
 namespace ibisfork::daemon {
 
@@ -16,9 +17,10 @@
 class Signals
 {
 public:
-    Signals(event_base *base, gateway::Gateway &gateway)
+    Signals(event_base *base, gateway::Gateway &gateway, std::string path)
         : m_base(base)
         , m_gateway(gateway)
+        , m_path(std::move(path))
         , m_terminate(evsignal_new(base, SIGTERM, &Signals::onTerminate, this))
         , m_interrupt(evsignal_new(base, SIGINT, &Signals::onTerminate, this))
         , m_hangup(evsignal_new(base, SIGHUP, &Signals::onHangup, this))
@@ -35,14 +37,19 @@
         signals.m_gateway.stop([base = signals.m_base] { event_base_loopbreak(base); });
     }
 
-    static void onHangup(evutil_socket_t, short, void *)
+    static void onHangup(evutil_socket_t, short, void *self)
     {
-        // What the settings hold is fixed for the life of a process; the configuration is watched in the store.
-        gateway::EventLog::state("reload").field("changed", "nothing");
+        auto &signals = *static_cast<Signals *>(self);
+        try {
+            signals.m_gateway.reload(settings::readGatewaySettings(signals.m_path));
+        } catch (const settings::SettingsError &error) {
+            gateway::EventLog::state("reload_refused").field("reason", error.what());
+        }
     }
 
     event_base *m_base;
     gateway::Gateway &m_gateway;
+    std::string m_path;
     net::EventPtr m_terminate;
     net::EventPtr m_interrupt;
     net::EventPtr m_hangup;
@@ -50,13 +57,13 @@
 
 } // namespace
 
-void runGateway(const settings::GatewaySettings &settings)
+void runGateway(const settings::GatewaySettings &settings, const std::string &path)
 {
     const auto base = net::makeEventBase();
     base::MetricsRegistry metrics;
     gateway::EventLog::setNode(settings.node.name);
     gateway::Gateway gateway(base.get(), settings, metrics);
-    const Signals signals(base.get(), gateway);
+    const Signals signals(base.get(), gateway, path);
     gateway.start();
     gateway::EventLog::state("start")
         .field("callers", gateway.callers().text())
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -165,7 +165,7 @@
     }
     base::setLogLevel(fromStore ? gatewaySettings.logLevel : ownSettings.logLevel);
     if (fromStore) {
-        daemon::runGateway(gatewaySettings);
+        daemon::runGateway(gatewaySettings, path);
     } else {
         run(ownSettings);
     }
--- a/src/gateway/context.cpp
+++ b/src/gateway/context.cpp
@@ -8,13 +8,13 @@
 /// Assumed time to the first byte of an answer before there is any.
 constexpr double initialFirstByteSeconds = 0.3;
 
+} // namespace
+
 ResendBound resendBound(const settings::FleetBounds &bounds)
 {
     return {bounds.resendRatio, bounds.resendExtra, bounds.resendWindow};
 }
 
-} // namespace
-
 void RecentMean::add(double value)
 {
     m_value += meanWeight * (value - m_value);
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <random>
 #include <string>
@@ -7,6 +8,7 @@
 #include <ibisfork/base/metrics.h>
 
 #include "gateway/connectionpool.h"
+#include "gateway/crashbook.h"
 #include "gateway/fleetview.h"
 #include "gateway/modelpolicy.h"
 #include "gateway/placement.h"
@@ -31,13 +33,15 @@
     double m_value;
 };
 
+ResendBound resendBound(const settings::FleetBounds &bounds);
+
 /// What all exchanges of a node share. It lives on the node's one loop.
 struct Context
 {
     Context(event_base *base, const settings::GatewaySettings &settings, base::MetricsRegistry &metrics);
 
     event_base *base;
-    const settings::GatewaySettings &settings;
+    settings::GatewaySettings settings;
     base::MetricsRegistry &metrics;
     std::mt19937_64 random;
     FleetView view;
@@ -45,6 +49,9 @@
     EnginePlacement placement;
     ResendBudget resends;
     ModelPolicy models;
+    CrashBook crashes;
+    /// Tells other nodes how many engines a request took down.
+    std::function<void(const std::string &fingerprint, unsigned crashes)> tellCrashes;
     /// Long and short prompts, by service.
     std::map<std::string, PromptLanes> lanes;
     /// Seconds to the first byte of an answer, by route.
--- /dev/null
+++ b/src/gateway/crashbook.cpp
@@ -0,0 +1,81 @@
+#include "gateway/crashbook.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include <ibisfork/coord/rendezvous.h>
+
+namespace ibisfork::gateway {
+
+namespace {
+
+/// Connections are lost for many reasons; a suspicion that nothing confirms lapses.
+constexpr std::chrono::seconds suspicionLifetime{60};
+constexpr std::size_t maxSuspects = 2000;
+/// A request that goes on elsewhere meets a second engine at once; telling of each first loss would flood the store
+/// when an engine with many requests falls.
+constexpr unsigned toldAtRepeatable = 2;
+constexpr unsigned toldAtOnce = 1;
+
+} // namespace
+
+std::string CrashBook::fingerprintOf(const std::string &workspace, const std::string &path, const std::string &body)
+{
+    return fmt::format("{:016x}{:016x}",
+                       coord::rendezvousWeight(workspace + '\n' + path, body),
+                       coord::rendezvousWeight(body, workspace));
+}
+
+std::optional<unsigned> CrashBook::noteCrash(const std::string &fingerprint,
+                                             const std::string &engine,
+                                             bool repeatable,
+                                             base::TimePoint now)
+{
+    forgetOld(now);
+    auto &suspect = m_suspects[fingerprint];
+    suspect.last = now;
+    if (!suspect.engines.insert(engine).second) {
+        return std::nullopt;
+    }
+    const auto shared = m_shared.find(fingerprint);
+    const auto here = static_cast<unsigned>(suspect.engines.size());
+    if (shared != m_shared.end()) {
+        return std::max(here, shared->second + 1);
+    }
+    const auto toldAt = repeatable ? toldAtRepeatable : toldAtOnce;
+    return here >= toldAt ? std::optional(here) : std::nullopt;
+}
+
+void CrashBook::noteAnswered(const std::string &fingerprint)
+{
+    if (!m_suspects.empty()) {
+        m_suspects.erase(fingerprint);
+    }
+}
+
+void CrashBook::noteShared(const std::string &fingerprint, unsigned crashes)
+{
+    auto &known = m_shared[fingerprint];
+    known = std::max(known, crashes);
+}
+
+bool CrashBook::condemned(const std::string &fingerprint) const
+{
+    const auto shared = m_shared.find(fingerprint);
+    if (shared != m_shared.end() && shared->second >= condemnedAt) {
+        return true;
+    }
+    const auto suspect = m_suspects.find(fingerprint);
+    return suspect != m_suspects.end() && suspect->second.engines.size() >= condemnedAt;
+}
+
+void CrashBook::forgetOld(base::TimePoint now)
+{
+    if (m_suspects.size() < maxSuspects) {
+        return;
+    }
+    std::erase_if(m_suspects, [&](const auto &item) { return now - item.second.last > suspicionLifetime; });
+}
+
+} // namespace ibisfork::gateway
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -42,6 +42,7 @@
 /// Times to come back: an engine is full for a short time, a missing one longer.
 constexpr std::chrono::milliseconds retryAfterFull{250};
 constexpr std::chrono::milliseconds retryAfterNoEngine{1000};
+constexpr std::chrono::milliseconds retryAfterCondemned{30000};
 /// Prompt parts below this many tokens are read again as fast as another engine is found.
 constexpr std::uint32_t leastSharedTokens = 1024;
 /// Bytes that a slow caller may owe before its engine is no longer read.
@@ -118,6 +119,10 @@
     const bool isSession = !m_call.session.empty();
     m_subject = isSession ? m_workspace + '/' + m_call.session : m_call.id;
     m_preference = m_context.view.rollouts().prefer(m_service, m_subject, isSession, m_start);
+    if (m_context.crashes.condemned(fingerprint())) {
+        refuse(statusUnavailable, "crashes_engines", retryAfterCondemned);
+        return;
+    }
     m_context.resends.countRequest(m_service, m_start);
     m_context.lanes[m_service].count(ownTokens());
     dispatch();
@@ -175,6 +180,10 @@
     request.tried = m_tried;
     request.nodes = m_context.view.nodes();
     request.coldRate = service == nullptr ? 0 : service->coldRate;
+    if (!m_engineVersion.empty()) {
+        // A roll-out may have begun since; what goes on elsewhere stays on its version.
+        m_preference = m_context.view.rollouts().preferSame(m_service, m_engineVersion);
+    }
     const auto usable = m_context.view.usable(m_service, m_preference);
     auto placement
         = m_context.placement.choose(m_context.lanes[m_service].enginesFor(ownTokens(), usable), request, now);
@@ -371,6 +380,7 @@
         return;
     }
     m_context.view.engines().noteSuccess(m_engineId);
+    m_context.crashes.noteAnswered(fingerprint());
     m_context.view.rollouts().noteOutcome(m_service, m_engineVersion, m_route->name, {false, m_firstByteAfter});
     releaseConnection();
     if (!m_streamBegun) {
@@ -417,6 +427,26 @@
     }
 }
 
+const std::string &Exchange::fingerprint()
+{
+    if (m_fingerprint.empty()) {
+        m_fingerprint = CrashBook::fingerprintOf(m_workspace, m_request.head.target, m_request.body);
+    }
+    return m_fingerprint;
+}
+
+void Exchange::noteCrash(base::TimePoint now)
+{
+    const auto told = m_context.crashes.noteCrash(fingerprint(), m_engineId, repeatable(), now);
+    if (told && m_context.tellCrashes) {
+        EventLog::state("request_crashes_engines")
+            .field("id", m_call.id)
+            .field("fingerprint", fingerprint())
+            .field("engines", *told);
+        m_context.tellCrashes(fingerprint(), *told);
+    }
+}
+
 void Exchange::promptRead()
 {
     if (std::exchange(m_promptWaits, false)) {
@@ -452,6 +482,9 @@
     m_phase = Phase::Waiting;
     m_context.view.engines().noteFault(m_engineId, miss.fault, coldPeriod(), now);
     m_lastReason = miss.reason;
+    if (miss.fault == EngineFault::Lost) {
+        noteCrash(now);
+    }
     m_mayHaveRun = m_mayHaveRun || miss.mayHaveRun;
     if (!miss.mayHaveRun) {
         --m_runs;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -78,6 +78,8 @@
 
     void promptRead();
     void releaseConnection();
+    void noteCrash(base::TimePoint now);
+    const std::string &fingerprint();
     void miss(const Miss &miss);
     bool takeResend(bool mayHaveRun);
     bool mayGoOn(bool mayHaveRun) const;
@@ -102,6 +104,7 @@
     std::optional<int> m_priority;
     std::string m_service;
     std::string m_subject;
+    std::string m_fingerprint;
     VersionPreference m_preference = VersionPreference::Any;
 
     Phase m_phase = Phase::Waiting;
--- a/src/gateway/fleetview.cpp
+++ b/src/gateway/fleetview.cpp
@@ -1,6 +1,7 @@
 #include "gateway/fleetview.h"
 
 #include <algorithm>
+#include <charconv>
 
 #include "gateway/eventlog.h"
 #include "gateway/noderow.h"
@@ -178,6 +179,17 @@
     }
 }
 
+void FleetView::takeCrash(const Row &row)
+{
+    unsigned crashes = 0;
+    const auto result = std::from_chars(row.data.data(), row.data.data() + row.data.size(), crashes);
+    if (result.ec != std::errc()) {
+        EventLog::state("crash_row_unreadable").field("key", row.key);
+        return;
+    }
+    m_crashes[row.key.substr(crashPrefix.size())] = crashes;
+}
+
 std::vector<FactPeer> FleetView::peersOf(const std::string &self) const
 {
     std::vector<FactPeer> peers;
@@ -201,6 +213,8 @@
             takeRolloutStart(row, storeNowMs, now);
         } else if (key.starts_with(nodePrefix)) {
             takeNode(row);
+        } else if (key.starts_with(crashPrefix) && !row.removed) {
+            takeCrash(row);
         }
     }
     EventLog::state("own_rows").field("nodes", m_nodes.size()).field("rows", change.rows.size());
--- a/src/gateway/fleetview.h
+++ b/src/gateway/fleetview.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "gateway/configuration.h"
@@ -26,6 +27,8 @@
     void takeOwnRows(const TableChange &change, std::int64_t storeNowMs, base::TimePoint now);
     /// Takes the status that this node has written itself.
     void takeStatus(const std::string &service, const RolloutStatus &status, std::uint64_t row);
+    /// Counts of engines that requests took down, by fingerprint, which this node has read and not yet handed on.
+    std::map<std::string, unsigned> takeCrashes() { return std::exchange(m_crashes, {}); }
     /// Ends the doubt about engines whose time is up.
     void expire(base::TimePoint now);
 
@@ -51,6 +54,7 @@
     void takeRollout(const std::string &service, const Row &row, base::TimePoint now);
     void takeEngine(const Row &row, base::TimePoint now);
     void takeNode(const Row &row);
+    void takeCrash(const Row &row);
     void takeRolloutStart(const Row &row, std::int64_t storeNowMs, base::TimePoint now);
 
     ConfigurationPtr m_configuration;
@@ -61,13 +65,15 @@
     RolloutBook m_rollouts;
     std::map<std::string, std::uint64_t> m_statusVersions;
     std::set<std::string> m_nodes;
+    std::map<std::string, unsigned> m_crashes;
     std::map<std::string, FactPeer> m_peers;
 };
 
-/// The table of this system's own rows, and the prefixes of the keys under which nodes and the starts of roll-outs
-/// stand there.
+/// The table of this system's own rows, and the prefixes of the keys under which nodes, the starts of roll-outs
+/// and requests that crash engines stand there.
 inline constexpr const char *ownTable = "ibisfork";
 inline constexpr std::string_view nodePrefix = "node/";
 inline constexpr std::string_view rolloutStartPrefix = "rollout/";
+inline constexpr std::string_view crashPrefix = "crash/";
 
 } // namespace ibisfork::gateway
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,6 +1,6 @@
 #include "gateway/gateway.h"
 
-#include <fmt/format.h>
+#include <nlohmann/json.hpp>
 
 #include "gateway/eventlog.h"
 #include "gateway/noderow.h"
@@ -35,6 +35,12 @@
 constexpr int statusNotFound = 404;
 constexpr int statusUnavailable = 503;
 
+/// Time since the store confirmed what @p watch holds, -1 before it did.
+std::int64_t ageMs(const TableWatch &watch, base::TimePoint now)
+{
+    return watch.confirmedAt() ? base::toMilliseconds(now - *watch.confirmedAt()) : -1;
+}
+
 FactPeer selfOf(const settings::GatewaySettings &settings)
 {
     return {settings.node.name, settings.node.failureDomain, settings.operators};
@@ -78,6 +84,9 @@
                  [this](const TableChange &change) {
                      m_context.view.takeOwnRows(change, m_ownTable.storeNowMs(), base::monotonicNow());
                      m_source.setPeers(m_context.view.peersOf(m_context.settings.node.name));
+                     for (const auto &[fingerprint, crashes] : m_context.view.takeCrashes()) {
+                         m_context.crashes.noteShared(fingerprint, crashes);
+                     }
                      m_desk.take(ownTable, change);
                  })
     , m_desk(base)
@@ -93,7 +102,47 @@
                   [this](const std::string &target, const InfoPort::Reply &reply) { answerOperators(target, reply); })
     , m_tick(base, [this] { tick(); })
     , m_stopTick(base, [this] { stopTick(); })
-{ }
+{
+    m_context.tellCrashes = [this](const std::string &fingerprint, unsigned crashes) {
+        tellCrashes(fingerprint, crashes);
+    };
+}
+
+void Gateway::tellCrashes(const std::string &fingerprint, unsigned crashes)
+{
+    ConditionalWrite row;
+    row.table = ownTable;
+    row.key = std::string(crashPrefix) + fingerprint;
+    row.data = std::to_string(crashes);
+    m_store.write({row}, [fingerprint](const WriteResult &result) {
+        if (result.outcome != WriteOutcome::Done) {
+            // This node still knows; the others learn it when they lose an engine themselves.
+            EventLog::state("crash_row_not_written").field("fingerprint", fingerprint);
+        }
+    });
+}
+
+void Gateway::reload(const settings::GatewaySettings &settings)
+{
+    m_context.settings.bounds = settings.bounds;
+    m_context.resends.setBound(resendBound(settings.bounds));
+    EventLog::state("reload").field("resend_ratio", settings.bounds.resendRatio);
+}
+
+void Gateway::updateGauges() const
+{
+    const auto now = base::monotonicNow();
+    auto &metrics = m_context.metrics;
+    for (const auto *watch : {&m_operatorTable, &m_engineTable, &m_statusTable, &m_ownTable}) {
+        metrics.gauge("ibisfork_facts_age_ms", {{"table", watch->table()}}).set(ageMs(*watch, now));
+    }
+    const auto &configuration = m_context.view.configuration();
+    metrics.gauge("ibisfork_configuration_version")
+        .set(configuration ? static_cast<std::int64_t>(configuration->version) : 0);
+    metrics.gauge("ibisfork_nodes").set(m_context.view.nodes());
+    metrics.gauge("ibisfork_exchanges").set(static_cast<std::int64_t>(m_callers.exchanges()));
+    metrics.gauge("ibisfork_caller_connections").set(static_cast<std::int64_t>(m_callers.connections()));
+}
 
 void Gateway::start()
 {
@@ -230,6 +279,7 @@
     if (const auto question = decodeQuestion(target)) {
         m_desk.ask(*question, [reply](const FactDesk::Answer &answer) { reply({answer.status, answer.body}); });
     } else if (target == "/metrics") {
+        updateGauges();
         reply({statusOk, m_context.metrics.render()});
     } else if (target == "/status") {
         reply({statusOk, describe()});
@@ -242,29 +292,31 @@
 {
     const auto now = base::monotonicNow();
     const auto &view = m_context.view;
-    const auto age = [&](const TableWatch &watch) {
-        return watch.confirmedAt() ? base::toMilliseconds(now - *watch.confirmedAt()) : -1;
-    };
-    auto out = fmt::format("configuration version={} age_ms={}\nnodes count={}\n",
-                           view.configuration() ? view.configuration()->version : 0,
-                           age(m_operatorTable),
-                           view.nodes());
-    for (const auto &domain : view.evacuated()) {
-        out += fmt::format("evacuated domain={}\n", domain);
+    nlohmann::json out{{"node", m_context.settings.node.name},
+                       {"ready", ready()},
+                       {"reads_store", m_source.isReader()},
+                       {"nodes", view.nodes()},
+                       {"configuration", view.configuration() ? view.configuration()->version : 0},
+                       {"evacuated", view.evacuated()},
+                       {"rollouts", nlohmann::json::object()},
+                       {"engines", nlohmann::json::array()}};
+    for (const auto *watch : {&m_operatorTable, &m_engineTable, &m_statusTable, &m_ownTable}) {
+        out["age_ms"][watch->table()] = ageMs(*watch, now);
+    }
+    for (const auto &service : view.rollouts().underWay()) {
+        out["rollouts"][service] = view.rollouts().evidence(service);
     }
     for (const auto &[id, engine] : view.engines().all()) {
-        out += fmt::format(
-            "engine id={} service={} domain={} software={} leaving={} cold={} in_flight={} faults={:.2f}\n",
-            id,
-            engine.entry.service,
-            engine.entry.failureDomain,
-            engine.entry.softwareVersion,
-            engine.entry.leaving,
-            engine.cold(now),
-            engine.inFlight,
-            engine.faultShare);
+        out["engines"].push_back({{"id", id},
+                                  {"service", engine.entry.service},
+                                  {"failure_domain", engine.entry.failureDomain},
+                                  {"software", engine.entry.softwareVersion},
+                                  {"leaving", engine.entry.leaving},
+                                  {"cold", engine.cold(now)},
+                                  {"in_flight", engine.inFlight},
+                                  {"fault_share", engine.faultShare}});
     }
-    return out;
+    return out.dump();
 }
 
 } // namespace ibisfork::gateway
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -29,6 +29,9 @@
     /// Takes no new connections, lets running requests end within the grace of the settings, then calls @p stopped.
     void stop(std::function<void()> stopped);
 
+    /// Takes the bounds of settings that were read again; addresses stay as they are.
+    void reload(const settings::GatewaySettings &settings);
+
     bool ready() const;
     net::Address callers() const { return m_callers.address(); }
     net::Address readiness() const { return m_readiness.address(); }
@@ -38,6 +41,8 @@
     void tick();
     void stopTick();
     void registerNode();
+    void tellCrashes(const std::string &fingerprint, unsigned crashes);
+    void updateGauges() const;
     void driveRollouts();
     ConditionalWrite startRow(const std::string &service) const;
     void say(const std::string &service, const RolloutStatus &status);
--- a/src/gateway/resendbudget.h
+++ b/src/gateway/resendbudget.h
@@ -28,6 +28,7 @@
         : m_bound(bound)
     { }
 
+    void setBound(const ResendBound &bound) { m_bound = bound; }
     void countRequest(const std::string &service, base::TimePoint now);
     /// Takes one further send; false if there is none left. @p nodes share the extra.
     bool take(const std::string &service, unsigned nodes, base::TimePoint now);
--- a/src/gateway/rolloutbook.cpp
+++ b/src/gateway/rolloutbook.cpp
@@ -132,6 +132,19 @@
     return fractionOf(subject) < share ? VersionPreference::New : VersionPreference::Old;
 }
 
+VersionPreference RolloutBook::preferSame(const std::string &service, const std::string &version) const
+{
+    const auto *rollout = find(service);
+    if (rollout == nullptr) {
+        return VersionPreference::Any;
+    }
+    if (rollout->decided(RolloutState::Completed)) {
+        return VersionPreference::New;
+    }
+    const bool onNew = version == rollout->order.toVersion && !rollout->stopped();
+    return onNew ? VersionPreference::New : VersionPreference::Old;
+}
+
 std::vector<Engine *> RolloutBook::permitted(const std::string &service,
                                              std::vector<Engine *> engines,
                                              VersionPreference preference) const
--- a/src/gateway/rolloutbook.h
+++ b/src/gateway/rolloutbook.h
@@ -64,6 +64,8 @@
                              const std::string &subject,
                              bool isSession,
                              base::TimePoint now) const;
+    /// The same for a request that has run on @p version already and goes on elsewhere.
+    VersionPreference preferSame(const std::string &service, const std::string &version) const;
     /// Those of @p engines that may run the request, the preferred version if it has any.
     std::vector<Engine *> permitted(const std::string &service,
                                     std::vector<Engine *> engines,
--- a/tests/gateway/rolloutbook_test.cpp
+++ b/tests/gateway/rolloutbook_test.cpp
@@ -146,6 +146,15 @@
     EXPECT_GT(newShare(32s), 0.0);
 }
 
+TEST_F(RolloutBookTest, requestThatGoesOn_staysOnItsVersionUnlessThatIsStopped)
+{
+    EXPECT_EQ(m_book.preferSame("s", "v1"), VersionPreference::Old);
+    EXPECT_EQ(m_book.preferSame("s", "v2"), VersionPreference::New);
+    EXPECT_EQ(m_book.preferSame("other", "v1"), VersionPreference::Any);
+    m_book.setStatus("s", {"v2", RolloutState::Reverted}, orderRow + 1);
+    EXPECT_EQ(m_book.preferSame("s", "v2"), VersionPreference::Old);
+}
+
 TEST_F(RolloutBookTest, engines_ofTheNewVersionMissing_oldOnesServeItsShare)
 {
     Engine old;
--- /dev/null
+++ b/tests/platformcodec/callcodec_test.cpp
@@ -0,0 +1,123 @@
+#include "platform/callcodec.h"
+
+#include <gtest/gtest.h>
+
+namespace ibisfork::platform {
+
+using namespace std::chrono_literals;
+
+class CallCodecTest : public testing::Test
+{
+protected:
+    CallCodecTest()
+    {
+        m_head.method = "POST";
+        m_head.target = "/a/b?q=1";
+        m_head.headers.add("Host", "h.example");
+    }
+
+    void add(const char *name, const char *value) { m_head.headers.add(name, value); }
+
+    http::RequestHead m_head;
+};
+
+TEST_F(CallCodecTest, call_complete_isRead)
+{
+    add("ibisfork-attempt-id", "9c41");
+    add("Ibisfork-Model", "*");
+    add("Ibisfork-Token-Usage", "1460,80");
+    add("Ibisfork-Prefix-Hash", "5c1e:800,91bd:410, e440:250");
+    add("Ibisfork-Deadline-Ms", "25000");
+    add("Last-Event-Id", "12");
+    add("Session", "s1");
+    const auto call = decodeCall(m_head);
+    EXPECT_EQ(call.id, "9c41");
+    EXPECT_EQ(call.path, "/a/b");
+    EXPECT_TRUE(call.anyModel);
+    EXPECT_EQ(call.promptTokens, 1460U);
+    EXPECT_EQ(call.maxOutputTokens, 80U);
+    ASSERT_EQ(call.promptParts.size(), 3U);
+    EXPECT_EQ(call.promptParts[2].id, "e440");
+    EXPECT_EQ(call.promptParts[2].tokens, 250U);
+    EXPECT_EQ(call.patience, 25000ms);
+    EXPECT_EQ(call.lastEventId, 12U);
+    EXPECT_EQ(call.session, "s1");
+}
+
+struct OddHeader
+{
+    const char *name;
+    const char *value;
+};
+
+class OddHeadersTest : public CallCodecTest, public testing::WithParamInterface<OddHeader>
+{
+};
+
+TEST_P(OddHeadersTest, header_thatMakesNoSense_countsAsAbsent)
+{
+    add(GetParam().name, GetParam().value);
+    const auto call = decodeCall(m_head);
+    EXPECT_FALSE(call.patience);
+    EXPECT_FALSE(call.lastEventId);
+    EXPECT_EQ(call.promptTokens, 0U);
+    EXPECT_FALSE(call.anyModel);
+}
+
+INSTANTIATE_TEST_SUITE_P(Headers,
+                         OddHeadersTest,
+                         testing::Values(OddHeader{"Ibisfork-Deadline-Ms", "soon"},
+                                         OddHeader{"Ibisfork-Deadline-Ms", ""},
+                                         OddHeader{"Ibisfork-Deadline-Ms", "12x"},
+                                         OddHeader{"Ibisfork-Deadline-Ms", "99999999999999999999999"},
+                                         OddHeader{"Last-Event-Id", "-1"},
+                                         OddHeader{"Ibisfork-Token-Usage", "1460"},
+                                         OddHeader{"Ibisfork-Token-Usage", "a,b"},
+                                         OddHeader{"Ibisfork-Prefix-Hash", ",,:,"},
+                                         OddHeader{"Ibisfork-Model", "**"}));
+
+TEST_F(CallCodecTest, dispatch_headersOfTheConnectionAndTheSystem_areNotPassedOn)
+{
+    add("Connection", "close, X-Hop");
+    add("X-Hop", "1");
+    add("X-Kept", "2");
+    add("Ibisfork-Credential", "key");
+    add("Ibisfork-Tenant", "forged");
+    add("Ibisfork-Hold", "h");
+    add("Kv-Fetch", "a:1");
+    add("Ibisfork-Model", "*");
+    gateway::Dispatch dispatch;
+    dispatch.engineId = "e1";
+    dispatch.workspace = "w1";
+    dispatch.model = "m2";
+    dispatch.timeLeft = 900ms;
+    const auto out = encodeDispatch(m_head, dispatch).headers;
+    for (const auto *name : {"Connection", "X-Hop", "Ibisfork-Credential", "Ibisfork-Hold", "Kv-Fetch"}) {
+        EXPECT_FALSE(out.find(name)) << name;
+    }
+    EXPECT_EQ(out.find("X-Kept"), "2");
+    EXPECT_EQ(out.find("Ibisfork-Tenant"), "w1");
+    EXPECT_EQ(out.count("Ibisfork-Tenant"), 1U);
+    EXPECT_EQ(out.find("Ibisfork-Model"), "m2");
+    EXPECT_EQ(out.count("Ibisfork-Model"), 1U);
+    EXPECT_EQ(out.find("Ibisfork-Deadline-Ms"), "900");
+}
+
+TEST_F(CallCodecTest, answer_ofAnEngine_isRead)
+{
+    http::ResponseHead head;
+    head.status = 503;
+    head.headers.add("Ibisfork-Not-Executed", "1");
+    head.headers.add("Ibisfork-Engine-Load", "3,1,8");
+    head.headers.add("Ibisfork-Confidence", "42");
+    const auto answer = decodeAnswer(head);
+    EXPECT_TRUE(answer.notRun);
+    ASSERT_TRUE(answer.load);
+    EXPECT_EQ(answer.load->running, 3U);
+    EXPECT_EQ(answer.load->waiting, 1U);
+    EXPECT_EQ(answer.load->slots, 8U);
+    EXPECT_EQ(answer.confidence, 42);
+    EXPECT_FALSE(answer.isSigned);
+}
+
+} // namespace ibisfork::platform
