End full reads from a node that has seen fewer changes

Change: the version of the watch is told; an answer that is behind is asked for again after 600 ms, and logged.

--- a/src/gateway/factdesk.cpp
+++ b/src/gateway/factdesk.cpp
@@ -96,7 +96,8 @@
     }
     RowBatch batch;
     batch.rows = *rows;
-    batch.version = table.cache.version();
+    // The watch has seen all changes up to its version, also where they were to other tables.
+    batch.version = table.watch->version();
     batch.storeNowMs = table.watch->storeNowMs();
     batch.age = std::chrono::duration_cast<std::chrono::milliseconds>(base::monotonicNow() - *confirmed);
     reply({200, encodeFacts(batch)});
--- a/src/gateway/tablewatch.cpp
+++ b/src/gateway/tablewatch.cpp
@@ -22,7 +22,7 @@
 /// Pause after a failed call; it doubles up to the longest, so that a store that comes back is not flooded.
 constexpr std::chrono::milliseconds firstRetryDelay{150};
 constexpr std::chrono::milliseconds longestRetryDelay{600};
-constexpr std::chrono::milliseconds sourceChangeDelay{5};
+constexpr std::chrono::milliseconds sourceChangeDelay{20};
 
 std::int64_t nowMs()
 {
@@ -73,7 +73,8 @@
     const auto &batch = std::get<RowBatch>(result);
     if (batch.version < m_version) {
         // A node that is behind this one; what is known here is never taken back.
-        noteFailure(StoreFailure::NoAnswer, fromStore);
+        EventLog::state("facts_behind").field("table", m_table).field("version", batch.version).field("known", m_version);
+        next(longestRetryDelay);
         return;
     }
     noteAnswer(batch);
@@ -145,7 +146,7 @@
 {
     if (failure == StoreFailure::HistoryGone) {
         EventLog::state("store_history_gone").field("table", m_table).field("version", m_version);
-        next(base::Duration::zero());
+        next(sourceChangeDelay);
         return;
     }
     if (!fromStore) {
--- a/tests/gateway/factsource_test.cpp
+++ b/tests/gateway/factsource_test.cpp
@@ -47,6 +47,16 @@
     }
     std::uint64_t storeCalls() { return m_metrics.counter("ibisfork_store_calls_total").value(); }
     bool wentBack() const { return m_wentBack; }
+    /// The version that another node is told when it asks this one for all rows.
+    std::uint64_t toldVersion()
+    {
+        std::uint64_t version = 0;
+        m_desk.ask({table, std::nullopt, {}}, [&](const FactDesk::Answer &answer) {
+            const auto batch = decodeFacts(answer.body);
+            version = batch ? batch->version : 0;
+        });
+        return version;
+    }
 
 private:
     void take(const TableChange &change)
@@ -195,6 +205,18 @@
     EXPECT_TRUE(allHold("two"));
 }
 
+TEST_F(FactSourceTest, changesOfOtherTables_reader_tellsTheNewestVersionItHasSeen)
+{
+    // A node that had read the store itself would take the answer for old otherwise, and ask again without end.
+    start(1);
+    ASSERT_TRUE(allHold("one"));
+    const auto before = m_nodes.begin()->second->toldVersion();
+    for (int i = 0; i < 5; ++i) {
+        m_store.put("other", "k", "v");
+    }
+    EXPECT_TRUE(until([&] { return m_nodes.begin()->second->toldVersion() >= before + 5; }, 2s));
+}
+
 TEST_F(FactSourceTest, storeAway_allKeepWhatTheyKnow_andCatchUpAfterwards)
 {
     start(3);
