--- a/src/gateway/tablewatch.cpp
+++ b/src/gateway/tablewatch.cpp
@@ -73,7 +73,10 @@
     const auto &batch = std::get<RowBatch>(result);
     if (batch.version < m_version) {
         // A node that is behind this one; what is known here is never taken back.
-        EventLog::state("facts_behind").field("table", m_table).field("version", batch.version).field("known", m_version);
+        EventLog::state("facts_behind")
+            .field("table", m_table)
+            .field("version", batch.version)
+            .field("known", m_version);
         next(longestRetryDelay);
         return;
     }
