Let nodes and stand-ins take free ports and say which

Cause: tests found a free port, gave it up and started a daemon on it; another test or a connection could take it in between (PolicyCascadeTest once, 'a node does not start'). Change: port 0 for callers, operators and peers; PeerHub tells the bound address and the member row takes it; the harness reads the start line. The settings file is named on the command line only; one function reads addresses from settings.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,5 +1,4 @@
 #include <csignal>
-#include <cstdlib>
 #include <iostream>
 #include <random>
 
@@ -24,8 +23,6 @@
 using namespace ibisfork;
 
 constexpr std::size_t decisionsKept = 10000;
-/// Names the settings file where the command line does not.
-constexpr const char *settingsVariable = "IBISFORK_CONFIG";
 constexpr int exitOk = 0;
 constexpr int exitFailure = 1;
 constexpr int exitUsage = 2;
@@ -143,16 +140,6 @@
     base::LogLine(base::LogLevel::Info, "stopped").field("node", settings.node.name);
 }
 
-/// The file named on the command line, or else by the environment.
-std::string settingsPath(const cxxopts::ParseResult &arguments)
-{
-    if (arguments.count("settings") > 0) {
-        return arguments["settings"].as<std::string>();
-    }
-    const char *path = std::getenv(settingsVariable);
-    return path == nullptr ? std::string() : std::string(path);
-}
-
 /// Reads the settings in @p path and runs the node that they describe; with @p checkOnly they are only read.
 void start(const std::string &path, bool checkOnly)
 {
@@ -192,12 +179,11 @@
             std::cout << options.help();
             return exitOk;
         }
-        const auto path = settingsPath(arguments);
-        if (path.empty()) {
+        if (arguments.count("settings") == 0) {
             std::cerr << "ibisforkd: --settings FILE is required\n";
             return exitUsage;
         }
-        start(path, arguments.count("check") > 0);
+        start(arguments["settings"].as<std::string>(), arguments.count("check") > 0);
         return exitOk;
     } catch (const cxxopts::exceptions::exception &error) {
         std::cerr << "ibisforkd: " << error.what() << '\n';
--- a/src/fleettask/fleettask.cpp
+++ b/src/fleettask/fleettask.cpp
@@ -54,7 +54,9 @@
     , m_exchange(m_task.base(), settings, metrics, m_state, [this] { learnt(); })
     , m_tickTimer(m_task.base(), [this] { tick(); })
     , m_mailbox(m_task.base(), [this](FleetRequest request) { handle(std::move(request)); })
-{ }
+{
+    m_membership.setPeerAddress(m_exchange.address());
+}
 
 void FleetTask::start()
 {
--- a/src/fleettask/membership.cpp
+++ b/src/fleettask/membership.cpp
@@ -32,7 +32,7 @@
     m_joining = true;
     const fleet::Member self{m_settings.node.name,
                              m_state.incarnation(),
-                             m_settings.listen.peers.text(),
+                             m_peerAddress.text(),
                              m_settings.node.failureDomain,
                              m_settings.node.region};
     // A node that was removed by mistake joins once more, at a later revision.
--- a/src/fleettask/membership.h
+++ b/src/fleettask/membership.h
@@ -15,6 +15,8 @@
 public:
     Membership(const settings::Settings &settings, FleetState &state, ChangeDesk &desk, platform::VmList &vms);
 
+    /// Where other nodes reach this one; set before it joins.
+    void setPeerAddress(const net::Address &address) { m_peerAddress = address; }
     /// Joins unless this node is a member already or has left.
     void joinOnce();
     /// Takes this node's row away; @p left is called in any case.
@@ -36,6 +38,7 @@
     FleetState &m_state;
     ChangeDesk &m_desk;
     platform::VmList &m_vms;
+    net::Address m_peerAddress;
     bool m_joining = false;
     /// Incarnations whose removal is under way.
     std::set<std::string> m_removing;
--- a/src/fleettask/peerexchange.h
+++ b/src/fleettask/peerexchange.h
@@ -33,6 +33,8 @@
     /// Tells all other nodes of @p notice, through those with which there is a link.
     void tell(const PeerNotice &notice);
     /// Where notices of other nodes go; each is handed over once.
+    /// Where other nodes reach this one.
+    const net::Address &address() const { return m_hub.address(); }
     void onNotice(std::function<void(PeerNotice)> handler) { m_noticeHandler = std::move(handler); }
     /// When an answer last said which revision is the newest.
     base::TimePoint lastConfirmingAnswer() const { return m_lastConfirmingAnswer; }
--- a/src/peer/peerhub.cpp
+++ b/src/peer/peerhub.cpp
@@ -4,6 +4,7 @@
 
 namespace {
 
+const std::string transport = "tcp://";
 /// Largest frame that a node may send unasked, in bytes.
 constexpr int maxRequestBytes = 1024 * 1024;
 constexpr int handshakeMilliseconds = 2000;
@@ -49,7 +50,8 @@
         serveCurve(m_server, m_keys);
         watchHandshakes();
     }
-    m_server.bind("tcp://" + listen.text());
+    m_server.bind(transport + listen.text());
+    m_address = net::Address::parse(m_server.boundEndpoint().substr(transport.size()));
 }
 
 void PeerHub::watchHandshakes()
--- a/src/peer/peerhub.h
+++ b/src/peer/peerhub.h
@@ -28,6 +28,8 @@
             base::MetricsRegistry &metrics,
             Received received);
 
+    /// The address that it listens on; its port is known also if port 0 was asked for.
+    const net::Address &address() const { return m_address; }
     /// Keeps links to these nodes only, by incarnation.
     void setPeers(const std::map<std::string, net::Address> &peers);
     /// Sends to a node over the link to it, which is opened if there is none.
@@ -55,6 +57,7 @@
     ZmqContextPtr m_context;
     std::unique_ptr<CurveGuard> m_guard;
     ZmqSocket m_server;
+    net::Address m_address;
     std::unique_ptr<ZmqSocket> m_monitor;
     std::map<std::string, std::unique_ptr<PeerLink>> m_links;
     /// Links no longer wanted, one of which may be in the middle of a callback.
--- a/src/peer/zmqsocket.cpp
+++ b/src/peer/zmqsocket.cpp
@@ -70,6 +70,17 @@
     event_active(m_event.get(), EV_READ, 0);
 }
 
+std::string ZmqSocket::boundEndpoint() const
+{
+    constexpr std::size_t longest = 256;
+    std::string endpoint(longest, '\0');
+    std::size_t size = endpoint.size();
+    check(zmq_getsockopt(m_socket, ZMQ_LAST_ENDPOINT, endpoint.data(), &size), "zmq_getsockopt");
+    // The size counts the closing zero.
+    endpoint.resize(size - 1);
+    return endpoint;
+}
+
 void ZmqSocket::connect(const std::string &endpoint)
 {
     check(zmq_connect(m_socket, endpoint.c_str()), "zmq_connect");
--- a/src/peer/zmqsocket.h
+++ b/src/peer/zmqsocket.h
@@ -37,6 +37,8 @@
     void set(int option, const std::string &value);
     void bind(const std::string &endpoint);
     void connect(const std::string &endpoint);
+    /// The endpoint that was bound last; its port is known also if port 0 was asked for.
+    std::string boundEndpoint() const;
     /// Publishes the socket's @p events at @p endpoint, for a PAIR socket.
     void monitor(const std::string &endpoint, int events);
     /// Returns whether the message was queued.
--- a/src/settings/gatewaysettings.cpp
+++ b/src/settings/gatewaysettings.cpp
@@ -18,11 +18,6 @@
 constexpr double mostRatio = 100;
 constexpr double mostCount = 1e9;
 
-net::Address addressFrom(YamlFields &fields, const char *name)
-{
-    return net::Address::parse(fields.required<std::string>(name, "an address of the form IP:PORT"));
-}
-
 FleetBounds boundsFrom(YamlFields fields)
 {
     FleetBounds bounds;
@@ -42,12 +37,12 @@
     GatewaySettings settings;
     settings.node = readNode(YamlFields(document.map("node"), "node"));
     YamlFields listen(document.map("listen"), "listen");
-    settings.callers = addressFrom(listen, "callers");
-    settings.readiness = addressFrom(listen, "readiness");
-    settings.operators = addressFrom(listen, "operators");
+    settings.callers = readAddress(listen, "callers");
+    settings.readiness = readAddress(listen, "readiness");
+    settings.operators = readAddress(listen, "operators");
     listen.refuseUnknown();
     YamlFields store(document.map(storeField), storeField);
-    settings.store = addressFrom(store, "address");
+    settings.store = readAddress(store, "address");
     store.refuseUnknown();
     for (const auto &seed : document.list("seeds")) {
         settings.seeds.push_back(net::Address::parse(seed.as<std::string>()));
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -22,17 +22,12 @@
     {base::LogLevel::Error, "error"},
 }};
 
-net::Address addressFrom(YamlFields &fields, const char *name)
-{
-    return net::Address::parse(fields.required<std::string>(name, "an address of the form IP:PORT"));
-}
-
 ListenSettings listenFrom(YamlFields fields)
 {
     ListenSettings listen;
-    listen.callers = addressFrom(fields, "callers");
-    listen.operators = addressFrom(fields, "operators");
-    listen.peers = addressFrom(fields, "peers");
+    listen.callers = readAddress(fields, "callers");
+    listen.operators = readAddress(fields, "operators");
+    listen.peers = readAddress(fields, "peers");
     fields.refuseUnknown();
     return listen;
 }
@@ -98,7 +93,7 @@
     settings.peers = peersFrom(YamlFields(document.map("peers"), "peers"));
     settings.tls = tlsFrom(YamlFields(document.map("tls"), "tls"));
     YamlFields platform(document.map("platform"), "platform");
-    settings.platform = addressFrom(platform, "address");
+    settings.platform = readAddress(platform, "address");
     platform.refuseUnknown();
     settings.timing = timingFrom(YamlFields(document.map("timing"), "timing"));
     settings.limits = limitsFrom(YamlFields(document.map("limits"), "limits"));
@@ -119,6 +114,11 @@
     return node;
 }
 
+net::Address readAddress(YamlFields &fields, const char *name)
+{
+    return net::Address::parse(fields.required<std::string>(name, "an address of the form IP:PORT"));
+}
+
 base::LogLevel readLogLevel(YamlFields &document, base::LogLevel fallback)
 {
     return document.optionalName("log_level", logLevelNames, fallback);
--- a/tests/peer/peerhub_test.cpp
+++ b/tests/peer/peerhub_test.cpp
@@ -19,23 +19,10 @@
     PeerHubTest()
         : m_base(net::makeEventBase())
         , m_keys(newCurveKeys())
-        , m_address{"127.0.0.1", freePort()}
-        , m_otherAddress{"127.0.0.1", freePort()}
+        , m_address{"127.0.0.1", 0}
+        , m_otherAddress{"127.0.0.1", 0}
     { }
 
-    static std::uint16_t freePort()
-    {
-        const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t length = sizeof(address);
-        EXPECT_EQ(bind(socket, reinterpret_cast<sockaddr *>(&address), length), 0);
-        getsockname(socket, reinterpret_cast<sockaddr *>(&address), &length);
-        close(socket);
-        return ntohs(address.sin_port);
-    }
-
     void listen()
     {
         m_hub = std::make_unique<PeerHub>(
@@ -43,6 +30,7 @@
                 m_received.push_back(frame.question().number());
                 m_hub->answer(origin, question(frame.question().number()));
             });
+        m_address = m_hub->address();
     }
 
     std::unique_ptr<PeerHub> makeOther(const CurveKeys &keys)
@@ -203,6 +191,9 @@
     setsockopt(silent, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
     ASSERT_EQ(bind(silent, reinterpret_cast<sockaddr *>(&address), sizeof(address)), 0);
     ASSERT_EQ(::listen(silent, 8), 0);
+    socklen_t length = sizeof(address);
+    getsockname(silent, reinterpret_cast<sockaddr *>(&address), &length);
+    m_address.port = ntohs(address.sin_port);
     const auto start = base::monotonicNow();
     other->send("hub", m_address, question(1), start);
     other->replaceSilentLinks(start + 2s, 3s);
--- a/tests/process/harness.cpp
+++ b/tests/process/harness.cpp
@@ -30,6 +30,19 @@
     return path;
 }
 
+/// Nodes take a free port and say which, so that no port is given up between being found and being used.
+constexpr const char *anyPort = "127.0.0.1:0";
+
+std::string fieldOf(const std::string &line, const std::string &name)
+{
+    const auto at = line.find(" " + name + "=");
+    if (at == std::string::npos) {
+        return {};
+    }
+    const auto from = at + name.size() + 2;
+    return line.substr(from, line.find(' ', from) - from);
+}
+
 void writeFile(const std::string &path, const std::string &text)
 {
     std::ofstream(path) << text;
@@ -161,21 +174,6 @@
     return true;
 }
 
-std::uint16_t freePort()
-{
-    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    if (bind(socket, reinterpret_cast<sockaddr *>(&address), sizeof(address)) != 0) {
-        throw std::runtime_error("no port is free");
-    }
-    socklen_t length = sizeof(address);
-    getsockname(socket, reinterpret_cast<sockaddr *>(&address), &length);
-    close(socket);
-    return ntohs(address.sin_port);
-}
-
 Fleet::Fleet()
     : m_folder(newFolder())
     , m_platform(std::make_unique<Program>("standin-platform", std::vector<std::string>{}))
@@ -202,27 +200,38 @@
     return m_upstreams.back()->listening();
 }
 
+bool Fleet::readAddresses(const std::string &log, Node &node)
+{
+    std::ifstream file(log);
+    for (std::string line; std::getline(file, line);) {
+        if (line.find("event=listening") != std::string::npos) {
+            node.callers = fieldOf(line, "callers");
+            node.operators = fieldOf(line, "operators");
+            return !node.operators.empty();
+        }
+    }
+    return false;
+}
+
 std::size_t Fleet::addNode(const std::string &failureDomain, const std::string &extraSettings)
 {
     const auto index = m_nodes.size();
     Node node;
-    node.callers = fmt::format("127.0.0.1:{}", freePort());
-    node.operators = fmt::format("127.0.0.1:{}", freePort());
-    const auto peers = fmt::format("127.0.0.1:{}", freePort());
     const auto path = fmt::format("{}/node-{}.yaml", m_folder, index);
     writeFile(path,
-              fmt::format("node: {{name: node-{}, failure_domain: {}, region: r1}}\n"
-                          "listen: {{callers: {}, operators: {}, peers: {}}}\n"
-                          "platform: {{address: {}}}\n{}",
+              fmt::format("node: {{name: node-{1}, failure_domain: {2}, region: r1}}\n"
+                          "listen: {{callers: {0}, operators: {0}, peers: {0}}}\n"
+                          "platform: {{address: {3}}}\n{4}",
+                          anyPort,
                           index,
                           failureDomain,
-                          node.callers,
-                          node.operators,
-                          peers,
                           m_platformAddress,
                           extraSettings));
-    node.program = std::make_unique<Program>(
-        "ibisforkd", std::vector<std::string>{"--settings", path}, fmt::format("{}/node-{}.log", m_folder, index));
+    const auto log = fmt::format("{}/node-{}.log", m_folder, index);
+    node.program = std::make_unique<Program>("ibisforkd", std::vector<std::string>{"--settings", path}, log);
+    if (!eventually(startWithin, [&] { return readAddresses(log, node); })) {
+        throw std::runtime_error("a node does not say where it listens; its log is in " + m_folder);
+    }
     m_nodes.push_back(std::move(node));
     if (!eventually(startWithin, [&] { return get(operators(index), "/healthz").status == 200; })) {
         throw std::runtime_error("a node does not start; its log is in " + m_folder);
--- a/tests/process/harness.h
+++ b/tests/process/harness.h
@@ -53,9 +53,6 @@
 /// Runs @p condition every 20 ms until it holds; false after @p within.
 bool eventually(base::Duration within, const std::function<bool()> &condition);
 
-/// A port of 127.0.0.1 that is free now.
-std::uint16_t freePort();
-
 /// A platform, upstreams and daemons, each a process of its own.
 class Fleet
 {
@@ -92,6 +89,9 @@
         std::unique_ptr<Program> program;
     };
 
+    /// Reads from a node's log where it listens; false if it has not said so.
+    static bool readAddresses(const std::string &log, Node &node);
+
     std::string m_folder;
     std::unique_ptr<Program> m_platform;
     std::string m_platformAddress;
--- a/tests/process/slots_test.cpp
+++ b/tests/process/slots_test.cpp
@@ -30,13 +30,14 @@
             m_fleet.addNode("a");
         }
         for (unsigned i = 0; i < 2; ++i) {
-            m_addresses.push_back(fmt::format("127.0.0.1:{}", freePort()));
+            m_addresses.emplace_back("127.0.0.1:0");
             m_engines.push_back(startEngine(i));
         }
         m_fleet.apply(0, config());
     }
 
-    std::unique_ptr<Program> startEngine(unsigned index) const
+    /// Starts the engine anew at the address that it had, the first time at a free one.
+    std::unique_ptr<Program> startEngine(unsigned index)
     {
         auto engine = std::make_unique<Program>("standin-engine",
                                                 std::vector<std::string>{"--listen",
@@ -49,7 +50,7 @@
                                                                          std::to_string(cold),
                                                                          "--ramp-ms",
                                                                          "2000"});
-        engine->listening();
+        m_addresses.at(index) = engine->listening();
         return engine;
     }
 
