Split the exchange; one table of status codes

Change: exchange.cpp decides and sends, exchangeanswer.cpp takes answers, exchangeend.cpp ends; http/status.h names the codes; exchangelimits.h what two of them need. Ruled out: nothing in behaviour changes.

--- /dev/null
+++ b/src/gateway/exchangeanswer.cpp
@@ -0,0 +1,162 @@
+#include "gateway/exchange.h"
+
+#include "gateway/eventlog.h"
+#include "http/status.h"
+#include "platform/callcodec.h"
+
+namespace ibisfork::gateway {
+
+namespace {
+
+/// Bytes that a slow caller may owe before its engine is no longer read.
+constexpr std::size_t maxBacklog = 256UL * 1024;
+
+} // namespace
+
+void Exchange::onHead(const http::ResponseHead &head)
+{
+    const auto now = base::monotonicNow();
+    m_phase = Phase::Reading;
+    m_lastProgress = now;
+    m_answerHead = head;
+    m_answer = platform::decodeAnswer(head);
+    if (m_answer.load) {
+        m_context.view.engines().noteLoad(m_engineId, *m_answer.load, now);
+    }
+    if (!headIsUsable()) {
+        miss({EngineFault::Failed, true, "foreign_answer"});
+        return;
+    }
+    if (m_answer.notRun) {
+        return;
+    }
+    m_firstByteAfter = now - m_sentAt;
+    promptRead();
+    m_context.firstByte(m_route->name).add(base::toSeconds(*m_firstByteAfter));
+    if (wantsSecondRun()) {
+        const auto model = m_context.models.larger(m_route->models);
+        EventLog::routine("second_run")
+            .field("id", m_call.id)
+            .field("model", m_model)
+            .field("confidence", m_answer.confidence.value_or(-1));
+        m_model = model;
+        m_connection->abandon();
+        releaseConnection();
+        m_tried.pop_back();
+        dispatch();
+    }
+}
+
+bool Exchange::headIsUsable() const
+{
+    const bool success = m_answer.status >= http::status::firstSuccess && m_answer.status < http::status::firstRedirect;
+    const bool foreign = !m_answer.callId.empty() && m_answer.callId != m_call.id;
+    return !foreign && (!success || m_answer.isSigned);
+}
+
+bool Exchange::wantsSecondRun() const
+{
+    if (m_streamBegun || !m_call.anyModel || !m_answer.confidence || m_runs >= m_route->maxUpstreams) {
+        return false;
+    }
+    return m_context.models.worthSecondRun(m_route->models, m_model, *m_answer.confidence)
+        && m_context.resends.take(m_service, m_context.view.nodes(), base::monotonicNow());
+}
+
+void Exchange::onBody(std::string_view bytes)
+{
+    m_lastProgress = base::monotonicNow();
+    const bool isStream = m_answer.eventStream && m_answer.status < http::status::firstRedirect;
+    if (!isStream) {
+        m_answerBody.append(bytes);
+        return;
+    }
+    const bool fits = m_splitter.feed(bytes, [this](const StreamEvent &event) { forwardEvent(event); });
+    if (!fits) {
+        miss({EngineFault::Failed, true, "event_too_long"});
+        return;
+    }
+    if (m_caller.backlog() > maxBacklog && !m_paused) {
+        m_paused = true;
+        m_connection->pauseReading(true);
+    }
+}
+
+void Exchange::forwardEvent(const StreamEvent &event)
+{
+    if (m_phase != Phase::Reading) {
+        return;
+    }
+    if (!m_streamBegun) {
+        m_streamBegun = true;
+        m_caller.beginStream(m_answer.status, platform::answerHeaders(m_answerHead), m_context.stopping);
+    }
+    if (event.id) {
+        m_lastEvent = event.id;
+    }
+    m_caller.sendPiece(event.bytes);
+}
+
+void Exchange::callerDrained()
+{
+    if (m_paused && m_connection) {
+        m_paused = false;
+        m_lastProgress = base::monotonicNow();
+        m_connection->pauseReading(false);
+    }
+}
+
+void Exchange::onComplete()
+{
+    if (m_answer.notRun) {
+        miss({EngineFault::Full, false, "engine_refused"});
+        return;
+    }
+    const bool isStream = m_answer.eventStream && m_answer.status < http::status::firstRedirect;
+    if (isStream) {
+        completeStream();
+    } else {
+        completeBuffered();
+    }
+}
+
+void Exchange::completeStream()
+{
+    if (m_splitter.midEvent()) {
+        miss({EngineFault::Failed, true, "stream_ended_mid_event"});
+        return;
+    }
+    m_context.view.engines().noteSuccess(m_engineId);
+    m_context.crashes.noteAnswered(fingerprint());
+    m_context.view.rollouts().noteOutcome(m_service, m_engineVersion, m_route->name, {false, m_firstByteAfter});
+    releaseConnection();
+    if (!m_streamBegun) {
+        m_caller.beginStream(m_answer.status, platform::answerHeaders(m_answerHead), m_context.stopping);
+    }
+    m_caller.endStream();
+    finish("answered", m_answer.status);
+}
+
+void Exchange::completeBuffered()
+{
+    const bool failed = m_answer.status >= http::status::firstServerError;
+    m_context.view.rollouts().noteOutcome(m_service, m_engineVersion, m_route->name, {failed, m_firstByteAfter});
+    if (failed && m_streamBegun) {
+        miss({EngineFault::Failed, true, "engine_failed"});
+        return;
+    }
+    if (failed && takeResend(true)) {
+        miss({EngineFault::Failed, true, "engine_failed", true});
+        return;
+    }
+    if (failed) {
+        m_context.view.engines().noteFault(m_engineId, EngineFault::Failed, coldPeriod(), base::monotonicNow());
+    } else {
+        m_context.view.engines().noteSuccess(m_engineId);
+    }
+    releaseConnection();
+    m_caller.sendAnswer(m_answer.status, platform::answerHeaders(m_answerHead), m_answerBody, m_context.stopping);
+    finish(failed ? "engine_failed" : "answered", m_answer.status);
+}
+
+} // namespace ibisfork::gateway
--- /dev/null
+++ b/src/gateway/exchangeend.cpp
@@ -0,0 +1,161 @@
+#include "gateway/exchange.h"
+
+#include <fmt/format.h>
+
+#include "gateway/eventlog.h"
+#include "gateway/exchangelimits.h"
+#include "http/status.h"
+
+namespace ibisfork::gateway {
+
+namespace {
+
+std::string secondsText(std::chrono::milliseconds duration)
+{
+    constexpr double millisecondsPerSecond = 1000.0;
+    return fmt::format("{:.2f}", static_cast<double>(duration.count()) / millisecondsPerSecond);
+}
+
+} // namespace
+
+void Exchange::onFailure(http::ConnectionFailure failure)
+{
+    switch (failure) {
+    case http::ConnectionFailure::Connect:
+        miss({EngineFault::Unreachable, false, "no_connection"});
+        return;
+    case http::ConnectionFailure::Lost:
+        miss({EngineFault::Lost, !m_answer.notRun, "connection_lost"});
+        return;
+    case http::ConnectionFailure::Malformed:
+        miss({EngineFault::Failed, !m_answer.notRun, "malformed_answer"});
+        return;
+    }
+}
+
+void Exchange::miss(const Miss &miss)
+{
+    const auto now = base::monotonicNow();
+    EventLog::failure("attempt_failed")
+        .field("id", m_call.id)
+        .field("engine", m_engineId)
+        .field("reason", miss.reason)
+        .field("may_have_run", miss.mayHaveRun)
+        .field("status", m_answer.status)
+        .field("after_ms", base::toMilliseconds(now - m_sentAt))
+        .field("last_event", m_lastEvent.value_or(0));
+    if (m_connection && !m_connection->reusable()) {
+        m_connection->abandon();
+    }
+    m_phase = Phase::Waiting;
+    m_context.view.engines().noteFault(m_engineId, miss.fault, coldPeriod(), now);
+    m_lastReason = miss.reason;
+    if (miss.fault == EngineFault::Lost) {
+        noteCrash(now);
+    }
+    m_mayHaveRun = m_mayHaveRun || miss.mayHaveRun;
+    if (!miss.mayHaveRun) {
+        --m_runs;
+    }
+    m_firstByteAfter.reset();
+    releaseConnection();
+    if (miss.resendTaken || takeResend(miss.mayHaveRun)) {
+        dispatch();
+    } else {
+        giveUp(miss.reason);
+    }
+}
+
+bool Exchange::takeResend(bool mayHaveRun)
+{
+    return mayGoOn(mayHaveRun) && m_context.resends.take(m_service, m_context.view.nodes(), base::monotonicNow());
+}
+
+bool Exchange::mayGoOn(bool mayHaveRun) const
+{
+    if (mayHaveRun && !repeatable()) {
+        return false;
+    }
+    const bool runsLeft = m_runs < m_route->maxUpstreams;
+    return runsLeft && m_endsAt - base::monotonicNow() > leastRun;
+}
+
+void Exchange::giveUp(const char *reason)
+{
+    if (m_streamBegun) {
+        m_caller.abort();
+        finish(reason, 0);
+        return;
+    }
+    if (m_mayHaveRun) {
+        const bool late = base::monotonicNow() >= m_endsAt - leastRun;
+        answerFailure(late ? http::status::gatewayTimeout : http::status::badGateway, reason);
+        return;
+    }
+    refuse(http::status::unavailable, reason, m_tried.empty() ? retryAfterNoEngine : retryAfterFull);
+}
+
+void Exchange::refuse(int status, const char *reason, std::chrono::milliseconds retryAfter)
+{
+    http::HeaderList headers;
+    headers.add("Retry-After", secondsText(retryAfter));
+    m_caller.sendAnswer(status, headers, {}, m_context.stopping);
+    finish(reason, status);
+}
+
+void Exchange::answerFailure(int status, const char *reason)
+{
+    m_caller.sendAnswer(status, {}, {}, m_context.stopping);
+    finish(reason, status);
+}
+
+void Exchange::callerLeft()
+{
+    if (m_connection) {
+        m_connection->abandon();
+        releaseConnection();
+    }
+    finish("caller_left", 0);
+}
+
+void Exchange::cutOff()
+{
+    m_mayHaveRun = m_mayHaveRun || (m_connection && m_connection->sent());
+    if (m_connection) {
+        m_connection->abandon();
+        releaseConnection();
+    }
+    giveUp("node_stops");
+}
+
+void Exchange::finish(const char *outcome, int status)
+{
+    if (m_phase == Phase::Finished) {
+        return;
+    }
+    m_phase = Phase::Finished;
+    m_timer.stop();
+    const auto took = base::monotonicNow() - m_start;
+    const auto route = m_route == nullptr ? std::string("-") : m_route->name;
+    m_context.metrics.counter("ibisfork_requests_total", {{"route", route}, {"outcome", outcome}}).add();
+    m_context.metrics.histogram("ibisfork_request_seconds", {{"route", route}}).observe(base::toSeconds(took));
+    EventLog(status >= http::status::firstSuccess && status < http::status::firstRedirect ? Importance::Routine
+                                                                                          : Importance::Failure,
+             "request")
+        .field("id", m_call.id)
+        .field("session", m_call.session.empty() ? "-" : m_call.session)
+        .field("route", route)
+        .field("configuration", m_configuration ? m_configuration->version : 0)
+        .field("workspace", m_workspace.empty() ? "-" : m_workspace)
+        .field("engine", m_engineId.empty() ? "-" : m_engineId)
+        .field("model", m_model.empty() ? "-" : m_model)
+        .field("confidence", m_answer.confidence.value_or(-1))
+        .field("sends", m_sends)
+        .field("first_byte_ms", m_firstByteAfter ? base::toMilliseconds(*m_firstByteAfter) : -1)
+        .field("took_ms", base::toMilliseconds(took))
+        .field("status", status)
+        .field("outcome", outcome);
+    m_done();
+}
+
+} // namespace ibisfork::gateway
--- a/src/gateway/factdesk.cpp
+++ b/src/gateway/factdesk.cpp
@@ -2,15 +2,13 @@
 
 #include <algorithm>
 
+#include "http/status.h"
 #include "net/deletelater.h"
 
 namespace ibisfork::gateway {
 
 namespace {
 
-constexpr int statusNotFound = 404;
-constexpr int statusHistoryGone = 410;
-constexpr int statusUnavailable = 503;
 constexpr std::chrono::milliseconds longestWait{2000};
 
 } // namespace
@@ -59,7 +57,7 @@
 {
     const auto found = m_tables.find(question.table);
     if (found == m_tables.end()) {
-        reply({statusNotFound, {}});
+        reply({http::status::notFound, {}});
         return;
     }
     const auto &cache = found->second.cache;
@@ -86,12 +84,12 @@
     const auto &table = m_tables.at(question.table);
     const auto confirmed = table.watch->confirmedAt();
     if (!table.cache.filled() || !confirmed) {
-        reply({statusUnavailable, {}});
+        reply({http::status::unavailable, {}});
         return;
     }
     const auto rows = question.after ? table.cache.changesAfter(*question.after) : std::optional(table.cache.all());
     if (!rows) {
-        reply({statusHistoryGone, {}});
+        reply({http::status::gone, {}});
         return;
     }
     RowBatch batch;
--- a/src/gateway/factsource.cpp
+++ b/src/gateway/factsource.cpp
@@ -5,13 +5,12 @@
 #include <ibisfork/coord/rendezvous.h>
 
 #include "gateway/eventlog.h"
+#include "http/status.h"
 
 namespace ibisfork::gateway {
 
 namespace {
 
-constexpr int statusOk = 200;
-constexpr int statusHistoryGone = 410;
 /// Domains of this size or more have two readers, so that one is left when the other goes.
 constexpr std::size_t largeDomain = 6;
 constexpr std::size_t readersOfLargeDomain = 2;
@@ -172,8 +171,8 @@
     const auto timeout = question.wait + peerAnswerTimeout;
     const auto answered
         = [this, name = peer.name, table = question.table, longestAge, done](int status, const std::string &body) {
-              const auto batch = status == statusOk ? decodeFacts(body) : std::nullopt;
-              if (status == statusHistoryGone) {
+              const auto batch = status == http::status::ok ? decodeFacts(body) : std::nullopt;
+              if (status == http::status::gone) {
                   done(StoreFailure::HistoryGone, false);
               } else if (!batch || batch->age > longestAge) {
                   noteFailure(name, table, batch ? batch->age : std::chrono::milliseconds(0), peerRest);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -5,6 +5,7 @@
 #include "gateway/eventlog.h"
 #include "gateway/noderow.h"
 #include "gateway/rolloutstart.h"
+#include "http/status.h"
 #include "platform/callcodec.h"
 #include "platform/factcodec.h"
 
@@ -31,9 +32,6 @@
 constexpr WatchTiming ownTiming{std::chrono::milliseconds(3000),
                                 std::chrono::milliseconds(500),
                                 std::chrono::milliseconds(5000)};
-constexpr int statusOk = 200;
-constexpr int statusNotFound = 404;
-constexpr int statusUnavailable = 503;
 
 /// Time since the store confirmed what @p watch holds, -1 before it did.
 std::int64_t ageMs(const TableWatch &watch, base::TimePoint now)
@@ -91,12 +89,13 @@
                  })
     , m_desk(base)
     , m_callers(m_context, settings.callers)
-    , m_readiness(base,
-                  settings.readiness,
-                  [this](const std::string &target, const InfoPort::Reply &reply) {
-                      const bool known = target == platform::readinessPath();
-                      reply({known ? (ready() ? statusOk : statusUnavailable) : statusNotFound, {}});
-                  })
+    , m_readiness(
+          base,
+          settings.readiness,
+          [this](const std::string &target, const InfoPort::Reply &reply) {
+              const bool known = target == platform::readinessPath();
+              reply({known ? (ready() ? http::status::ok : http::status::unavailable) : http::status::notFound, {}});
+          })
     , m_operators(base,
                   settings.operators,
                   [this](const std::string &target, const InfoPort::Reply &reply) { answerOperators(target, reply); })
@@ -280,11 +279,11 @@
         m_desk.ask(*question, [reply](const FactDesk::Answer &answer) { reply({answer.status, answer.body}); });
     } else if (target == "/metrics") {
         updateGauges();
-        reply({statusOk, m_context.metrics.render()});
+        reply({http::status::ok, m_context.metrics.render()});
     } else if (target == "/status") {
-        reply({statusOk, describe()});
+        reply({http::status::ok, describe()});
     } else {
-        reply({statusNotFound, {}});
+        reply({http::status::notFound, {}});
     }
 }
 
--- a/src/gateway/storeclient.cpp
+++ b/src/gateway/storeclient.cpp
@@ -2,6 +2,7 @@
 
 #include <ibisfork/base/log.h>
 
+#include "http/status.h"
 #include "platform/codecerror.h"
 #include "platform/rowcodec.h"
 
@@ -10,23 +11,18 @@
 namespace {
 
 constexpr int statusNone = http::CallClient::noAnswer;
-constexpr int statusOk = 200;
-constexpr int statusHistoryGone = 410;
-constexpr int statusConditionFailed = 412;
-constexpr int statusTooMany = 429;
-constexpr int statusUnavailable = 503;
 /// An answer takes some milliseconds; a store that is slow for a while takes some hundred.
 constexpr std::chrono::milliseconds answerTimeout{1200};
 
 ReadResult decodeRead(int status, const std::string &body)
 {
-    if (status == statusHistoryGone) {
+    if (status == http::status::gone) {
         return StoreFailure::HistoryGone;
     }
     if (status == statusNone) {
         return StoreFailure::NoAnswer;
     }
-    if (status != statusOk) {
+    if (status != http::status::ok) {
         return StoreFailure::Refused;
     }
     try {
@@ -40,14 +36,12 @@
 WriteOutcome decodeWrite(int status)
 {
     switch (status) {
-    case statusOk:
+    case http::status::ok:
         return WriteOutcome::Done;
-    case statusConditionFailed:
+    case http::status::conditionFailed:
         return WriteOutcome::ConditionFailed;
     case statusNone:
         return WriteOutcome::Unknown;
-    case statusTooMany:
-    case statusUnavailable:
     default:
         return WriteOutcome::NotDone;
     }
--- a/src/http/callerconnection.cpp
+++ b/src/http/callerconnection.cpp
@@ -4,14 +4,11 @@
 
 #include <fmt/format.h>
 
+#include "http/status.h"
 namespace ibisfork::http {
 
 namespace {
 
-constexpr int badRequest = 400;
-constexpr int requestTimeout = 408;
-constexpr int bodyTooLarge = 413;
-constexpr int headTooLarge = 431;
 /// Bytes of later requests that are read ahead while one is answered. Reading goes on so that a caller that leaves is
 /// noticed.
 constexpr std::size_t readAheadBytes = 64UL * 1024;
@@ -117,11 +114,11 @@
         }
     }
     if (m_parser.state() == ParseState::Malformed) {
-        refuse(m_parser.headTooLong() ? headTooLarge : badRequest);
+        refuse(m_parser.headTooLong() ? http::status::headTooLarge : http::status::badRequest);
         return;
     }
     if (m_bodyTooLong) {
-        refuse(bodyTooLarge);
+        refuse(http::status::bodyTooLarge);
         return;
     }
     if (m_parser.state() == ParseState::Complete) {
@@ -236,7 +233,7 @@
 {
     const bool midRequest = !m_closeWhenWritten && !m_parser.untouched();
     if (midRequest) {
-        refuse(requestTimeout);
+        refuse(http::status::requestTimeout);
         return;
     }
     close();
--- /dev/null
+++ b/src/http/status.h
@@ -0,0 +1,23 @@
+#pragma once
+
+/// Status codes that the project sets or decides by.
+namespace ibisfork::http::status {
+
+inline constexpr int ok = 200;
+inline constexpr int firstSuccess = 200;
+inline constexpr int firstRedirect = 300;
+inline constexpr int badRequest = 400;
+inline constexpr int unauthorized = 401;
+inline constexpr int notFound = 404;
+inline constexpr int requestTimeout = 408;
+inline constexpr int gone = 410;
+inline constexpr int conditionFailed = 412;
+inline constexpr int bodyTooLarge = 413;
+inline constexpr int misdirected = 421;
+inline constexpr int headTooLarge = 431;
+inline constexpr int firstServerError = 500;
+inline constexpr int badGateway = 502;
+inline constexpr int unavailable = 503;
+inline constexpr int gatewayTimeout = 504;
+
+} // namespace ibisfork::http::status
