--- a/src/gateway/rolloutbook.cpp
+++ b/src/gateway/rolloutbook.cpp
@@ -57,6 +57,10 @@
     if (rollout.orderRow == orderRow) {
         return;
     }
+    if (rollout.orderRow != 0 && rollout.stopped()) {
+        m_rejected[order.service].insert(rollout.order.toVersion);
+    }
+    m_rejected[order.service].erase(order.toVersion);
     Rollout next;
     next.status = rollout.status;
     next.statusRow = rollout.statusRow;
@@ -91,6 +95,10 @@
 void RolloutBook::setStatus(const std::string &service, const RolloutStatus &status, std::uint64_t statusRow)
 {
     auto &rollout = m_rollouts[service];
+    const bool ofThisOrder = status.toVersion == rollout.order.toVersion && statusRow > rollout.orderRow;
+    if (status.state == RolloutState::Reverted && (ofThisOrder || rollout.order.toVersion != status.toVersion)) {
+        m_rejected[service].insert(status.toVersion);
+    }
     if (statusRow >= rollout.statusRow) {
         rollout.status = status;
         rollout.statusRow = statusRow;
@@ -149,6 +157,11 @@
                                              std::vector<Engine *> engines,
                                              VersionPreference preference) const
 {
+    const auto rejected = m_rejected.find(service);
+    if (rejected != m_rejected.end()) {
+        std::erase_if(engines,
+                      [&](const Engine *engine) { return rejected->second.contains(engine->entry.softwareVersion); });
+    }
     const auto *rollout = find(service);
     if (rollout == nullptr || preference == VersionPreference::Any) {
         return engines;
--- a/src/gateway/rolloutbook.h
+++ b/src/gateway/rolloutbook.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -114,6 +115,8 @@
     const Rollout *find(const std::string &service) const;
 
     std::map<std::string, Rollout> m_rollouts;
+    /// Versions that were stopped, by service; their engines may run on for a while under a later order.
+    std::map<std::string, std::set<std::string>> m_rejected;
 };
 
 } // namespace ibisfork::gateway
--- a/tests/gateway/rolloutbook_test.cpp
+++ b/tests/gateway/rolloutbook_test.cpp
@@ -155,6 +155,41 @@
     EXPECT_EQ(m_book.preferSame("s", "v2"), VersionPreference::Old);
 }
 
+TEST_F(RolloutBookTest, revertedVersion_nextOrder_getsNothingUnlessOrderedAgain)
+{
+    std::vector<Engine> engines(3);
+    std::vector<Engine *> all;
+    for (std::size_t i = 0; i < engines.size(); ++i) {
+        engines[i].entry.softwareVersion = "v" + std::to_string(i + 1);
+        all.push_back(&engines[i]);
+    }
+    const auto versions = [&](VersionPreference preference) {
+        std::string out;
+        for (const auto *engine : m_book.permitted("s", all, preference)) {
+            out += engine->entry.softwareVersion;
+        }
+        return out;
+    };
+    m_book.setStatus("s", {"v2", RolloutState::Reverted}, orderRow + 1);
+    m_book.setOrder({"s", "v3", 24s}, orderRow + 5, at(30s));
+    EXPECT_EQ(versions(VersionPreference::Old), "v1");
+    EXPECT_EQ(versions(VersionPreference::New), "v3");
+    m_book.removeOrder("s");
+    EXPECT_EQ(versions(VersionPreference::Any), "v1v3");
+    m_book.setOrder({"s", "v2", 24s}, orderRow + 9, at(60s));
+    EXPECT_EQ(versions(VersionPreference::New), "v2");
+}
+
+TEST_F(RolloutBookTest, versionStoppedHereOnly_nextOrder_getsNothing)
+{
+    runs("v1", 60, 1);
+    runs("v2", 3, 3);
+    m_book.setOrder({"s", "v3", 24s}, orderRow + 5, at(30s));
+    Engine stopped;
+    stopped.entry.softwareVersion = "v2";
+    EXPECT_TRUE(m_book.permitted("s", {&stopped}, VersionPreference::Old).empty());
+}
+
 TEST_F(RolloutBookTest, engines_ofTheNewVersionMissing_oldOnesServeItsShare)
 {
     Engine old;
