Let a fresh node's first requests wait for its facts; spread cold starts only among many nodes

Change: a request waits up to 500 ms for the first configuration and engines; first starts are spread only if there are more nodes than the burst that the deployment allows; a failed source is followed by the next after 5 ms. The test of the wait fails before.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -12,6 +12,9 @@
 
 namespace {
 
+/// A node that has just started knows what it needs within some tens of milliseconds, if the store or a node answers.
+constexpr std::chrono::milliseconds factsTimeout{500};
+constexpr std::chrono::milliseconds factsPoll{20};
 /// Patience of a caller that does not say.
 constexpr std::chrono::milliseconds defaultPatience{30000};
 /// A connection within a region takes a few milliseconds; a machine without power never answers.
@@ -67,8 +70,10 @@
 
 void Exchange::begin()
 {
-    if (!m_configuration || !m_context.view.knowsEngines()) {
-        refuse(http::status::unavailable, "no_configuration", retryAfterNoEngine);
+    m_configuration = m_context.view.configuration();
+    m_awaitsFacts = !m_configuration || !m_context.view.knowsEngines();
+    if (m_awaitsFacts) {
+        awaitFacts();
         return;
     }
     if (!admit()) {
@@ -104,6 +109,18 @@
     dispatch();
 }
 
+void Exchange::awaitFacts()
+{
+    const auto now = base::monotonicNow();
+    const auto latest = std::min<base::TimePoint>(m_start + factsTimeout, m_endsAt - leastRun);
+    if (now >= latest) {
+        refuse(http::status::unavailable, "no_configuration", retryAfterNoEngine);
+        return;
+    }
+    m_retryAt = now + factsPoll;
+    arm();
+}
+
 bool Exchange::admit()
 {
     m_route = m_configuration->findRoute(withoutPort(m_call.host), m_call.path);
@@ -150,12 +167,14 @@
         return;
     }
     const auto *service = m_configuration->findService(m_service);
+    const auto &bounds = m_context.settings.bounds;
     PlacementRequest request;
     request.sharedPart = sharedPartOf(m_call.promptParts);
     request.failureDomain = m_context.settings.node.failureDomain;
     request.tried = m_tried;
     request.nodes = m_context.view.nodes();
     request.coldRate = service == nullptr ? 0 : service->coldRate;
+    request.coldBurst = request.coldRate * (bounds.coldFactor - 1) + bounds.coldTolerance;
     if (!m_engineVersion.empty()) {
         // A roll-out may have begun since; what goes on elsewhere stays on its version.
         m_preference = m_context.view.rollouts().preferSame(m_service, m_engineVersion);
@@ -331,6 +350,10 @@
         giveUp("timeout");
         return;
     }
+    if (m_awaitsFacts) {
+        begin();
+        return;
+    }
     if (m_phase == Phase::Waiting) {
         dispatch();
         return;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -55,6 +55,8 @@
         bool resendTaken = false;
     };
 
+    /// Waits for the first configuration and list of engines, for a short time.
+    void awaitFacts();
     bool admit();
     void dispatch();
     /// Prompt tokens that no other request shares.
@@ -129,6 +131,7 @@
     /// Sends that may have run.
     unsigned m_runs = 0;
     bool m_mayHaveRun = false;
+    bool m_awaitsFacts = false;
     bool m_streamBegun = false;
     bool m_paused = false;
     bool m_promptWaits = false;
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -74,12 +74,15 @@
 
 void EnginePlacement::spreadColdStarts(Engine &engine, const PlacementRequest &request, base::TimePoint now)
 {
+    engine.coldStartsSpread = true;
+    if (request.nodes <= request.coldBurst) {
+        return;
+    }
     // All nodes hear of a cold engine at about the same time; each one's first start at once would be many together.
     const double interval = 1.0 / shareOf(request.coldRate, request.nodes);
     std::uniform_real_distribution<double> draw(0, interval);
     const std::chrono::duration<double> delay(draw(m_random));
     engine.coldStarts.delayUntil(now + std::chrono::duration_cast<base::Duration>(delay));
-    engine.coldStartsSpread = true;
 }
 
 Placement EnginePlacement::choose(const std::vector<Engine *> &candidates,
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -22,6 +22,8 @@
     unsigned nodes = 1;
     /// Requests a second that all nodes together may start at a cold engine; 0: no bound.
     double coldRate = 0;
+    /// Starts beyond the rate that a cold engine bears in one second.
+    double coldBurst = 0;
 };
 
 /// The engine chosen, or when to ask again.
--- a/src/gateway/tablewatch.cpp
+++ b/src/gateway/tablewatch.cpp
@@ -22,7 +22,7 @@
 /// Pause after a failed call; it doubles up to the longest, so that a store that comes back is not flooded.
 constexpr std::chrono::milliseconds firstRetryDelay{150};
 constexpr std::chrono::milliseconds longestRetryDelay{600};
-constexpr std::chrono::milliseconds sourceChangeDelay{20};
+constexpr std::chrono::milliseconds sourceChangeDelay{5};
 
 std::int64_t nowMs()
 {
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -201,6 +201,21 @@
     EXPECT_FALSE(m_gateway->ready());
 }
 
+TEST_F(GatewayTest, freshNode_factsComeSoon_requestWaitsForThem)
+{
+    addEngine("e1").willReply({test::plainReply(200, "hello")});
+    configure();
+    m_store.setMode(test::StoreMode::Refusing);
+    m_gateway = std::make_unique<Gateway>(m_base.get(), m_settings, m_metrics);
+    m_gateway->start();
+    FakeCaller caller(m_base.get(), m_gateway->callers());
+    caller.send(request("GET", "/read/x"));
+    runFor(50ms);
+    m_store.setMode(test::StoreMode::Serving);
+    ASSERT_TRUE(until([&] { return caller.done(); }));
+    EXPECT_EQ(caller.answer().status, 200);
+}
+
 TEST_F(GatewayTest, storeSilent_runningNode_servesOn)
 {
     auto &engine = addEngine("e1");
--- a/tests/gateway/placement_test.cpp
+++ b/tests/gateway/placement_test.cpp
@@ -121,6 +121,7 @@
     constexpr double factor = 1.5;
     constexpr double tolerance = 5;
     m_request.coldRate = coldRate;
+    m_request.coldBurst = coldRate * (factor - 1) + tolerance;
     m_request.nodes = nodes;
     std::map<std::string, std::vector<base::Duration>> starts;
     for (unsigned node = 0; node < nodes; ++node) {
@@ -149,7 +150,20 @@
     EXPECT_EQ(starts.size(), 6U);
 }
 
-INSTANTIATE_TEST_SUITE_P(Nodes, ColdStartsTest, testing::Values(1U, 7U, 30U, 89U, 380U));
+INSTANTIATE_TEST_SUITE_P(Nodes, ColdStartsTest, testing::Values(1U, 7U, 13U, 14U, 30U, 89U, 380U));
+
+TEST_F(EnginePlacementTest, coldEngines_fewNodes_firstRequestIsNotHeldUp)
+{
+    m_request.coldRate = 17;
+    m_request.coldBurst = 13.5;
+    m_request.nodes = 7;
+    for (auto *engine : m_book.ofService("s")) {
+        engine->coldUntil = at(20s);
+    }
+    for (int i = 0; i < 6; ++i) {
+        EXPECT_NE(choose().engine, nullptr);
+    }
+}
 
 TEST_F(EnginePlacementTest, onlyColdEnginesBeyondTheirRate_saysWhenToComeBack)
 {
