Say once how a run is ended and when an answer is a stream

Cause: read again, four places closed a run's connection in the same two steps, two asked the same question of an answer, two test fixtures held the same loop, and ModelPolicy::first took a load that it did not use. Change: Exchange::endRun and answerIsStream, LoopTest, no parameter. Behaviour and assertions are as they were. Ruled out: one quoting for EventLog and base::LogLine, since they write quotes differently; dropping Service::maxConnections and the models' costs, since reading them also refuses a configuration in which they are malformed.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -209,7 +209,7 @@
     if (!m_call.anyModel || m_route->models.empty()) {
         return {};
     }
-    return m_model.empty() ? m_context.models.first(m_route->models, 0) : m_model;
+    return m_model.empty() ? m_context.models.first(m_route->models) : m_model;
 }
 
 Dispatch Exchange::dispatchTo(const Engine &engine, base::TimePoint now) const
@@ -299,6 +299,14 @@
     m_context.pool.give(m_engineId, std::move(m_connection), base::monotonicNow());
 }
 
+void Exchange::endRun()
+{
+    if (m_connection) {
+        m_connection->abandon();
+        releaseConnection();
+    }
+}
+
 base::Duration Exchange::silenceBound() const
 {
     if (m_phase == Phase::Connecting) {
@@ -343,10 +351,7 @@
     }
     if (now >= m_endsAt) {
         m_mayHaveRun = m_mayHaveRun || (m_connection && m_connection->sent());
-        if (m_connection) {
-            m_connection->abandon();
-            releaseConnection();
-        }
+        endRun();
         giveUp("timeout");
         return;
     }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -73,6 +73,7 @@
     void onTimer();
 
     bool headIsUsable() const;
+    bool answerIsStream() const;
     bool wantsSecondRun() const;
     void forwardEvent(const StreamEvent &event);
     void completeStream();
@@ -80,6 +81,8 @@
 
     void promptRead();
     void releaseConnection();
+    /// Closes the connection of the run that is under way, if there is one; the engine drops the request.
+    void endRun();
     void noteCrash(base::TimePoint now);
     const std::string &fingerprint();
     void miss(const Miss &miss);
--- a/src/gateway/exchangeanswer.cpp
+++ b/src/gateway/exchangeanswer.cpp
@@ -40,8 +40,7 @@
             .field("model", m_model)
             .field("confidence", m_answer.confidence.value_or(-1));
         m_model = model;
-        m_connection->abandon();
-        releaseConnection();
+        endRun();
         m_tried.pop_back();
         dispatch();
     }
@@ -54,6 +53,11 @@
     return !foreign && (!success || m_answer.isSigned);
 }
 
+bool Exchange::answerIsStream() const
+{
+    return m_answer.eventStream && m_answer.status < http::status::firstRedirect;
+}
+
 bool Exchange::wantsSecondRun() const
 {
     if (m_streamBegun || !m_call.anyModel || !m_answer.confidence || m_runs >= m_route->maxUpstreams) {
@@ -66,8 +70,7 @@
 void Exchange::onBody(std::string_view bytes)
 {
     m_lastProgress = base::monotonicNow();
-    const bool isStream = m_answer.eventStream && m_answer.status < http::status::firstRedirect;
-    if (!isStream) {
+    if (!answerIsStream()) {
         m_answerBody.append(bytes);
         return;
     }
@@ -112,8 +115,7 @@
         miss({EngineFault::Full, false, "engine_refused"});
         return;
     }
-    const bool isStream = m_answer.eventStream && m_answer.status < http::status::firstRedirect;
-    if (isStream) {
+    if (answerIsStream()) {
         completeStream();
     } else {
         completeBuffered();
--- a/src/gateway/exchangeend.cpp
+++ b/src/gateway/exchangeend.cpp
@@ -111,20 +111,14 @@
 
 void Exchange::callerLeft()
 {
-    if (m_connection) {
-        m_connection->abandon();
-        releaseConnection();
-    }
+    endRun();
     finish("caller_left", 0);
 }
 
 void Exchange::cutOff()
 {
     m_mayHaveRun = m_mayHaveRun || (m_connection && m_connection->sent());
-    if (m_connection) {
-        m_connection->abandon();
-        releaseConnection();
-    }
+    endRun();
     giveUp("node_stops");
 }
 
--- a/src/gateway/modelpolicy.cpp
+++ b/src/gateway/modelpolicy.cpp
@@ -9,7 +9,7 @@
 
 } // namespace
 
-std::string ModelPolicy::first(const std::vector<std::string> &models, double) const
+std::string ModelPolicy::first(const std::vector<std::string> &models) const
 {
     return models.front();
 }
--- a/src/gateway/modelpolicy.h
+++ b/src/gateway/modelpolicy.h
@@ -9,9 +9,8 @@
 class ModelPolicy
 {
 public:
-    /// The model for the first run. @p models: smallest first. @p load: requests for each slot of the service's
-    /// engines.
-    std::string first(const std::vector<std::string> &models, double load) const;
+    /// The model for the first run. @p models: smallest first.
+    std::string first(const std::vector<std::string> &models) const;
     /// The model for a second run when the first answer is poor.
     std::string larger(const std::vector<std::string> &models) const;
     /// True if an answer of @p model with @p confidence (0 to 100) is worth a second run.
--- a/tests/gateway/factsource_test.cpp
+++ b/tests/gateway/factsource_test.cpp
@@ -83,12 +83,11 @@
     bool m_wentBack = false;
 };
 
-class FactSourceTest : public testing::Test
+class FactSourceTest : public test::LoopTest
 {
 protected:
     FactSourceTest()
-        : m_base(net::makeEventBase())
-        , m_store(m_base.get())
+        : m_store(m_base.get())
     {
         m_store.put(table, "k", "one");
     }
@@ -129,26 +128,6 @@
         });
     }
 
-    bool until(const std::function<bool()> &condition, base::Duration within = 5s)
-    {
-        const auto end = base::monotonicNow() + within;
-        while (!condition()) {
-            if (base::monotonicNow() > end) {
-                return false;
-            }
-            runFor(5ms);
-        }
-        return true;
-    }
-
-    void runFor(base::Duration time)
-    {
-        const auto microseconds = std::chrono::duration_cast<std::chrono::microseconds>(time).count();
-        const timeval delay{microseconds / 1000000, microseconds % 1000000};
-        event_base_loopexit(m_base.get(), &delay);
-        event_base_dispatch(m_base.get());
-    }
-
     std::string readerOf(const std::string &domain) const
     {
         for (const auto &[name, node] : m_nodes) {
@@ -159,7 +138,6 @@
         return {};
     }
 
-    net::EventBasePtr m_base;
     FakeStore m_store;
     std::map<std::string, std::unique_ptr<FactNode>> m_nodes;
 };
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -15,12 +15,11 @@
 using test::FakeStore;
 
 /// A node in this process, with stand-ins for the store and for engines.
-class GatewayTest : public testing::Test
+class GatewayTest : public test::LoopTest
 {
 protected:
     GatewayTest()
-        : m_base(net::makeEventBase())
-        , m_store(m_base.get())
+        : m_store(m_base.get())
         , m_configuration(configuration())
     {
         m_settings.node = {"n1", "d1", "r1"};
@@ -97,26 +96,6 @@
         ASSERT_TRUE(until([this] { return m_gateway->ready(); }));
     }
 
-    bool until(const std::function<bool()> &condition, base::Duration within = 5s)
-    {
-        const auto end = base::monotonicNow() + within;
-        while (!condition()) {
-            if (base::monotonicNow() > end) {
-                return false;
-            }
-            runFor(2ms);
-        }
-        return true;
-    }
-
-    void runFor(base::Duration time)
-    {
-        const auto microseconds = std::chrono::duration_cast<std::chrono::microseconds>(time).count();
-        const timeval delay{microseconds / 1000000, microseconds % 1000000};
-        event_base_loopexit(m_base.get(), &delay);
-        event_base_dispatch(m_base.get());
-    }
-
     static std::string request(const std::string &method,
                                const std::string &path,
                                const std::string &headers = {},
@@ -135,7 +114,6 @@
         return caller.answer();
     }
 
-    net::EventBasePtr m_base;
     FakeStore m_store;
     json m_configuration;
     settings::GatewaySettings m_settings;
--- a/tests/gateway/standins.cpp
+++ b/tests/gateway/standins.cpp
@@ -61,6 +61,31 @@
 
 } // namespace
 
+LoopTest::LoopTest()
+    : m_base(net::makeEventBase())
+{ }
+
+bool LoopTest::until(const std::function<bool()> &condition, base::Duration within)
+{
+    constexpr std::chrono::milliseconds step{2};
+    const auto end = base::monotonicNow() + within;
+    while (!condition()) {
+        if (base::monotonicNow() > end) {
+            return false;
+        }
+        runFor(step);
+    }
+    return true;
+}
+
+void LoopTest::runFor(base::Duration time)
+{
+    const auto microseconds = std::chrono::duration_cast<std::chrono::microseconds>(time).count();
+    const timeval delay{microseconds / 1000000, microseconds % 1000000};
+    event_base_loopexit(m_base.get(), &delay);
+    event_base_dispatch(m_base.get());
+}
+
 EngineReply plainReply(int status, const std::string &body, const std::string &moreHeaders)
 {
     return {fmt::format("HTTP/1.1 {} X\r\nIbisfork-Attempt-Id: ID\r\n{}Content-Length: {}\r\n\r\n{}",
--- a/tests/gateway/standins.h
+++ b/tests/gateway/standins.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
 #include "gateway/callerport.h"
@@ -18,6 +19,19 @@
 
 namespace ibisfork::gateway::test {
 
+/// A test whose objects run on a loop of its own.
+class LoopTest : public testing::Test
+{
+protected:
+    LoopTest();
+
+    /// Runs the loop until @p condition holds; false after @p within.
+    bool until(const std::function<bool()> &condition, base::Duration within = std::chrono::seconds(5));
+    void runFor(base::Duration time);
+
+    net::EventBasePtr m_base;
+};
+
 /// How a stand-in of the store treats its callers.
 enum class StoreMode { Serving, Refusing, Silent, LosingWriteAnswers };
 
