Hold no answer for a silent table; find stopped engines early and go on elsewhere

Cause: an answer's last byte waited for the bill's append, and a silent table is found only after platform_timeout, twice (append and read back): 4.2 s. A stopped engine takes connections and answers nobody; only the silence bound (10 s) and three probes found it, and a run of unknown end was never repeated, so the caller got 502 after 11.7 s. Change: an append that takes longer than timing.bill_hold (250 ms) releases what waits and counts as an outage until one succeeds. Without the head of an answer an engine is asked for its load every timing.upstream_check (200 ms); no answer within as long ends the run. A generation of which nothing has reached the caller is idempotent and is sent once more. Ruled out: a shorter silence bound alone, since a slow engine with a long prompt is silent too.

--- a/src/ledger/billdesk.cpp
+++ b/src/ledger/billdesk.cpp
@@ -33,6 +33,7 @@
     , m_pending(metrics.gauge("ibisfork_bills_pending"))
     , m_log(newIncarnation(), settings.maxPending)
     , m_timer(base, [this] { flush(); })
+    , m_holdTimer(base, [this] { onHeldTooLong(); })
 { }
 
 std::uint64_t BillDesk::record(const Bill &bill)
@@ -77,11 +78,21 @@
     m_flushing = true;
     m_lastFlush = base::monotonicNow();
     m_appends.add();
+    m_holdTimer.startOnce(m_settings.hold);
     m_store.append(*batch, [this](const platform::AppendResult &result) { onAppended(result); });
 }
 
+void BillDesk::onHeldTooLong()
+{
+    // The append may still end well; a table that is silent must not hold back what is ready.
+    base::LogLine(base::LogLevel::Warning, "bills-held-too-long").field("pending", m_log.size());
+    m_outage = true;
+    releaseAll();
+}
+
 void BillDesk::onAppended(const platform::AppendResult &result)
 {
+    m_holdTimer.stop();
     m_flushing = false;
     m_outage = result.state == platform::AppendState::Unavailable;
     switch (result.state) {
--- a/src/ledger/billdesk.h
+++ b/src/ledger/billdesk.h
@@ -16,6 +16,8 @@
 {
     /// Shortest time between two appends to the table.
     base::Duration window{};
+    /// Longest time that an append holds answers back; after it the table counts as out of reach.
+    base::Duration hold{};
     /// Records not yet in the table from which no new work may be taken; 0 turns bills off, for measurements only.
     std::size_t maxPending = 0;
 };
@@ -47,6 +49,7 @@
 private:
     void schedule(base::Duration delay);
     void flush();
+    void onHeldTooLong();
     void onAppended(const platform::AppendResult &result);
     void release(const std::vector<std::uint64_t> &tickets);
     void releaseAll();
@@ -67,6 +70,7 @@
     bool m_outage = false;
     base::TimePoint m_lastFlush{};
     net::Timer m_timer;
+    net::Timer m_holdTimer;
 };
 
 } // namespace ibisfork::ledger
--- a/src/serving/enginerun.cpp
+++ b/src/serving/enginerun.cpp
@@ -51,20 +51,23 @@
                      StreamCanceller &canceller,
                      net::Address address,
                      const upstream::EngineRequest &request,
-                     const net::HttpTimeouts &timeouts,
+                     const EngineRunTiming &timing,
                      std::string knownIncarnation,
                      EngineRunHandlers handlers)
     : m_base(base)
     , m_canceller(canceller)
     , m_address(std::move(address))
-    , m_timeouts(timeouts)
+    , m_timeouts(timing.timeouts)
+    , m_check(timing.check)
     , m_knownIncarnation(std::move(knownIncarnation))
     , m_handlers(std::move(handlers))
     , m_resumeTimer(base, [this] { resume(); })
     , m_probeTimer(base, [this] { probe(); })
+    , m_checkTimer(base, [this] { checkEngine(); })
     , m_self(std::make_shared<EngineRun *>(this))
 {
-    m_stream = upstream::EngineStream::start(base, m_address, request, timeouts, streamHandlers());
+    m_stream = upstream::EngineStream::start(base, m_address, request, m_timeouts, streamHandlers());
+    armCheck();
 }
 
 EngineRun::~EngineRun()
@@ -78,6 +81,7 @@
     m_resumeTimer.stop();
     m_probeTimer.stop();
     m_probe.reset();
+    endCheck();
     dropStream();
 }
 
@@ -101,6 +105,7 @@
 
 void EngineRun::onGreeting(const upstream::EngineGreeting &greeting)
 {
+    endCheck();
     m_point.greeting = greeting;
     m_knownIncarnation = greeting.incarnation;
     const auto handler = m_handlers.greeting;
@@ -124,6 +129,7 @@
 
 void EngineRun::onBroken(const EngineFailure &failure)
 {
+    endCheck();
     dropStream();
     if (m_handlers.broken && (failure.kind == EngineFailureKind::Lost || failure.connectRefused)) {
         m_handlers.broken();
@@ -144,6 +150,9 @@
     case EngineFailureKind::Refused:
         fail({kindOfRefusal(failure.status), failure.status});
         return;
+    case EngineFailureKind::Silent:
+        fail({failure.connectRefused ? RunFailureKind::Crashed : RunFailureKind::Unknown, 0});
+        return;
     default:
         probe();
     }
@@ -179,16 +188,46 @@
     }
 }
 
-void EngineRun::probe()
+void EngineRun::armCheck()
+{
+    m_checkTimer.startOnce(m_check);
+}
+
+void EngineRun::endCheck()
+{
+    m_checkTimer.stop();
+    m_engineCheck.reset();
+}
+
+void EngineRun::checkEngine()
+{
+    m_engineCheck = askLoad(std::min(m_check, m_timeouts.connect), [this](const auto &outcome) { onChecked(outcome); });
+}
+
+void EngineRun::onChecked(const LoadOutcome &outcome)
+{
+    if (std::holds_alternative<net::HttpResponse>(outcome)) {
+        // It lives and is only slow.
+        armCheck();
+        return;
+    }
+    onBroken({EngineFailureKind::Silent, 0, std::get<net::HttpFailure>(outcome).kind == net::HttpFailureKind::Refused});
+}
+
+std::unique_ptr<net::HttpCall> EngineRun::askLoad(base::Duration within,
+                                                  std::function<void(const LoadOutcome &)> answered)
 {
     net::HttpRequest request;
     request.path = "/v1/load";
-    const net::HttpTimeouts timeouts(m_timeouts.connect, m_timeouts.connect);
-    m_probe = net::fetch(
-        m_base, m_address, std::move(request), timeouts, [this](const auto &outcome) { onProbed(outcome); });
+    return net::fetch(m_base, m_address, std::move(request), {within, within}, std::move(answered));
+}
+
+void EngineRun::probe()
+{
+    m_probe = askLoad(m_timeouts.connect, [this](const auto &outcome) { onProbed(outcome); });
 }
 
-void EngineRun::onProbed(const std::variant<net::HttpResponse, net::HttpFailure> &outcome)
+void EngineRun::onProbed(const LoadOutcome &outcome)
 {
     if (const auto *failure = std::get_if<net::HttpFailure>(&outcome)) {
         onProbeFailed(*failure);
--- a/src/serving/enginerun.h
+++ b/src/serving/enginerun.h
@@ -51,6 +51,14 @@
     std::function<void()> broken;
 };
 
+/// How long a run waits for its engine.
+struct EngineRunTiming
+{
+    net::HttpTimeouts timeouts;
+    /// Wait for an answer's head after which the engine is asked whether it still answers at all.
+    base::Duration check{};
+};
+
 /// One generation on one engine. Goes on over new connections when its stream breaks or goes silent, and finds out
 /// what became of it where that fails. Exactly one of end and failed is called; the run may be destroyed from them.
 class EngineRun
@@ -61,7 +69,7 @@
               StreamCanceller &canceller,
               net::Address address,
               const upstream::EngineRequest &request,
-              const net::HttpTimeouts &timeouts,
+              const EngineRunTiming &timing,
               std::string knownIncarnation,
               EngineRunHandlers handlers);
     ~EngineRun();
@@ -79,6 +87,8 @@
     const std::string &streamId() const { return m_point.greeting.streamId; }
 
 private:
+    using LoadOutcome = std::variant<net::HttpResponse, net::HttpFailure>;
+
     upstream::EngineStreamHandlers streamHandlers();
     void onGreeting(const upstream::EngineGreeting &greeting);
     void onToken(const std::string &text);
@@ -88,8 +98,13 @@
     void onNotResumed(const upstream::EngineFailure &failure);
     void scheduleResume();
     void resume();
+    void armCheck();
+    void checkEngine();
+    void endCheck();
+    void onChecked(const LoadOutcome &outcome);
+    std::unique_ptr<net::HttpCall> askLoad(base::Duration within, std::function<void(const LoadOutcome &)> answered);
     void probe();
-    void onProbed(const std::variant<net::HttpResponse, net::HttpFailure> &outcome);
+    void onProbed(const LoadOutcome &outcome);
     void onProbeFailed(const net::HttpFailure &failure);
     void giveUp();
     void fail(const RunFailure &failure);
@@ -99,6 +114,7 @@
     StreamCanceller &m_canceller;
     net::Address m_address;
     net::HttpTimeouts m_timeouts;
+    base::Duration m_check;
     std::string m_knownIncarnation;
     EngineRunHandlers m_handlers;
     upstream::EngineResumePoint m_point;
@@ -109,8 +125,10 @@
     int m_probes = 0;
     net::Timer m_resumeTimer;
     net::Timer m_probeTimer;
+    net::Timer m_checkTimer;
     std::unique_ptr<upstream::EngineStream> m_stream;
     std::unique_ptr<net::HttpCall> m_probe;
+    std::unique_ptr<net::HttpCall> m_engineCheck;
     /// Guards callbacks of the canceller, which outlives the run.
     std::shared_ptr<EngineRun *> m_self;
 };
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -224,13 +224,14 @@
     m_context.limits.started(m_upstream);
     m_context.poison.started(m_upstream, m_request.id, m_fingerprint);
     m_bill.sent(m_version, m_upstream, m_context.view->config->versions.at(*decision.version).costPerRequest);
-    m_run = std::make_unique<EngineRun>(m_context.base,
-                                        m_context.canceller,
-                                        address,
-                                        upstream::EngineRequest{m_request.id, body, m_request.priority},
-                                        m_context.upstreamTimeouts(),
-                                        m_context.incarnations[m_upstream],
-                                        runHandlers());
+    m_run = std::make_unique<EngineRun>(
+        m_context.base,
+        m_context.canceller,
+        address,
+        upstream::EngineRequest{m_request.id, body, m_request.priority},
+        EngineRunTiming{m_context.upstreamTimeouts(), m_context.settings.timing.upstreamCheck},
+        m_context.incarnations[m_upstream],
+        runHandlers());
 }
 
 EngineRunHandlers Exchange::runHandlers()
@@ -332,7 +333,8 @@
         m_context.limits.sawColdStart(m_upstream, base::monotonicNow());
         m_context.poison.crashed(m_request.id);
     }
-    const bool unreachable = failure.kind == RunFailureKind::NotRun && failure.status == 0;
+    const bool silent = failure.kind == RunFailureKind::NotRun || failure.kind == RunFailureKind::Unknown;
+    const bool unreachable = silent && failure.status == 0;
     if (unreachable || failure.kind == RunFailureKind::Crashed) {
         m_context.restingUntil[m_upstream] = base::monotonicNow() + restAfterFailure;
     }
@@ -341,8 +343,6 @@
         cut();
     } else if (failure.kind == RunFailureKind::Rejected) {
         refuse(RefusalCode::BadRequest, fmt::format("the engine refused the request with {}", failure.status), 0);
-    } else if (failure.kind == RunFailureKind::Unknown) {
-        refuse(RefusalCode::UpstreamFailed, "the answer was lost and could not be resumed", retryAfterSeconds);
     } else {
         retry();
     }
--- a/src/serving/servingtask.cpp
+++ b/src/serving/servingtask.cpp
@@ -50,7 +50,10 @@
     , m_task("serving")
     , m_context(m_task.base(), settings, metrics, decisions, incarnation)
     , m_table(m_task.base(), settings.platform, settings.timing.platformTimeout)
-    , m_bills(m_task.base(), m_table, {settings.timing.billWindow, settings.limits.maxPendingBills}, metrics)
+    , m_bills(m_task.base(),
+              m_table,
+              {settings.timing.billWindow, settings.timing.billHold, settings.limits.maxPendingBills},
+              metrics)
     , m_claims(m_task.base(), m_table, settings.timing.claimWindow, metrics)
     , m_slotsTimer(m_task.base(), [this] { checkSlots(); })
     , m_loadPoller(m_task.base(), m_context.limits, metrics)
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -62,10 +62,12 @@
     timing.platformTimeout = fields.optionalMilliseconds("platform_timeout", timing.platformTimeout);
     timing.connectTimeout = fields.optionalMilliseconds("connect_timeout", timing.connectTimeout);
     timing.upstreamSilence = fields.optionalMilliseconds("upstream_silence", timing.upstreamSilence);
+    timing.upstreamCheck = fields.optionalMilliseconds("upstream_check", timing.upstreamCheck);
     timing.longestRun = fields.optionalMilliseconds("longest_run", timing.longestRun);
     timing.requestDeadline = fields.optionalMilliseconds("request_deadline", timing.requestDeadline);
     timing.drainWithin = fields.optionalMilliseconds("drain_within", timing.drainWithin);
     timing.billWindow = fields.optionalMilliseconds("bill_window", timing.billWindow);
+    timing.billHold = fields.optionalMilliseconds("bill_hold", timing.billHold);
     timing.claimWindow = fields.optionalMilliseconds("claim_window", timing.claimWindow);
     timing.drainGrace = fields.optionalMilliseconds("drain_grace", timing.drainGrace);
     fields.refuseUnknown();
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -43,6 +43,8 @@
     std::chrono::milliseconds connectTimeout{500};
     /// Longest wait between two bytes of an upstream.
     std::chrono::milliseconds upstreamSilence{10000};
+    /// Wait for the head of an answer after which an engine is asked whether it still answers at all.
+    std::chrono::milliseconds upstreamCheck{200};
     /// Deadline of a request whose caller gives none.
     std::chrono::milliseconds requestDeadline{60000};
     /// Longest time that a request may run at an upstream, whatever deadline its caller gives.
@@ -51,6 +53,8 @@
     std::chrono::milliseconds drainWithin{30000};
     /// Shortest time between two groups of bills, and of claims, that go to the table.
     std::chrono::milliseconds billWindow{50};
+    /// Longest time that an answer's last byte waits for its bill to be in the table.
+    std::chrono::milliseconds billHold{250};
     std::chrono::milliseconds claimWindow{25};
     /// Time from /readyz turning false until the port closes, for the platform's balancer to notice.
     std::chrono::milliseconds drainGrace{2000};
--- a/src/upstream/enginestream.h
+++ b/src/upstream/enginestream.h
@@ -46,6 +46,8 @@
     Refused,
     /// The connection broke or went silent; the request may run.
     Lost,
+    /// The engine answers nobody; the request may run.
+    Silent,
     /// The answer broke the protocol.
     Malformed,
     /// The answer is that of another request or stream.
