Read the store at two nodes a region; pass on no heartbeats; take settings that change without a signal

Cause: each relay of a failure domain read the store by itself, so calls grew with the domains (8 readers on four domains), and each heartbeat of an engine woke every node. Settings that changed without a signal waited for a restart. Change: in a region with more than three relays, two of them in different domains read the store and the others ask these. Ages add up over the chain and stay below the 1.5 s at which facts count as none, since a relay's poll is 250 ms. Entries of engines that say nothing new are kept but are no change. SettingsReloader reads the file every 2 s. Ruled out: one reader a region (its loss would send all relays to the store at once); a longer poll of the operators' table (it bounds how long a reader whose link has gone silent is believed).

--- a/src/daemon/gatewaymain.cpp
+++ b/src/daemon/gatewaymain.cpp
@@ -1,26 +1,30 @@
 #include "daemon/gatewaymain.h"
 
+#include <chrono>
 #include <csignal>
 
 #include <ibisfork/base/metrics.h>
 
 #include "gateway/eventlog.h"
 #include "gateway/gateway.h"
+#include "gateway/settingsreloader.h"
 #include "net/libevent.h"
-#include "settings/exceptions.h"
 
 namespace ibisfork::daemon {
 
 namespace {
 
+/// How soon a settings file that changes without a signal is noticed.
+constexpr std::chrono::seconds settingsCheckInterval{2};
+
 /// Signals that a node answers.
 class Signals
 {
 public:
-    Signals(event_base *base, gateway::Gateway &gateway, std::string path)
+    Signals(event_base *base, gateway::Gateway &gateway, gateway::SettingsReloader &reloader)
         : m_base(base)
         , m_gateway(gateway)
-        , m_path(std::move(path))
+        , m_reloader(reloader)
         , m_terminate(evsignal_new(base, SIGTERM, &Signals::onTerminate, this))
         , m_interrupt(evsignal_new(base, SIGINT, &Signals::onTerminate, this))
         , m_hangup(evsignal_new(base, SIGHUP, &Signals::onHangup, this))
@@ -37,19 +41,11 @@
         signals.m_gateway.stop([base = signals.m_base] { event_base_loopbreak(base); });
     }
 
-    static void onHangup(evutil_socket_t, short, void *self)
-    {
-        auto &signals = *static_cast<Signals *>(self);
-        try {
-            signals.m_gateway.reload(settings::readGatewaySettings(signals.m_path));
-        } catch (const settings::SettingsError &error) {
-            gateway::EventLog::state("reload_refused").field("reason", error.what());
-        }
-    }
+    static void onHangup(evutil_socket_t, short, void *self) { static_cast<Signals *>(self)->m_reloader.reload(); }
 
     event_base *m_base;
     gateway::Gateway &m_gateway;
-    std::string m_path;
+    gateway::SettingsReloader &m_reloader;
     net::EventPtr m_terminate;
     net::EventPtr m_interrupt;
     net::EventPtr m_hangup;
@@ -63,7 +59,9 @@
     base::MetricsRegistry metrics;
     gateway::EventLog::setNode(settings.node.name);
     gateway::Gateway gateway(base.get(), settings, metrics);
-    const Signals signals(base.get(), gateway, path);
+    gateway::SettingsReloader reloader(
+        base.get(), path, settingsCheckInterval, [&](const auto &changed) { gateway.reload(changed); });
+    const Signals signals(base.get(), gateway, reloader);
     gateway.start();
     gateway::EventLog::state("start")
         .field("callers", gateway.callers().text())
--- /dev/null
+++ b/src/gateway/engine.cpp
@@ -0,0 +1,13 @@
+#include "gateway/engine.h"
+
+namespace ibisfork::gateway {
+
+bool EngineEntry::repeatedBy(const EngineEntry &other) const
+{
+    const bool same = id == other.id && service == other.service && address.text() == other.address.text()
+        && failureDomain == other.failureDomain && softwareVersion == other.softwareVersion && slots == other.slots
+        && leaving == other.leaving && born == other.born;
+    return same && other.coldLeft <= coldLeft;
+}
+
+} // namespace ibisfork::gateway
--- a/src/gateway/engine.h
+++ b/src/gateway/engine.h
@@ -22,6 +22,9 @@
     std::chrono::milliseconds coldLeft{0};
     /// Unix time of its start in milliseconds; 0 if it does not say.
     std::int64_t born = 0;
+
+    /// True if @p other tells nothing that this entry did not tell; a cold time that runs out is nothing new.
+    bool repeatedBy(const EngineEntry &other) const;
 };
 
 /// An operator's order to move a service to the engines of another version.
--- a/src/gateway/factcache.cpp
+++ b/src/gateway/factcache.cpp
@@ -31,16 +31,27 @@
     apply(changes, version, now);
 }
 
-void FactCache::apply(const std::vector<Row> &rows, std::uint64_t version, base::TimePoint now)
+bool FactCache::take(const Row &row, base::TimePoint now)
 {
+    auto &kept = m_rows[row.key];
+    if (kept.row.version > row.version) {
+        return false;
+    }
+    const bool both = kept.changed > 0 && !kept.row.removed && !row.removed;
+    const bool isNew = !both || !m_saysNothingNew || !m_saysNothingNew(kept.row, row);
+    kept = {row, now, isNew ? row.version : kept.changed};
+    return isNew;
+}
+
+bool FactCache::apply(const std::vector<Row> &rows, std::uint64_t version, base::TimePoint now)
+{
+    bool changed = false;
     for (const auto &row : rows) {
-        auto &kept = m_rows[row.key];
-        if (kept.row.version <= row.version) {
-            kept = {row, now};
-        }
+        changed = take(row, now) || changed;
     }
     m_version = std::max(m_version, version);
     forgetRemoved(now);
+    return changed;
 }
 
 void FactCache::forgetRemoved(base::TimePoint now)
@@ -74,7 +85,7 @@
     }
     std::vector<Row> rows;
     for (const auto &[key, kept] : m_rows) {
-        if (kept.row.version > version) {
+        if (kept.changed > version) {
             rows.push_back(kept.row);
         }
     }
--- a/src/gateway/factdesk.cpp
+++ b/src/gateway/factdesk.cpp
@@ -17,9 +17,9 @@
     : m_base(base)
 { }
 
-void FactDesk::add(const std::string &table, const TableWatch &watch)
+void FactDesk::add(const std::string &table, const TableWatch &watch, FactCache::SaysNothingNew saysNothingNew)
 {
-    m_tables[table].watch = &watch;
+    m_tables[table] = {&watch, FactCache(std::move(saysNothingNew))};
 }
 
 void FactDesk::take(const std::string &table, const TableChange &change)
@@ -33,7 +33,9 @@
         for (auto &row : rows) {
             row.doubtful = row.doubtful || (row.removed && change.afterOutage);
         }
-        entry.cache.apply(rows, change.version, now);
+        if (!entry.cache.apply(rows, change.version, now)) {
+            return;
+        }
     }
     wake(table);
 }
--- a/src/gateway/factdesk.h
+++ b/src/gateway/factdesk.h
@@ -27,8 +27,9 @@
 
     explicit FactDesk(event_base *base);
 
-    /// Adds a table that can be asked for. The watch must outlive the desk.
-    void add(const std::string &table, const TableWatch &watch);
+    /// Adds a table that can be asked for. The watch must outlive the desk. Rows for which @p saysNothingNew holds are
+    /// not passed on as changes.
+    void add(const std::string &table, const TableWatch &watch, FactCache::SaysNothingNew saysNothingNew = {});
     /// Takes what the watch of @p table has read.
     void take(const std::string &table, const TableChange &change);
     /// Answers at once, or when something changes or the question's wait is over.
--- a/src/gateway/factsource.cpp
+++ b/src/gateway/factsource.cpp
@@ -11,11 +11,16 @@
 
 namespace {
 
-/// Domains of this size or more have two readers, so that one is left when the other goes.
+/// Domains of this size or more have two relays, so that one is left when the other goes.
 constexpr std::size_t largeDomain = 6;
-constexpr std::size_t readersOfLargeDomain = 2;
-/// Longest that another node holds a question; it bounds how long a reader that has gone is not noticed.
+constexpr std::size_t relaysOfLargeDomain = 2;
+/// Up to this many relays in a region each read the store; beyond, calls to the store would grow with the domains.
+constexpr std::size_t mostReadingRelays = 3;
+constexpr std::size_t readersOfLargeRegion = 2;
+/// Longest that another node holds a question; it bounds how long a node that has gone is not noticed.
 constexpr std::chrono::milliseconds peerWait{500};
+/// The same for a relay that asks a reader: shorter, since the ages of both reach those who ask the relay.
+constexpr std::chrono::milliseconds relayWait{250};
 constexpr std::chrono::milliseconds peerAnswerTimeout{250};
 /// A node, or the store, that did not answer is not asked again for this time.
 constexpr std::chrono::milliseconds peerRest{2000};
@@ -30,13 +35,36 @@
     return names;
 }
 
-/// The nodes of one failure domain that read the store, first the one that is asked first.
-std::vector<std::string> readersOf(const std::string &domain, const std::vector<FactPeer> &members)
+/// The nodes of one failure domain whom the others ask, first the one that is asked first.
+std::vector<std::string> relaysOf(const std::string &domain, const std::vector<FactPeer> &members)
 {
-    const auto count = members.size() >= largeDomain ? readersOfLargeDomain : 1;
+    const auto count = members.size() >= largeDomain ? relaysOfLargeDomain : 1;
     return coord::rendezvousChoose("facts/" + domain, namesOf(members), count);
 }
 
+bool contains(const std::vector<std::string> &names, const std::string &name)
+{
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+void appendNew(std::vector<std::string> &names, const std::vector<std::string> &more)
+{
+    for (const auto &name : more) {
+        if (!contains(names, name)) {
+            names.push_back(name);
+        }
+    }
+}
+
+/// Half of the nodes ask the second name first.
+std::vector<std::string> spread(std::vector<std::string> names, const std::string &asker)
+{
+    if (coord::rendezvousWeight(asker, "second") % 2 != 0) {
+        std::reverse(names.begin(), names.end());
+    }
+    return names;
+}
+
 } // namespace
 
 FactSource::FactSource(event_base *base,
@@ -58,38 +86,66 @@
     m_order.push_back({storeName, {}});
 }
 
-void FactSource::setPeers(const std::vector<FactPeer> &peers)
+std::vector<std::string> FactSource::regionReaders(const Domains &domains) const
 {
-    std::map<std::string, std::vector<FactPeer>> byDomain;
-    byDomain[m_self.failureDomain].push_back(m_self);
-    std::map<std::string, Choice> choices;
-    for (const auto &peer : peers) {
-        byDomain[peer.failureDomain].push_back(peer);
-        choices[peer.name] = {peer.name, peer.address};
-    }
-    auto own = readersOf(m_self.failureDomain, byDomain[m_self.failureDomain]);
-    const bool reader = std::find(own.begin(), own.end(), m_self.name) != own.end();
-    if (coord::rendezvousWeight(m_self.name, "second") % readersOfLargeDomain != 0) {
-        // Half of the nodes of a domain ask the second reader first.
-        std::reverse(own.begin(), own.end());
-    }
-    std::vector<Choice> order;
-    if (!reader) {
-        for (const auto &name : own) {
-            order.push_back(choices[name]);
+    std::vector<std::string> relays;
+    std::map<std::string, std::string> firstRelays;
+    std::vector<std::string> names;
+    for (const auto &[domain, members] : domains) {
+        if (members.front().region == m_self.region) {
+            const auto own = relaysOf(domain, members);
+            appendNew(relays, own);
+            firstRelays[domain] = own.front();
+            names.push_back(domain);
         }
     }
-    order.push_back({storeName, {}});
-    for (const auto &[domain, members] : byDomain) {
+    if (relays.size() <= mostReadingRelays) {
+        return relays;
+    }
+    // In different domains, so that the loss of one leaves the other.
+    std::vector<std::string> readers;
+    for (const auto &domain : coord::rendezvousChoose("facts/" + m_self.region, names, readersOfLargeRegion)) {
+        readers.push_back(firstRelays[domain]);
+    }
+    return readers;
+}
+
+std::vector<std::string> FactSource::orderOf(const Domains &domains) const
+{
+    std::vector<std::string> order;
+    if (!m_isRelay) {
+        order = spread(relaysOf(m_self.failureDomain, domains.at(m_self.failureDomain)), m_self.name);
+    } else if (!m_isReader) {
+        order = spread(regionReaders(domains), m_self.name);
+    }
+    order.emplace_back(storeName);
+    for (const auto &[domain, members] : domains) {
         if (domain != m_self.failureDomain) {
-            order.push_back(choices[readersOf(domain, members).front()]);
+            appendNew(order, {relaysOf(domain, members).front()});
         }
     }
+    return order;
+}
+
+void FactSource::setPeers(const std::vector<FactPeer> &peers)
+{
+    Domains domains;
+    domains[m_self.failureDomain].push_back(m_self);
+    std::map<std::string, net::Address> addresses;
+    for (const auto &peer : peers) {
+        domains[peer.failureDomain].push_back(peer);
+        addresses[peer.name] = peer.address;
+    }
+    m_isRelay = contains(relaysOf(m_self.failureDomain, domains[m_self.failureDomain]), m_self.name);
+    const bool reader = m_isRelay && contains(regionReaders(domains), m_self.name);
     if (reader != m_isReader) {
         EventLog::state("reads_store").field("reader", reader).field("nodes", peers.size() + 1);
     }
     m_isReader = reader;
-    m_order = std::move(order);
+    m_order.clear();
+    for (const auto &name : orderOf(domains)) {
+        m_order.push_back({name, addresses[name]});
+    }
 }
 
 FactSource::Choice FactSource::choose(base::TimePoint now) const
@@ -144,7 +200,7 @@
 {
     const auto choice = choose(base::monotonicNow());
     if (choice.name != storeName) {
-        askPeer(choice, {table, version, peerWait}, longestAge, done);
+        askPeer(choice, {table, version, m_isRelay ? relayWait : peerWait}, longestAge, done);
         return;
     }
     askStore([&](auto answered) { m_store.feed(table, version, wait, std::move(answered)); }, done);
--- a/src/gateway/factsource.h
+++ b/src/gateway/factsource.h
@@ -18,15 +18,17 @@
 struct FactPeer
 {
     std::string name;
+    std::string region;
     std::string failureDomain;
     net::Address address;
 };
 
 /// Decides where this node reads the tables of the store: from the store itself, or from a node that does.
 ///
-/// In each failure domain the first nodes by rendezvous hashing read the store; the others ask them. Who gets no fresh
-/// answer asks the next, at last the store, and where the store turns it away the readers of other domains. Answers
-/// carry their age, so that no chain of nodes makes an old fact young.
+/// In each failure domain the first nodes by rendezvous hashing are its relays, whom the others ask. The relays read
+/// the store; in a region with many of them two do, and the other relays ask these. Who gets no fresh answer asks the
+/// next, at last the store, and where the store turns it away the relays of other domains. Answers carry their age, so
+/// that no chain of nodes makes an old fact young.
 class FactSource
 {
 public:
@@ -67,6 +69,11 @@
         net::Address address;
     };
 
+    using Domains = std::map<std::string, std::vector<FactPeer>>;
+
+    /// Names of the nodes of this region that read the store for all.
+    std::vector<std::string> regionReaders(const Domains &domains) const;
+    std::vector<std::string> orderOf(const Domains &domains) const;
     Choice choose(base::TimePoint now) const;
     void askPeer(const Choice &peer,
                  const FactQuestion &question,
@@ -86,6 +93,7 @@
     std::vector<Choice> m_order;
     std::map<std::string, base::TimePoint> m_restUntil;
     bool m_isReader = true;
+    bool m_isRelay = true;
 };
 
 } // namespace ibisfork::gateway
--- a/src/gateway/fleetview.cpp
+++ b/src/gateway/fleetview.cpp
@@ -116,6 +116,16 @@
     }
 }
 
+bool FleetView::isHeartbeat(const Row &before, const Row &now)
+{
+    try {
+        return platform::decodeEngine(before.key, before.data).repeatedBy(platform::decodeEngine(now.key, now.data));
+    } catch (const platform::CodecError &) {
+        // Passed on, so that each node logs what it can't read.
+        return false;
+    }
+}
+
 void FleetView::takeEngineRows(const TableChange &change, base::TimePoint now)
 {
     std::set<std::string> present;
--- a/src/gateway/fleetview.h
+++ b/src/gateway/fleetview.h
@@ -21,6 +21,8 @@
 public:
     /// Take what a table of the store holds.
     void takeOperatorRows(const TableChange &change, base::TimePoint now);
+    /// True if @p now is only a heartbeat of the engine whose entry was @p before.
+    static bool isHeartbeat(const Row &before, const Row &now);
     void takeEngineRows(const TableChange &change, base::TimePoint now);
     void takeStatusRows(const TableChange &change);
     /// @p storeNowMs: the store's clock at @p now.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -41,7 +41,7 @@
 
 FactPeer selfOf(const settings::GatewaySettings &settings)
 {
-    return {settings.node.name, settings.node.failureDomain, settings.operators};
+    return {settings.node.name, settings.node.region, settings.node.failureDomain, settings.operators};
 }
 
 } // namespace
@@ -146,7 +146,8 @@
 void Gateway::start()
 {
     for (const auto *watch : {&m_operatorTable, &m_engineTable, &m_statusTable, &m_ownTable}) {
-        m_desk.add(watch->table(), *watch);
+        const bool listsEngines = watch == &m_engineTable;
+        m_desk.add(watch->table(), *watch, listsEngines ? FleetView::isHeartbeat : FactCache::SaysNothingNew());
     }
     m_operatorTable.start();
     m_engineTable.start();
--- a/src/gateway/noderow.cpp
+++ b/src/gateway/noderow.cpp
@@ -9,7 +9,9 @@
 
 std::string encodeNodeRow(const FactPeer &node)
 {
-    return nlohmann::json{{"failure_domain", node.failureDomain}, {"address", node.address.text()}}.dump();
+    return nlohmann::json{
+        {"region", node.region}, {"failure_domain", node.failureDomain}, {"address", node.address.text()}}
+        .dump();
 }
 
 std::optional<FactPeer> decodeNodeRow(const std::string &name, const std::string &text)
@@ -17,6 +19,7 @@
     try {
         const auto document = nlohmann::json::parse(text);
         return FactPeer{name,
+                        document.at("region").get<std::string>(),
                         document.at("failure_domain").get<std::string>(),
                         net::Address::parse(document.at("address").get<std::string>())};
     } catch (const nlohmann::json::exception &error) {
--- a/src/settings/gatewaysettings.cpp
+++ b/src/settings/gatewaysettings.cpp
@@ -53,7 +53,9 @@
     return settings;
 }
 
-std::string textOf(const std::string &path)
+} // namespace
+
+std::string readSettingsText(const std::string &path)
 {
     const std::ifstream file(path);
     if (!file) {
@@ -64,12 +66,10 @@
     return text.str();
 }
 
-} // namespace
-
 bool areGatewaySettings(const std::string &path)
 {
     try {
-        const auto document = YAML::Load(textOf(path));
+        const auto document = YAML::Load(readSettingsText(path));
         return document.IsMap() && document[storeField].IsDefined();
     } catch (const YAML::Exception &error) {
         throw SettingsError(fmt::format("{}: line {}: {}", path, error.mark.line + 1, error.msg));
@@ -89,7 +89,7 @@
 
 GatewaySettings readGatewaySettings(const std::string &path)
 {
-    return parseGatewaySettings(textOf(path), path);
+    return parseGatewaySettings(readSettingsText(path), path);
 }
 
 } // namespace ibisfork::settings
--- a/src/settings/gatewaysettings.h
+++ b/src/settings/gatewaysettings.h
@@ -35,6 +35,9 @@
     base::LogLevel logLevel = base::LogLevel::Info;
 };
 
+/// The text of the file @p path. Throws SettingsError.
+std::string readSettingsText(const std::string &path);
+
 /// True if the settings in @p path are of this kind. Throws SettingsError.
 bool areGatewaySettings(const std::string &path);
 
--- a/tests/gateway/factcache_test.cpp
+++ b/tests/gateway/factcache_test.cpp
@@ -59,6 +59,20 @@
     EXPECT_TRUE(m_cache.changesAfter(8));
 }
 
+TEST_F(FactCacheTest, heartbeat_isKeptButIsNoChange)
+{
+    FactCache cache([](const Row &before, const Row &now) { return before.data == now.data; });
+    EXPECT_TRUE(cache.apply({row("a", 3)}, 3, at(0s)));
+    cache.replace({row("a", 3)}, 3, false, at(0s));
+    EXPECT_FALSE(cache.apply({row("a", 9)}, 9, at(1s)));
+    EXPECT_TRUE(cache.changesAfter(3)->empty());
+    EXPECT_EQ(cache.all().front().version, 9U);
+    EXPECT_TRUE(cache.apply({{"a", "new", 10}}, 10, at(1s)));
+    EXPECT_EQ(cache.changesAfter(9)->size(), 1U);
+    EXPECT_TRUE(cache.apply({removed("a", 11)}, 11, at(1s)));
+    EXPECT_TRUE(cache.apply({row("a", 12)}, 12, at(1s))) << "an engine that is back says something new";
+}
+
 TEST_F(FactCacheTest, removalForgotten_olderVersions_mustReadAll)
 {
     m_cache.replace({row("a", 3), row("b", 3)}, 3, false, at(0s));
