Let seeds alone ask the store at a start, and its readers alone write what is due in a roll-out

Cause: nodes that start at once found no peer that knew anything, so each read four tables from the store (70 nodes: 280 reads, again after a loss of all power), and each tried to write the start of a roll-out under a condition. Change: a node that knows nothing yet holds a question for up to half a second; seeds ask the store first, the others a seed. What is due in a roll-out is written by the nodes that read the store; others write it after 1.5 s, evidence at once. At 380 nodes a start would have asked for 1,520 tables at once.

--- a/src/gateway/factdesk.cpp
+++ b/src/gateway/factdesk.cpp
@@ -62,10 +62,7 @@
         reply({http::status::notFound, {}});
         return;
     }
-    const auto &cache = found->second.cache;
-    const auto changes = question.after ? cache.changesAfter(*question.after) : std::nullopt;
-    const bool mayWait = changes && changes->empty() && question.wait.count() > 0;
-    if (!mayWait) {
+    if (question.wait.count() <= 0 || !wantsToWait(found->second, question)) {
         answerNow(question, reply);
         return;
     }
@@ -81,6 +78,16 @@
     item->timer->startOnce(std::min(question.wait, longestWait));
 }
 
+bool FactDesk::wantsToWait(const Table &table, const FactQuestion &question)
+{
+    // Whoever asks a node that has only just started would else go to the store, and so would all others.
+    if (!table.cache.filled() || !table.watch->confirmedAt()) {
+        return true;
+    }
+    const auto changes = question.after ? table.cache.changesAfter(*question.after) : std::nullopt;
+    return changes && changes->empty();
+}
+
 void FactDesk::answerNow(const FactQuestion &question, const Reply &reply) const
 {
     const auto &table = m_tables.at(question.table);
--- a/src/gateway/factdesk.h
+++ b/src/gateway/factdesk.h
@@ -49,6 +49,7 @@
         std::unique_ptr<net::Timer> timer;
     };
 
+    static bool wantsToWait(const Table &table, const FactQuestion &question);
     void answerNow(const FactQuestion &question, const Reply &reply) const;
     void wake(const std::string &table);
 
--- a/src/gateway/factmessage.cpp
+++ b/src/gateway/factmessage.cpp
@@ -34,7 +34,10 @@
 {
     http::RequestHead head{"GET", fmt::format("{}?table={}", factsPath, question.table), {}};
     if (question.after) {
-        head.target += fmt::format("&after={}&wait_ms={}", *question.after, question.wait.count());
+        head.target += fmt::format("&after={}", *question.after);
+    }
+    if (question.wait.count() > 0) {
+        head.target += fmt::format("&wait_ms={}", question.wait.count());
     }
     head.headers.add("Host", host);
     return head;
--- a/src/gateway/factmessage.h
+++ b/src/gateway/factmessage.h
@@ -14,7 +14,7 @@
     std::string table;
     /// All rows are wanted if it is not set, else the changes after this version.
     std::optional<std::uint64_t> after;
-    /// How long the other node may wait for a change.
+    /// How long the other node may wait for a change, or for the table itself where it does not know it yet.
     std::chrono::milliseconds wait{0};
 };
 
--- a/src/gateway/factsource.cpp
+++ b/src/gateway/factsource.cpp
@@ -77,13 +77,16 @@
     , m_client(base)
     , m_peerCalls(metrics.counter("ibisfork_fact_questions_total"))
 {
-    // A node that starts while others run learns from them, and spares the store.
+    // A node learns from the seeds first and spares the store; a seed itself asks the store, so that somebody does.
+    bool isSeed = false;
     for (const auto &seed : seeds) {
-        if (seed.text() != m_self.address.text()) {
+        if (seed.text() == m_self.address.text()) {
+            isSeed = true;
+        } else {
             m_order.push_back({seed.text(), seed});
         }
     }
-    m_order.push_back({storeName, {}});
+    m_order.insert(isSeed ? m_order.begin() : m_order.end(), {storeName, {}});
 }
 
 std::vector<std::string> FactSource::regionReaders(const Domains &domains) const
@@ -186,7 +189,7 @@
 {
     const auto choice = choose(base::monotonicNow());
     if (choice.name != storeName) {
-        askPeer(choice, {table, std::nullopt, {}}, longestAge, done);
+        askPeer(choice, {table, std::nullopt, peerWait}, longestAge, done);
         return;
     }
     askStore([&](auto answered) { m_store.read(table, from, std::move(answered)); }, done);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -39,6 +39,10 @@
     return watch.confirmedAt() ? base::toMilliseconds(now - *watch.confirmedAt()) : -1;
 }
 
+/// What is due in a roll-out is written by the nodes that read the store; the others write it only if that is late, so
+/// that not all of them try at once.
+constexpr std::chrono::milliseconds driverPatience{1500};
+
 FactPeer selfOf(const settings::GatewaySettings &settings)
 {
     return {settings.node.name, settings.node.region, settings.node.failureDomain, settings.operators};
@@ -193,12 +197,24 @@
     }
 }
 
+bool Gateway::mayDrive(const std::string &service, const RolloutStatus &status, base::TimePoint now)
+{
+    // Evidence is this node's own and must not wait.
+    if (m_source.isReader() || status.state == RolloutState::Reverted) {
+        return true;
+    }
+    const auto [since, isNew] = m_dueSince.try_emplace(service, now);
+    return now - since->second >= driverPatience;
+}
+
 void Gateway::driveRollouts()
 {
     const auto now = base::monotonicNow();
     for (const auto &service : m_context.view.rollouts().underWay()) {
         const auto due = m_context.view.rollouts().due(service, now);
-        if (due && m_statusTable.loaded() && !m_saying.contains(service)) {
+        if (!due) {
+            m_dueSince.erase(service);
+        } else if (m_statusTable.loaded() && !m_saying.contains(service) && mayDrive(service, *due, now)) {
             say(service, *due);
         }
     }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -44,6 +45,8 @@
     void tellCrashes(const std::string &fingerprint, unsigned crashes);
     void updateGauges() const;
     void driveRollouts();
+    /// Whether this node writes @p status, or leaves it to the nodes that read the store for now.
+    bool mayDrive(const std::string &service, const RolloutStatus &status, base::TimePoint now);
     ConditionalWrite startRow(const std::string &service) const;
     void say(const std::string &service, const RolloutStatus &status);
     void answerOperators(const std::string &target, const InfoPort::Reply &reply);
@@ -65,6 +68,8 @@
     std::function<void()> m_stopped;
     std::optional<base::TimePoint> m_stopBegan;
     std::set<std::string> m_saying;
+    /// When something first became due that this node leaves to others, by service.
+    std::map<std::string, base::TimePoint> m_dueSince;
     bool m_registered = false;
     bool m_registering = false;
     bool m_wasReady = false;
--- a/tests/gateway/factsource_test.cpp
+++ b/tests/gateway/factsource_test.cpp
@@ -18,7 +18,11 @@
 class FactNode
 {
 public:
-    FactNode(event_base *base, const net::Address &store, const std::string &name, const std::string &domain)
+    FactNode(event_base *base,
+             const net::Address &store,
+             const std::string &name,
+             const std::string &domain,
+             const std::vector<net::Address> &seeds = {})
         : m_name(name)
         , m_domain(domain)
         , m_store(base, store, m_metrics)
@@ -30,7 +34,7 @@
                          reply({answer.status, answer.body});
                      });
                  })
-        , m_source(base, m_store, {name, "r1", domain, m_port.address()}, {}, m_metrics)
+        , m_source(base, m_store, {name, "r1", domain, m_port.address()}, seeds, m_metrics)
         , m_watch(base, m_source, table, timing, [this](const TableChange &change) { take(change); })
     {
         m_desk.add(table, m_watch);
@@ -163,6 +167,33 @@
     EXPECT_EQ(readers, 2);
 }
 
+TEST_F(FactSourceTest, allStartAtOnce_onlyTheSeedAsksTheStore)
+{
+    FactNode seed(m_base.get(), m_store.address(), "seed", "d1");
+    std::vector<std::unique_ptr<FactNode>> others;
+    for (int i = 0; i < 20; ++i) {
+        const auto name = "n" + std::to_string(i);
+        others.push_back(
+            std::make_unique<FactNode>(m_base.get(), m_store.address(), name, "d1", std::vector{seed.peer().address}));
+        others.back()->start();
+    }
+    runFor(100ms);
+    seed.start();
+    std::uint64_t calls = 0;
+    for (auto &node : others) {
+        EXPECT_TRUE(until([&] { return node->value("k") == "one"; }));
+        calls += node->storeCalls();
+    }
+    EXPECT_EQ(calls, 0U);
+}
+
+TEST_F(FactSourceTest, seedDown_nodeThatStarts_asksTheStoreInstead)
+{
+    FactNode node(m_base.get(), m_store.address(), "n", "d1", {{"127.0.0.1", 1}});
+    node.start();
+    EXPECT_TRUE(until([&] { return node.value("k") == "one"; }, 2s));
+}
+
 TEST_F(FactSourceTest, largeRegion_hasTwoReadersInDifferentDomains)
 {
     start(8, {"d1", "d2", "d3"});
