Send all requests of a subject to the engine that has read its shared part

Cause: the lane of a prompt followed from its own part, so requests of one subject went to two kinds of engines, and a home engine was left as soon as it was 13 requests busier than the least busy of 60, which is within the usual spread of load; shared parts below 1,024 tokens were not looked for at all. Half of what was shared was read again. Change: the lane follows from the whole prompt; the home may be half of its slots busier; parts from 300 tokens count.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -31,7 +31,7 @@
 /// A request that takes engines down will hardly be welcome sooner.
 constexpr std::chrono::milliseconds retryAfterCondemned{30000};
 /// Prompt parts below this many tokens are read again as fast as another engine is found.
-constexpr std::uint32_t leastSharedTokens = 1024;
+constexpr std::uint32_t leastSharedTokens = 300;
 constexpr int lowestPriority = 9;
 
 std::string withoutPort(const std::string &host)
@@ -105,7 +105,7 @@
         return;
     }
     m_context.resends.countRequest(m_service, m_start);
-    m_context.lanes[m_service].count(ownTokens());
+    m_context.lanes[m_service].count(m_call.promptTokens);
     dispatch();
 }
 
@@ -154,11 +154,6 @@
     return service == nullptr ? base::Duration::zero() : base::Duration(service->coldPeriod);
 }
 
-std::uint32_t Exchange::ownTokens() const
-{
-    return m_call.promptParts.empty() ? m_call.promptTokens : m_call.promptParts.back().tokens;
-}
-
 void Exchange::dispatch()
 {
     const auto now = base::monotonicNow();
@@ -181,7 +176,7 @@
     }
     const auto usable = m_context.view.usable(m_service, m_preference);
     auto placement
-        = m_context.placement.choose(m_context.lanes[m_service].enginesFor(ownTokens(), usable), request, now);
+        = m_context.placement.choose(m_context.lanes[m_service].enginesFor(m_call.promptTokens, usable), request, now);
     if (placement.engine == nullptr) {
         placement = m_context.placement.choose(usable, request, now);
     }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -59,8 +59,6 @@
     void awaitFacts();
     bool admit();
     void dispatch();
-    /// Prompt tokens that no other request shares.
-    std::uint32_t ownTokens() const;
     void noEngine(const Placement &placement);
     void send(Engine &engine);
     std::string chooseModel();
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -15,7 +15,7 @@
 constexpr double tokensLikeFullEngine = 40000;
 constexpr double otherDomainCost = 0.01;
 /// How much busier than the least busy engine, as a share of its slots, the engine with the cached part may be.
-constexpr double cachedPartWorth = 0.2;
+constexpr double cachedPartWorth = 0.5;
 
 bool contains(const std::vector<std::string> &list, const std::string &id)
 {
--- a/src/gateway/promptlanes.h
+++ b/src/gateway/promptlanes.h
@@ -15,10 +15,11 @@
 class PromptLanes
 {
 public:
-    /// A prompt of at least this many tokens that no engine has cached is long.
+    /// A prompt of at least this many tokens is long, whether an engine has cached a part or not: requests that share a
+    /// part would else be sent to both kinds of engines, each of which would read it.
     static constexpr std::uint32_t longTokens = 6000;
 
-    /// Counts a request whose prompt has @p tokens that have to be read.
+    /// Counts a request whose prompt has @p tokens.
     void count(std::uint32_t tokens);
     /// The engines for a prompt of @p tokens; all of them if there are too few to divide.
     std::vector<Engine *> enginesFor(std::uint32_t tokens, const std::vector<Engine *> &engines) const;
