Drop the lanes for long prompts; keep a small model's answer where no engine can run the large one

Cause of the first: engines of their own for long prompts were a gain while half of the shared parts were read again. Now that requests of a subject meet at one engine, the lanes only leave engines unused when the mix swings. Cause of the second: the run of an unsure small model was given up before an engine for the large one was found. Change: PromptLanes is gone. The engine for the second run is chosen first; without one the answer goes on as it is, and after a dropped run no refusal says not run any more.

--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -12,7 +12,6 @@
 #include "gateway/fleetview.h"
 #include "gateway/modelpolicy.h"
 #include "gateway/placement.h"
-#include "gateway/promptlanes.h"
 #include "gateway/resendbudget.h"
 #include "settings/gatewaysettings.h"
 
@@ -52,8 +51,6 @@
     CrashBook crashes;
     /// Tells other nodes how many engines a request took down.
     std::function<void(const std::string &fingerprint, unsigned crashes)> tellCrashes;
-    /// Long and short prompts, by service.
-    std::map<std::string, PromptLanes> lanes;
     /// Seconds to the first byte of an answer, by route.
     std::map<std::string, RecentMean> firstBytes;
     /// The node is shutting down; connections close behind their answers.
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -105,7 +105,6 @@
         return;
     }
     m_context.resends.countRequest(m_service, m_start);
-    m_context.lanes[m_service].count(m_call.promptTokens);
     dispatch();
 }
 
@@ -161,6 +160,20 @@
         giveUp("no_time_left");
         return;
     }
+    if (!m_engineVersion.empty()) {
+        // A roll-out may have begun since; what goes on elsewhere stays on its version.
+        m_preference = m_context.view.rollouts().preferSame(m_service, m_engineVersion);
+    }
+    const auto placement = place(now);
+    if (placement.engine == nullptr) {
+        noEngine(placement);
+    } else {
+        send(*placement.engine);
+    }
+}
+
+Placement Exchange::place(base::TimePoint now)
+{
     const auto *service = m_configuration->findService(m_service);
     const auto &bounds = m_context.settings.bounds;
     PlacementRequest request;
@@ -170,21 +183,7 @@
     request.nodes = m_context.view.nodes();
     request.coldRate = service == nullptr ? 0 : service->coldRate;
     request.coldBurst = request.coldRate * (bounds.coldFactor - 1) + bounds.coldTolerance;
-    if (!m_engineVersion.empty()) {
-        // A roll-out may have begun since; what goes on elsewhere stays on its version.
-        m_preference = m_context.view.rollouts().preferSame(m_service, m_engineVersion);
-    }
-    const auto usable = m_context.view.usable(m_service, m_preference);
-    auto placement
-        = m_context.placement.choose(m_context.lanes[m_service].enginesFor(m_call.promptTokens, usable), request, now);
-    if (placement.engine == nullptr) {
-        placement = m_context.placement.choose(usable, request, now);
-    }
-    if (placement.engine == nullptr) {
-        noEngine(placement);
-        return;
-    }
-    send(*placement.engine);
+    return m_context.placement.choose(m_context.view.usable(m_service, m_preference), request, now);
 }
 
 void Exchange::noEngine(const Placement &placement)
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -59,6 +59,7 @@
     void awaitFacts();
     bool admit();
     void dispatch();
+    Placement place(base::TimePoint now);
     void noEngine(const Placement &placement);
     void send(Engine &engine);
     std::string chooseModel();
@@ -73,6 +74,7 @@
     bool headIsUsable() const;
     bool answerIsStream() const;
     bool wantsSecondRun() const;
+    void beginSecondRun();
     void forwardEvent(const StreamEvent &event);
     void completeStream();
     void completeBuffered();
--- a/src/gateway/exchangeanswer.cpp
+++ b/src/gateway/exchangeanswer.cpp
@@ -34,18 +34,32 @@
     promptRead();
     m_context.firstByte(m_route->name).add(base::toSeconds(*m_firstByteAfter));
     if (wantsSecondRun()) {
-        const auto model = m_context.models.larger(m_route->models);
-        EventLog::routine("second_run")
-            .field("id", m_call.id)
-            .field("model", m_model)
-            .field("confidence", m_answer.confidence.value_or(-1));
-        m_model = model;
-        endRun();
-        m_tried.pop_back();
-        dispatch();
+        beginSecondRun();
     }
 }
 
+void Exchange::beginSecondRun()
+{
+    const auto now = base::monotonicNow();
+    const auto tried = m_tried;
+    // The engine that is at work on it has read its prompt, and may run the larger model as well.
+    m_tried.pop_back();
+    const auto placement = place(now);
+    if (placement.engine == nullptr || !m_context.resends.take(m_service, m_context.view.nodes(), now)) {
+        // A poor answer is better than none.
+        m_tried = tried;
+        return;
+    }
+    EventLog::routine("second_run")
+        .field("id", m_call.id)
+        .field("model", m_model)
+        .field("confidence", m_answer.confidence.value_or(-1));
+    m_model = m_context.models.larger(m_route->models);
+    m_mayHaveRun = true;
+    endRun();
+    send(*placement.engine);
+}
+
 bool Exchange::headIsUsable() const
 {
     const bool success = m_answer.status >= http::status::firstSuccess && m_answer.status < http::status::firstRedirect;
@@ -63,8 +77,7 @@
     if (m_streamBegun || !m_call.anyModel || !m_answer.confidence || m_runs >= m_route->maxUpstreams) {
         return false;
     }
-    return m_context.models.worthSecondRun(m_route->models, m_model, *m_answer.confidence)
-        && m_context.resends.take(m_service, m_context.view.nodes(), base::monotonicNow());
+    return m_context.models.worthSecondRun(m_route->models, m_model, *m_answer.confidence);
 }
 
 void Exchange::onBody(std::string_view bytes)
--- a/tests/gateway/placement_test.cpp
+++ b/tests/gateway/placement_test.cpp
@@ -2,7 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <map>
+#include <random>
 #include <set>
 
 namespace ibisfork::gateway {
@@ -186,4 +188,58 @@
     EXPECT_LE(*placed.retryAt, at(now + 500ms));
 }
 
+/// Plays a heavy day's long prompts, each of which shares a large part with the others of its subject.
+class SubjectsTest : public testing::Test
+{
+protected:
+    static constexpr std::size_t engineCount = 60;
+    static constexpr unsigned subjects = 375;
+
+    SubjectsTest()
+    {
+        for (std::size_t i = 0; i < engineCount; ++i) {
+            EngineEntry entry;
+            entry.id = "e" + std::to_string(i);
+            entry.service = "s";
+            entry.slots = 64;
+            m_book.put(entry, now);
+        }
+    }
+
+    /// Engines differ in load as they do on a heavy day, now these are busier, now those.
+    void reportLoads()
+    {
+        std::normal_distribution<double> load(15, 4);
+        for (auto *engine : m_book.ofService("s")) {
+            const auto running = static_cast<std::uint32_t>(std::max(0.0, load(m_random)));
+            m_book.noteLoad(engine->entry.id, {running, 0, 64}, now);
+        }
+    }
+
+    static constexpr base::TimePoint now{1000s};
+    EngineBook m_book;
+    EnginePlacement m_placement{seed};
+    std::mt19937_64 m_random{seed};
+};
+
+TEST_F(SubjectsTest, requestsOfOneSubject_loadsDiffer_findTheEngineThatHasReadItsPart)
+{
+    std::uniform_int_distribution<unsigned> subject(0, subjects - 1);
+    std::map<std::string, std::set<std::string>> readBy;
+    unsigned readAgain = 0;
+    constexpr unsigned requests = 4000;
+    for (unsigned i = 0; i < requests; ++i) {
+        if (i % 40 == 0) {
+            reportLoads();
+        }
+        PlacementRequest request;
+        request.sharedPart = "p" + std::to_string(subject(m_random));
+        const auto placed = m_placement.choose(m_book.ofService("s"), request, now);
+        auto &engines = readBy[request.sharedPart];
+        readAgain += !engines.empty() && !engines.contains(placed.engine->entry.id) ? 1 : 0;
+        engines.insert(placed.engine->entry.id);
+    }
+    EXPECT_LT(readAgain, requests / 20);
+}
+
 } // namespace ibisfork::gateway
