Keep only a node's share of an engine's connections idle; clear requests of suspicion when they are answered

Cause: the connections that an engine bears are counted over all nodes, but each kept up to 48 idle ones: at 380 nodes one engine of 360 connections would have been full of idle ones. A plain answer did not clear a request of the suspicion of having taken an engine down, as a whole stream did, and every stream hashed its body for it. Change: half of the bound, divided by the nodes, may be idle. Both kinds of answer clear; only while somebody is suspected. Test: idleConnections_ofAnEngineThatBearsFew_areKeptOnlyAsThisNodesShare (two kept before).

--- a/src/gateway/connectionpool.cpp
+++ b/src/gateway/connectionpool.cpp
@@ -53,10 +53,11 @@
 
 void ConnectionPool::give(const std::string &engineId,
                           std::unique_ptr<http::UpstreamConnection> connection,
+                          std::size_t mostIdle,
                           base::TimePoint now)
 {
     auto &list = m_idle[engineId];
-    if (connection->reusable() && list.size() < maxIdlePerEngine) {
+    if (connection->reusable() && list.size() < std::min(mostIdle, maxIdlePerEngine)) {
         list.push_back({std::move(connection), now});
     } else {
         net::deleteLater(m_base, std::move(connection));
--- a/src/gateway/connectionpool.h
+++ b/src/gateway/connectionpool.h
@@ -24,8 +24,11 @@
                                                    const net::Address &address,
                                                    bool careful,
                                                    base::TimePoint now);
-    /// Keeps @p connection if it can be used again.
-    void give(const std::string &engineId, std::unique_ptr<http::UpstreamConnection> connection, base::TimePoint now);
+    /// Keeps @p connection if it can be used again and fewer than @p mostIdle are kept for the engine.
+    void give(const std::string &engineId,
+              std::unique_ptr<http::UpstreamConnection> connection,
+              std::size_t mostIdle,
+              base::TimePoint now);
     /// Closes all connections to @p engineId.
     void drop(const std::string &engineId);
     /// Closes connections that the other end is about to close.
--- a/src/gateway/crashbook.cpp
+++ b/src/gateway/crashbook.cpp
@@ -49,9 +49,7 @@
 
 void CrashBook::noteAnswered(const std::string &fingerprint)
 {
-    if (!m_suspects.empty()) {
-        m_suspects.erase(fingerprint);
-    }
+    m_suspects.erase(fingerprint);
 }
 
 void CrashBook::noteShared(const std::string &fingerprint, unsigned crashes)
--- a/src/gateway/crashbook.h
+++ b/src/gateway/crashbook.h
@@ -25,6 +25,8 @@
                                       const std::string &engine,
                                       bool repeatable,
                                       base::TimePoint now);
+    /// Whether any request is blamed for the loss of an engine.
+    bool hasSuspects() const { return !m_suspects.empty(); }
     /// The request was answered, so what it was blamed for had another cause.
     void noteAnswered(const std::string &fingerprint);
     /// What all nodes together have counted.
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -33,6 +33,8 @@
 /// Prompt parts below this many tokens are read again as fast as another engine is found.
 constexpr std::uint32_t leastSharedTokens = 300;
 constexpr int lowestPriority = 9;
+/// Of the connections that an engine bears from all nodes, the part that may be idle.
+constexpr unsigned idleConnectionsDivisor = 2;
 
 std::string withoutPort(const std::string &host)
 {
@@ -282,6 +284,20 @@
     }
 }
 
+std::size_t Exchange::mostIdleConnections() const
+{
+    const auto *service = m_configuration->findService(m_service);
+    const auto most = service == nullptr ? Service().maxConnections : service->maxConnections;
+    return std::max(1U, most / idleConnectionsDivisor / std::max(1U, m_context.view.nodes()));
+}
+
+void Exchange::noteAnswered()
+{
+    if (m_context.crashes.hasSuspects()) {
+        m_context.crashes.noteAnswered(fingerprint());
+    }
+}
+
 void Exchange::releaseConnection()
 {
     if (!m_connection) {
@@ -290,7 +306,7 @@
     promptRead();
     m_context.view.engines().noteEnded(m_engineId);
     m_paused = false;
-    m_context.pool.give(m_engineId, std::move(m_connection), base::monotonicNow());
+    m_context.pool.give(m_engineId, std::move(m_connection), mostIdleConnections(), base::monotonicNow());
 }
 
 void Exchange::endRun()
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -81,6 +81,10 @@
 
     void promptRead();
     void releaseConnection();
+    /// This node's share of the idle connections that an engine bears.
+    std::size_t mostIdleConnections() const;
+    /// The request did not take its engine down.
+    void noteAnswered();
     /// Closes the connection of the run that is under way, if there is one; the engine drops the request.
     void endRun();
     void noteCrash(base::TimePoint now);
--- a/src/gateway/exchangeanswer.cpp
+++ b/src/gateway/exchangeanswer.cpp
@@ -142,7 +142,7 @@
         return;
     }
     m_context.view.engines().noteSuccess(m_engineId);
-    m_context.crashes.noteAnswered(fingerprint());
+    noteAnswered();
     m_context.view.rollouts().noteOutcome(m_service, m_engineVersion, m_route->name, {false, m_firstByteAfter});
     releaseConnection();
     if (!m_streamBegun) {
@@ -168,6 +168,7 @@
         m_context.view.engines().noteFault(m_engineId, EngineFault::Failed, coldPeriod(), base::monotonicNow());
     } else {
         m_context.view.engines().noteSuccess(m_engineId);
+        noteAnswered();
     }
     releaseConnection();
     m_caller.sendAnswer(m_answer.status, platform::answerHeaders(m_answerHead), m_answerBody, m_context.stopping);
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -468,6 +468,22 @@
     EXPECT_TRUE(until([&] { return engine.open() == 0; }, 500ms));
 }
 
+TEST_F(GatewayTest, idleConnections_ofAnEngineThatBearsFew_areKeptOnlyAsThisNodesShare)
+{
+    // This is the only node, and half of what the engine bears may be idle.
+    m_configuration["services"][0]["maxConns"] = 2;
+    auto &engine = addEngine("e1");
+    engine.willReply({test::plainReply(200, "a")});
+    start();
+    FakeCaller first(m_base.get(), m_gateway->callers());
+    FakeCaller second(m_base.get(), m_gateway->callers());
+    first.send(request("GET", "/read/x"));
+    second.send(request("GET", "/read/y"));
+    ASSERT_TRUE(until([&] { return first.done() && second.done(); }));
+    runFor(100ms);
+    EXPECT_EQ(engine.open(), 1U);
+}
+
 TEST_F(GatewayTest, timeout_ofTheRoute_isKeptWithinHalfASecond)
 {
     addEngine("e1").willReply({{""}});
