--- /dev/null
+++ b/soak/ledger.cpp
@@ -0,0 +1,139 @@
+#include "ledger.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include "http/status.h"
+
+namespace ibisfork::soak {
+
+namespace {
+
+using gateway::Repeatability;
+
+/// Time in which a change that operators make must be in force everywhere.
+constexpr std::chrono::milliseconds changeWithin{2000};
+/// A node must have been left alone for so long before it is held to a time.
+constexpr std::chrono::milliseconds contact{3000};
+constexpr std::chrono::milliseconds evacuateWithin{5000};
+/// The soak's own loop may be late by so much on a busy machine.
+constexpr std::chrono::milliseconds slack{500};
+
+constexpr int tooManyRequests = 429;
+
+bool promisesNotRun(int status)
+{
+    return status == http::status::unavailable || status == tooManyRequests || status == http::status::requestTimeout
+        || status == http::status::misdirected;
+}
+
+} // namespace
+
+void Disturbances::note(std::optional<std::size_t> node, base::TimePoint from, base::TimePoint until)
+{
+    m_spans.push_back({node, from, until});
+}
+
+bool Disturbances::calm(std::size_t node, base::TimePoint from, base::TimePoint to) const
+{
+    return std::none_of(m_spans.begin(), m_spans.end(), [&](const Span &span) {
+        return (!span.node || *span.node == node) && span.from <= to && span.until >= from;
+    });
+}
+
+void Ledger::ran(const std::string &id, const Run &run)
+{
+    if (!knows(id)) {
+        broken(fmt::format("{} ran at {} and nobody asked for it", id, run.engine));
+        return;
+    }
+    auto &request = asked(id);
+    request.runs.push_back(run);
+    checkRun(id, request, run);
+}
+
+void Ledger::checkRun(const std::string &id, const Asked &request, const Run &run)
+{
+    if (request.kind == Repeatability::AtMostOnce && request.runs.size() > 1) {
+        broken(fmt::format("{} may run once and ran {} times", id, request.runs.size()));
+    }
+    if (request.key.starts_with("no-")) {
+        broken(fmt::format("{} ran with a key that nobody ever had", id));
+    }
+    const auto before = run.at - changeWithin - contact - slack;
+    if (!disturbances.calm(request.node, before, run.at)) {
+        return;
+    }
+    const auto known = request.sentAt - changeWithin - slack;
+    if (!allowedAt(request.path, run.service, known, run.at)) {
+        broken(fmt::format("{} ran at {} long after its path had moved", id, run.service));
+    }
+    const auto revoked = m_revoked.find(request.key);
+    if (revoked != m_revoked.end() && revoked->second < known) {
+        broken(fmt::format("{} ran with a key that had been revoked", id));
+    }
+    const auto drained = m_drained.find(run.engine);
+    if (drained != m_drained.end() && drained->second + changeWithin + slack < run.at) {
+        broken(fmt::format("{} reached {} long after it was draining", id, run.engine));
+    }
+    const auto evacuated = m_evacuated.find(run.domain);
+    if (evacuated != m_evacuated.end() && evacuated->second + evacuateWithin + slack < run.at) {
+        broken(fmt::format("{} reached {} in an evacuated domain", id, run.engine));
+    }
+}
+
+void Ledger::allow(const std::string &path, const std::string &service, base::TimePoint time)
+{
+    m_allowed[path].push_back({time, service});
+}
+
+void Ledger::evacuated(const std::string &domain, bool taken, base::TimePoint time)
+{
+    if (taken) {
+        m_evacuated[domain] = time;
+    } else {
+        m_evacuated.erase(domain);
+    }
+}
+
+bool Ledger::allowedAt(const std::string &path,
+                       const std::string &service,
+                       base::TimePoint from,
+                       base::TimePoint to) const
+{
+    const auto found = m_allowed.find(path);
+    if (found == m_allowed.end()) {
+        return false;
+    }
+    const auto &spans = found->second;
+    for (std::size_t i = 0; i < spans.size(); ++i) {
+        const bool begun = spans[i].from <= to;
+        const bool endedBefore = i + 1 < spans.size() && spans[i + 1].from < from;
+        if (begun && !endedBefore && spans[i].service == service) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void Ledger::checkEnd(const std::string &id, const Asked &request)
+{
+    if (request.kind == Repeatability::AtMostOnce && promisesNotRun(request.status) && !request.runs.empty()) {
+        broken(fmt::format("{} was answered {}, but it ran at {}", id, request.status, request.runs.front().engine));
+    }
+    const bool cut = request.ended && request.status == 0 && !request.leftByCaller;
+    const auto from = request.sentAt - contact;
+    if (cut && disturbances.calm(request.node, from, request.endedAt)) {
+        broken(fmt::format("{} was cut at node {} though nothing was harmed", id, request.node));
+    }
+}
+
+void Ledger::close()
+{
+    for (const auto &[id, request] : m_asked) {
+        checkEnd(id, request);
+    }
+}
+
+} // namespace ibisfork::soak
--- /dev/null
+++ b/soak/ledger.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <ibisfork/base/clock.h>
+
+#include "gateway/configuration.h"
+
+namespace ibisfork::soak {
+
+/// One run of a request at an engine.
+struct Run
+{
+    std::string engine;
+    std::string service;
+    std::string domain;
+    base::TimePoint at{};
+};
+
+/// What a caller asked for, and what became of it.
+struct Asked
+{
+    gateway::Repeatability kind = gateway::Repeatability::Idempotent;
+    /// The part of the configuration that the request hangs on.
+    std::string path;
+    std::string key;
+    std::size_t node = 0;
+    base::TimePoint sentAt{};
+    base::TimePoint endedAt{};
+    /// 0 where no whole answer came.
+    int status = 0;
+    bool ended = false;
+    bool leftByCaller = false;
+    std::vector<Run> runs;
+};
+
+/// Times in which promises with a time bound don't hold, since something was being harmed.
+class Disturbances
+{
+public:
+    void note(std::optional<std::size_t> node, base::TimePoint from, base::TimePoint until);
+    /// True if neither @p node nor all of them were disturbed between @p from and @p to.
+    bool calm(std::size_t node, base::TimePoint from, base::TimePoint to) const;
+
+private:
+    struct Span
+    {
+        std::optional<std::size_t> node;
+        base::TimePoint from{};
+        base::TimePoint until{};
+    };
+
+    std::vector<Span> m_spans;
+};
+
+/// What callers and engines saw, and the promises that this broke.
+class Ledger
+{
+public:
+    Disturbances disturbances;
+
+    Asked &asked(const std::string &id) { return m_asked[id]; }
+    bool knows(const std::string &id) const { return m_asked.contains(id); }
+    void ran(const std::string &id, const Run &run);
+
+    /// From @p time on the operators allow @p path at @p service only; empty: nowhere.
+    void allow(const std::string &path, const std::string &service, base::TimePoint time);
+    void revoke(const std::string &key, base::TimePoint time) { m_revoked[key] = time; }
+    void drained(const std::string &engine, base::TimePoint time) { m_drained.try_emplace(engine, time); }
+    void evacuated(const std::string &domain, bool taken, base::TimePoint time);
+
+    void broken(const std::string &promise) { m_broken.push_back(promise); }
+    /// Promises that can be judged only when all is over.
+    void close();
+    const std::vector<std::string> &violations() const { return m_broken; }
+    const std::map<std::string, Asked> &all() const { return m_asked; }
+
+private:
+    struct Allowed
+    {
+        base::TimePoint from{};
+        std::string service;
+    };
+
+    bool allowedAt(const std::string &path, const std::string &service, base::TimePoint from, base::TimePoint to) const;
+    void checkRun(const std::string &id, const Asked &request, const Run &run);
+    void checkEnd(const std::string &id, const Asked &request);
+
+    std::map<std::string, Asked> m_asked;
+    std::map<std::string, std::vector<Allowed>> m_allowed;
+    std::map<std::string, base::TimePoint> m_revoked;
+    std::map<std::string, base::TimePoint> m_drained;
+    std::map<std::string, base::TimePoint> m_evacuated;
+    std::vector<std::string> m_broken;
+};
+
+} // namespace ibisfork::soak
--- /dev/null
+++ b/soak/main.cpp
@@ -0,0 +1,83 @@
+#include <cstdlib>
+#include <filesystem>
+#include <iostream>
+
+#include <cxxopts.hpp>
+#include <fmt/format.h>
+
+#include "world.h"
+
+namespace {
+
+using namespace ibisfork;
+
+/// Plays one seed; true if no promise was broken.
+bool play(const soak::WorldSettings &settings, bool verbose)
+{
+    const auto plan = soak::planOf(settings.seed, settings.length);
+    // Logs of an earlier run of this seed would be taken for those of this one.
+    std::filesystem::remove_all(settings.folder);
+    std::filesystem::create_directories(settings.folder);
+    soak::World world(settings);
+    world.run(plan);
+    const auto &violations = world.ledger().violations();
+    std::cout << fmt::format("seed {}: {} requests, {} faults, {} broken promises\n",
+                             settings.seed,
+                             world.ledger().all().size(),
+                             plan.size(),
+                             violations.size())
+              << std::flush;
+    if (verbose || !violations.empty()) {
+        for (const auto &fault : plan) {
+            std::cout << "  " << soak::describe(fault) << '\n';
+        }
+    }
+    for (const auto &violation : violations) {
+        std::cout << "  BROKEN " << violation << '\n';
+    }
+    if (violations.empty()) {
+        std::filesystem::remove_all(settings.folder);
+    } else {
+        std::cout << "  logs in " << settings.folder << '\n';
+    }
+    return violations.empty();
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    cxxopts::Options options("ibisfork-soak",
+                             "Runs nodes as processes, harms them at random, and checks the promises.");
+    options.add_options()("seed", "first seed", cxxopts::value<std::uint64_t>()->default_value("1"))(
+        "seeds", "how many seeds", cxxopts::value<std::uint64_t>()->default_value("1"))(
+        "seconds", "seconds of faults a seed", cxxopts::value<unsigned>()->default_value("15"))(
+        "nodes", "nodes", cxxopts::value<std::size_t>()->default_value("5"))(
+        "engines", "engines of each of the two services", cxxopts::value<std::size_t>()->default_value("4"))(
+        "callers", "callers", cxxopts::value<std::size_t>()->default_value("20"))(
+        "folder", "where logs of failed seeds stay", cxxopts::value<std::string>()->default_value("soak-logs"))(
+        "verbose", "print each plan")("help", "print this");
+    try {
+        const auto given = options.parse(argc, argv);
+        if (given.count("help") > 0) {
+            std::cout << options.help();
+            return EXIT_SUCCESS;
+        }
+        bool kept = true;
+        const auto first = given["seed"].as<std::uint64_t>();
+        for (auto seed = first; seed < first + given["seeds"].as<std::uint64_t>(); ++seed) {
+            soak::WorldSettings settings;
+            settings.seed = seed;
+            settings.nodes = given["nodes"].as<std::size_t>();
+            settings.enginesPerService = given["engines"].as<std::size_t>();
+            settings.callers = given["callers"].as<std::size_t>();
+            settings.length = std::chrono::seconds(given["seconds"].as<unsigned>());
+            settings.folder = fmt::format("{}/seed-{}", given["folder"].as<std::string>(), seed);
+            kept = play(settings, given.count("verbose") > 0) && kept;
+        }
+        return kept ? EXIT_SUCCESS : EXIT_FAILURE;
+    } catch (const std::exception &error) {
+        std::cerr << "ibisfork-soak: " << error.what() << '\n';
+        return EXIT_FAILURE;
+    }
+}
--- /dev/null
+++ b/soak/nodeprocess.cpp
@@ -0,0 +1,86 @@
+#include "nodeprocess.h"
+
+#include <csignal>
+#include <fstream>
+
+#include <fmt/format.h>
+
+namespace ibisfork::soak {
+
+namespace {
+
+constexpr std::size_t domains = 3;
+
+} // namespace
+
+NodeProcess::NodeProcess(event_base *base, const net::Address &store, const std::string &folder, std::size_t index)
+    : m_store(base, store)
+    , m_folder(folder)
+    , m_name(fmt::format("n{}", index))
+    , m_domain(fmt::format("d{}", index % domains))
+{ }
+
+std::string NodeProcess::log() const
+{
+    return fmt::format("{}/{}-{}.log", m_folder, m_name, m_starts);
+}
+
+void NodeProcess::writeSettings() const
+{
+    std::ofstream(fmt::format("{}/{}.yaml", m_folder, m_name)) << fmt::format(
+        "node: {{name: {}, failure_domain: {}, region: r}}\n"
+        "listen: {{callers: 127.0.0.1:0, readiness: 127.0.0.1:0, operators: 127.0.0.1:0}}\n"
+        "store: {{address: {}}}\n"
+        "bounds: {{resend_ratio: 0.9, resend_extra: 50, cold_factor: 1.5, cold_tolerance: 5, shutdown_grace: 8s}}\n",
+        m_name,
+        m_domain,
+        m_store.address().text());
+}
+
+void NodeProcess::start()
+{
+    writeSettings();
+    ++m_starts;
+    ready = false;
+    m_stopping = false;
+    m_callers = {};
+    m_program = std::make_unique<process::Program>(
+        "ibisforkd", std::vector<std::string>{"--settings", fmt::format("{}/{}.yaml", m_folder, m_name)}, log(), log());
+}
+
+void NodeProcess::signal(int number) const
+{
+    if (m_program) {
+        m_program->signal(number);
+    }
+}
+
+void NodeProcess::terminate()
+{
+    m_stopping = true;
+    signal(SIGTERM);
+}
+
+void NodeProcess::kill()
+{
+    m_program.reset();
+    ready = false;
+}
+
+bool NodeProcess::readAddresses()
+{
+    if (!m_program || m_callers.port != 0) {
+        return m_program != nullptr;
+    }
+    std::ifstream file(log());
+    for (std::string line; std::getline(file, line);) {
+        if (process::fieldOf(line, "event") == "start") {
+            m_callers = net::Address::parse(process::fieldOf(line, "callers"));
+            m_readiness = net::Address::parse(process::fieldOf(line, "readiness"));
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace ibisfork::soak
--- /dev/null
+++ b/soak/nodeprocess.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "faultproxy.h"
+#include "process/harness.h"
+
+namespace ibisfork::soak {
+
+/// One node as a process of its own, started again whenever it is told to.
+class NodeProcess
+{
+public:
+    /// Files go to @p folder. The node reaches @p store through a proxy of its own.
+    NodeProcess(event_base *base, const net::Address &store, const std::string &folder, std::size_t index);
+
+    void start();
+    void signal(int number) const;
+    /// Asks the process to end; its end is then expected.
+    void terminate();
+    /// Kills the process, if there is one.
+    void kill();
+    bool started() const { return m_program != nullptr; }
+    bool stopping() const { return m_stopping; }
+    /// Whether the process has ended by itself.
+    bool ended() { return m_program && m_program->ended(); }
+    /// Addresses that the process has said it listens on; false before it has.
+    bool readAddresses();
+
+    FaultProxy &storeLink() { return m_store; }
+    const std::string &domain() const { return m_domain; }
+    const net::Address &callers() const { return m_callers; }
+    const net::Address &readiness() const { return m_readiness; }
+    std::string log() const;
+
+    /// What the balancer last heard.
+    bool ready = false;
+
+private:
+    void writeSettings() const;
+
+    FaultProxy m_store;
+    std::string m_folder;
+    std::string m_name;
+    std::string m_domain;
+    unsigned m_starts = 0;
+    bool m_stopping = false;
+    std::unique_ptr<process::Program> m_program;
+    net::Address m_callers;
+    net::Address m_readiness;
+};
+
+} // namespace ibisfork::soak
--- /dev/null
+++ b/soak/plan.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <ibisfork/base/clock.h>
+#include <ibisfork/base/names.h>
+
+namespace ibisfork::soak {
+
+/// What is done to the system from outside.
+enum class FaultKind {
+    KillNode,
+    TerminateNode,
+    PauseNode,
+    SignalReload,
+    CutNodeFromStore,
+    SilenceNodesStoreLinks,
+    RefuseAtStore,
+    SilenceStore,
+    LoseWriteAnswers,
+    ForgetHistory,
+    StepStoreClock,
+    ResetEngineLinks,
+    SilenceEngineLinks,
+    CutEngineOneWay,
+    DelayEngineLinks,
+    CrashEngine,
+    RestartEngineSameId,
+    DrainEngine,
+    FailAtEngine,
+    ChangeConfiguration,
+    RevokeKey,
+    EvacuateDomain,
+};
+inline constexpr std::array<base::Name<FaultKind>, 22> faultKindNames{{
+    {FaultKind::KillNode, "kill-node"},
+    {FaultKind::TerminateNode, "terminate-node"},
+    {FaultKind::PauseNode, "pause-node"},
+    {FaultKind::SignalReload, "signal-reload"},
+    {FaultKind::CutNodeFromStore, "cut-node-from-store"},
+    {FaultKind::SilenceNodesStoreLinks, "silence-nodes-store-links"},
+    {FaultKind::RefuseAtStore, "refuse-at-store"},
+    {FaultKind::SilenceStore, "silence-store"},
+    {FaultKind::LoseWriteAnswers, "lose-write-answers"},
+    {FaultKind::ForgetHistory, "forget-history"},
+    {FaultKind::StepStoreClock, "step-store-clock"},
+    {FaultKind::ResetEngineLinks, "reset-engine-links"},
+    {FaultKind::SilenceEngineLinks, "silence-engine-links"},
+    {FaultKind::CutEngineOneWay, "cut-engine-one-way"},
+    {FaultKind::DelayEngineLinks, "delay-engine-links"},
+    {FaultKind::CrashEngine, "crash-engine"},
+    {FaultKind::RestartEngineSameId, "restart-engine-same-id"},
+    {FaultKind::DrainEngine, "drain-engine"},
+    {FaultKind::FailAtEngine, "fail-at-engine"},
+    {FaultKind::ChangeConfiguration, "change-configuration"},
+    {FaultKind::RevokeKey, "revoke-key"},
+    {FaultKind::EvacuateDomain, "evacuate-domain"},
+}};
+
+/// One fault of a plan.
+struct Fault
+{
+    /// From the start of traffic.
+    base::Duration at{};
+    FaultKind kind = FaultKind::KillNode;
+    /// Chooses the node, engine or domain among those there are.
+    unsigned target = 0;
+    base::Duration lasts{};
+};
+
+/// The plan of @p seed: faults in series and overlapping, the last of them ends before @p length.
+std::vector<Fault> planOf(std::uint64_t seed, base::Duration length);
+
+std::string describe(const Fault &fault);
+
+} // namespace ibisfork::soak
--- /dev/null
+++ b/soak/soakcaller.cpp
@@ -0,0 +1,170 @@
+#include "soakcaller.h"
+
+#include <fmt/format.h>
+
+#include "http/status.h"
+#include "net/deletelater.h"
+#include "soakengine.h"
+
+namespace ibisfork::soak {
+
+namespace {
+
+using gateway::Repeatability;
+
+constexpr std::chrono::milliseconds betweenRequests{30};
+constexpr std::chrono::milliseconds patience{5000};
+/// Left over for the answer to arrive before the caller gives up.
+constexpr std::chrono::milliseconds travel{500};
+
+struct Kind
+{
+    const char *path;
+    Repeatability repeatability;
+};
+
+constexpr std::array kinds{
+    Kind{"/read/", Repeatability::Idempotent},
+    Kind{"/book/", Repeatability::AtMostOnce},
+    Kind{"/stream/", Repeatability::Stream},
+    Kind{"/moving/", Repeatability::AtMostOnce},
+};
+
+std::string wholeStream(const std::string &id)
+{
+    std::string out;
+    for (unsigned number = 1; number <= eventsOfStream; ++number) {
+        out += eventData(id, number);
+    }
+    return out;
+}
+
+} // namespace
+
+SoakCaller::SoakCaller(event_base *base, Ledger &ledger, Balancer &balancer, std::uint64_t seed, std::string name)
+    : m_base(base)
+    , m_ledger(ledger)
+    , m_balancer(balancer)
+    , m_random(seed)
+    , m_name(std::move(name))
+    , m_pause(base, [this] { next(); })
+    , m_patience(base, [this] { timedOut(); })
+{ }
+
+void SoakCaller::start()
+{
+    m_pause.startOnce(betweenRequests);
+}
+
+void SoakCaller::next()
+{
+    if (m_stopped) {
+        return;
+    }
+    if (m_connection && !m_connection->reusable()) {
+        dropConnection();
+    }
+    if (!m_connection) {
+        const auto choice = m_balancer.choose();
+        if (!choice) {
+            m_pause.startOnce(betweenRequests);
+            return;
+        }
+        m_node = choice->node;
+        m_connection = std::make_unique<http::UpstreamConnection>(m_base, choice->address);
+    }
+    send();
+}
+
+void SoakCaller::send()
+{
+    const auto &kind = kinds.at(std::uniform_int_distribution<std::size_t>(0, kinds.size() - 1)(m_random));
+    m_id = fmt::format("{}-{}", m_name, ++m_count);
+    auto &asked = m_ledger.asked(m_id);
+    asked.kind = kind.repeatability;
+    asked.path = kind.path;
+    asked.key = m_balancer.key();
+    asked.node = m_node;
+    asked.sentAt = base::monotonicNow();
+    m_status = 0;
+    m_sealed = false;
+    m_body.clear();
+    http::UpstreamConnection::Handlers handlers;
+    handlers.onHead = [this](const http::ResponseHead &head) {
+        m_status = head.status;
+        m_sealed = head.headers.find("Ibisfork-Response-Seal") == "seal of " + m_id;
+    };
+    handlers.onBody = [this](std::string_view bytes) {
+        m_body += bytes;
+    };
+    handlers.onComplete = [this] {
+        answered();
+    };
+    handlers.onFailure = [this](http::ConnectionFailure) {
+        failed();
+    };
+    m_patience.startOnce(patience + travel);
+    m_connection->send(request(kind.path, asked.key), false, std::move(handlers));
+}
+
+std::string SoakCaller::request(const std::string &path, const std::string &key) const
+{
+    http::RequestHead head;
+    head.method = "POST";
+    head.target = path + m_id;
+    head.headers.add("Host", "h.example");
+    head.headers.add("Ibisfork-Attempt-Id", m_id);
+    head.headers.add("Ibisfork-Credential", key);
+    head.headers.add("Ibisfork-Deadline-Ms", std::to_string(patience.count()));
+    return http::serializeRequest(head, "question " + m_id);
+}
+
+void SoakCaller::answered()
+{
+    checkAnswer();
+    end(m_status);
+}
+
+void SoakCaller::checkAnswer()
+{
+    if (m_status != http::status::ok) {
+        return;
+    }
+    const auto &asked = m_ledger.asked(m_id);
+    const auto wanted = asked.kind == Repeatability::Stream ? wholeStream(m_id) : plainBody(m_id);
+    if (!m_sealed || m_body != wanted) {
+        m_ledger.broken(fmt::format("{} got an answer that is not its own whole one: \"{}\"", m_id, m_body));
+    }
+}
+
+void SoakCaller::failed()
+{
+    dropConnection();
+    end(0);
+}
+
+void SoakCaller::timedOut()
+{
+    m_ledger.asked(m_id).leftByCaller = true;
+    m_connection->abandon();
+    dropConnection();
+    end(0);
+}
+
+void SoakCaller::dropConnection()
+{
+    net::deleteLater(m_base, std::move(m_connection));
+}
+
+void SoakCaller::end(int status)
+{
+    m_patience.stop();
+    auto &asked = m_ledger.asked(m_id);
+    asked.status = status;
+    asked.ended = true;
+    asked.endedAt = base::monotonicNow();
+    m_id.clear();
+    m_pause.startOnce(betweenRequests);
+}
+
+} // namespace ibisfork::soak
--- /dev/null
+++ b/soak/soakengine.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "gateway/callerport.h"
+#include "http/callerconnection.h"
+#include "ledger.h"
+#include "net/timer.h"
+
+namespace ibisfork::soak {
+
+struct EngineIdentity
+{
+    std::string id;
+    std::string service;
+    std::string domain;
+    std::int64_t born = 0;
+};
+
+/// The answer that an engine makes for request @p id, and the data of event @p number of a stream.
+std::string plainBody(const std::string &id);
+std::string eventData(const std::string &id, unsigned number);
+inline constexpr unsigned eventsOfStream = 12;
+
+/// An engine that speaks the platform's wire, takes its time, and tells the ledger what it runs.
+class SoakEngine
+{
+public:
+    SoakEngine(event_base *base, Ledger &ledger, EngineIdentity identity);
+    ~SoakEngine();
+    SoakEngine(const SoakEngine &) = delete;
+    SoakEngine &operator=(const SoakEngine &) = delete;
+
+    net::Address address() const { return m_port.address(); }
+    const EngineIdentity &identity() const { return m_identity; }
+    /// Half of its runs fail while this is set.
+    void setFailing(bool failing) { m_failing = failing; }
+    /// Ends all that it runs, as a crash does.
+    void crash();
+
+private:
+    struct Work
+    {
+        std::string id;
+        std::string path;
+        unsigned nextEvent = 1;
+        bool begun = false;
+        std::unique_ptr<net::Timer> timer;
+    };
+
+    void accept(evutil_socket_t socket);
+    void take(http::CallerConnection &connection, const http::Request &request);
+    void step(http::CallerConnection &connection);
+    void sendEvent(http::CallerConnection &connection, Work &work);
+    void refuse(http::CallerConnection &connection, const std::string &id, int status);
+    http::HeaderList headersFor(const std::string &id) const;
+
+    event_base *m_base;
+    Ledger &m_ledger;
+    EngineIdentity m_identity;
+    bool m_failing = false;
+    unsigned m_runs = 0;
+    std::map<http::CallerConnection *, std::unique_ptr<http::CallerConnection>> m_connections;
+    std::map<http::CallerConnection *, Work> m_work;
+    gateway::ListeningPort m_port;
+};
+
+} // namespace ibisfork::soak
--- /dev/null
+++ b/soak/world.cpp
@@ -0,0 +1,281 @@
+#include "world.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include "http/status.h"
+
+namespace ibisfork::soak {
+
+namespace {
+
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+constexpr auto beatInterval = 1200ms;
+constexpr auto watchInterval = 300ms;
+constexpr auto readyTimeout = 500ms;
+constexpr auto startWithin = 10s;
+/// Quiet time behind the plan; requests sent in its second part must all be served.
+constexpr auto settleTime = 6s;
+constexpr auto servedTime = 2s;
+constexpr auto lastAnswers = 6s;
+constexpr std::size_t domains = 3;
+constexpr unsigned engineSlots = 32;
+constexpr const char *movingPath = "/moving/";
+constexpr const char *firstKey = "key-1";
+constexpr const char *secondKey = "key-2";
+constexpr const char *unknownKey = "no-key";
+constexpr unsigned unknownKeyOneIn = 40;
+
+json route(const std::string &path, const std::string &kind, const std::string &service, unsigned attempts)
+{
+    return {{"name", "r" + path},
+            {"hostname", "h.example"},
+            {"pathPrefix", path},
+            {"routeType", kind},
+            {"timeoutMs", 4000},
+            {"goalMs", 300},
+            {"priority", 1},
+            {"service", service},
+            {"maxAttempts", attempts},
+            {"public", false},
+            {"resumable", kind == "streaming"},
+            {"itlTargetMs", 300}};
+}
+
+json service(const std::string &name)
+{
+    return {{"name", name}, {"healthPath", "/healthz"}, {"maxConns", 200}};
+}
+
+} // namespace
+
+World::World(WorldSettings settings)
+    : m_settings(std::move(settings))
+    , m_base(net::makeEventBase())
+    , m_random(m_settings.seed)
+    , m_store(m_base.get())
+    , m_client(m_base.get())
+    , m_beatTimer(m_base.get(), [this] { beat(); })
+    , m_watchTimer(m_base.get(), [this] { watchNodes(); })
+{
+    for (std::size_t i = 0; i < m_settings.enginesPerService * 2; ++i) {
+        addEngine(fmt::format("e{}", m_engineCount++), i % 2 == 0 ? "a" : "b", i, 1);
+    }
+    for (std::size_t i = 0; i < m_settings.nodes; ++i) {
+        m_nodes.push_back(std::make_unique<NodeProcess>(m_base.get(), m_store.address(), m_settings.folder, i));
+    }
+    for (std::size_t i = 0; i < m_settings.callers; ++i) {
+        m_callers.push_back(std::make_unique<SoakCaller>(
+            m_base.get(), m_ledger, *this, m_settings.seed + i + 1, fmt::format("c{}", i)));
+    }
+}
+
+World::~World() = default;
+
+void World::addEngine(const std::string &id, const std::string &service, std::size_t index, std::int64_t born)
+{
+    if (m_engines.size() <= index) {
+        m_engines.resize(index + 1);
+    }
+    auto &slot = m_engines[index];
+    const EngineIdentity identity{id, service, fmt::format("d{}", index % domains), born};
+    slot.engine = std::make_unique<SoakEngine>(m_base.get(), m_ledger, identity);
+    slot.link = std::make_unique<FaultProxy>(m_base.get(), slot.engine->address());
+    slot.state = "ready";
+    list(slot);
+}
+
+void World::list(EngineSlot &slot)
+{
+    const auto &identity = slot.engine->identity();
+    m_store.put("servers",
+                identity.id,
+                json{{"service", identity.service},
+                     {"address", slot.link->address().text()},
+                     {"zone", identity.domain},
+                     {"version", "v1"},
+                     {"slots", engineSlots},
+                     {"state", slot.state},
+                     {"coldLeftMs", 0},
+                     {"born", identity.born},
+                     {"seq", ++slot.heartbeats}}
+                    .dump());
+}
+
+void World::beat()
+{
+    for (auto &slot : m_engines) {
+        if (slot.engine && !m_storeAway) {
+            list(slot);
+        }
+    }
+}
+
+void World::configure()
+{
+    json keys = json::array({firstKey});
+    if (m_secondKey) {
+        keys.push_back(secondKey);
+    }
+    m_configuration += 3;
+    const json document{
+        {"version", m_configuration},
+        {"routes",
+         {route("/read/", "idempotent", "a", 2),
+          route("/book/", "non_idempotent", "b", 1),
+          route("/stream/", "streaming", "a", 3),
+          route(movingPath, "non_idempotent", m_movingTo, 1)}},
+        {"services", {service("a"), service("b")}},
+        {"limits",
+         {{"maxHeaderBytes", 4096}, {"maxBodyBytes", 10000}, {"headerTimeoutMs", 3000}, {"idleTimeoutMs", 15000}}},
+        {"tenants", {{{"name", "w1"}, {"apiKeys", keys}}}}};
+    m_store.put("op", "config", document.dump());
+    const auto now = base::monotonicNow();
+    m_ledger.allow(movingPath, m_movingTo, now);
+    if (!m_secondKey) {
+        m_ledger.revoke(secondKey, now);
+    }
+}
+
+std::optional<Balancer::Choice> World::choose()
+{
+    std::vector<std::size_t> ready;
+    for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+        if (m_nodes[i]->ready) {
+            ready.push_back(i);
+        }
+    }
+    if (ready.empty()) {
+        return std::nullopt;
+    }
+    const auto node = ready[std::uniform_int_distribution<std::size_t>(0, ready.size() - 1)(m_random)];
+    return Choice{node, m_nodes[node]->callers()};
+}
+
+std::string World::key()
+{
+    const auto drawn = std::uniform_int_distribution<unsigned>(0, unknownKeyOneIn - 1)(m_random);
+    if (drawn == 0) {
+        return unknownKey;
+    }
+    return m_secondKey && drawn % 2 == 0 ? secondKey : firstKey;
+}
+
+void World::watchNodes()
+{
+    for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+        if (m_nodes[i]->ended()) {
+            if (!m_nodes[i]->stopping()) {
+                m_ledger.broken(fmt::format("node {} ended by itself; its log is {}", i, m_nodes[i]->log()));
+            }
+            m_nodes[i]->kill();
+            m_nodes[i]->start();
+        }
+        if (m_nodes[i]->readAddresses()) {
+            askReady(i);
+        }
+    }
+}
+
+void World::askReady(std::size_t index)
+{
+    auto &node = *m_nodes[index];
+    const auto bytes = fmt::format("GET /ibisfork/readyz HTTP/1.1\r\nHost: {}\r\n\r\n", node.readiness().text());
+    m_client.send(node.readiness(), bytes, readyTimeout, [&node](int status, const std::string &) {
+        node.ready = status == http::status::ok;
+    });
+}
+
+void World::runFor(base::Duration time)
+{
+    const auto microseconds = std::chrono::duration_cast<std::chrono::microseconds>(time).count();
+    const timeval delay{microseconds / 1000000, microseconds % 1000000};
+    event_base_loopexit(m_base.get(), &delay);
+    event_base_dispatch(m_base.get());
+}
+
+bool World::waitReady()
+{
+    const auto end = base::monotonicNow() + startWithin;
+    const auto allReady = [this] {
+        return std::all_of(m_nodes.begin(), m_nodes.end(), [](const auto &node) { return node->ready; });
+    };
+    while (!allReady() && base::monotonicNow() < end) {
+        runFor(watchInterval);
+    }
+    return allReady();
+}
+
+void World::run(const std::vector<Fault> &plan)
+{
+    configure();
+    for (const auto *path : {"/read/", "/stream/"}) {
+        m_ledger.allow(path, "a", {});
+    }
+    m_ledger.allow("/book/", "b", {});
+    for (auto &node : m_nodes) {
+        node->start();
+    }
+    m_beatTimer.startEvery(beatInterval);
+    m_watchTimer.startEvery(watchInterval);
+    if (!waitReady()) {
+        m_ledger.broken("the nodes do not get ready");
+        return;
+    }
+    for (auto &caller : m_callers) {
+        caller->start();
+    }
+    for (const auto &fault : plan) {
+        after(fault.at, [this, fault] { apply(fault); });
+    }
+    runFor(m_settings.length + settleTime);
+    const auto quietFrom = base::monotonicNow();
+    runFor(servedTime);
+    for (auto &caller : m_callers) {
+        caller->stop();
+    }
+    const auto end = base::monotonicNow() + lastAnswers;
+    const auto idle = [this] {
+        return std::all_of(m_callers.begin(), m_callers.end(), [](const auto &caller) { return caller->idle(); });
+    };
+    while (!idle() && base::monotonicNow() < end) {
+        runFor(watchInterval);
+    }
+    checkQuietTime(quietFrom);
+    m_ledger.close();
+}
+
+void World::checkQuietTime(base::TimePoint from)
+{
+    std::size_t sent = 0;
+    for (const auto &[id, request] : m_ledger.all()) {
+        if (request.sentAt < from || request.key == unknownKey) {
+            continue;
+        }
+        ++sent;
+        if (request.status != http::status::ok) {
+            m_ledger.broken(fmt::format("{} was answered {} though all was quiet again", id, request.status));
+        }
+    }
+    if (sent == 0) {
+        m_ledger.broken("nothing was sent after all was quiet again");
+    }
+}
+
+void World::after(base::Duration delay, std::function<void()> step)
+{
+    m_later.push_back(std::make_unique<net::Timer>(m_base.get(), std::move(step)));
+    m_later.back()->startOnce(delay);
+}
+
+void World::disturb(std::optional<std::size_t> node, base::Duration lasts)
+{
+    const auto now = base::monotonicNow();
+    m_ledger.disturbances.note(node, now, now + lasts);
+}
+
+} // namespace ibisfork::soak
--- /dev/null
+++ b/soak/world.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "fakestore.h"
+#include "http/callclient.h"
+#include "ledger.h"
+#include "nodeprocess.h"
+#include "plan.h"
+#include "soakcaller.h"
+#include "soakengine.h"
+
+namespace ibisfork::soak {
+
+struct WorldSettings
+{
+    std::uint64_t seed = 1;
+    std::size_t nodes = 5;
+    std::size_t enginesPerService = 4;
+    std::size_t callers = 20;
+    /// Time of traffic with faults.
+    base::Duration length = std::chrono::seconds(15);
+    /// Where settings and logs of the nodes go.
+    std::string folder;
+};
+
+/// Nodes as processes, the store, engines and callers in this one, and a plan of faults.
+class World : public Balancer
+{
+public:
+    explicit World(WorldSettings settings);
+    ~World() override;
+
+    /// Plays the plan and a quiet time behind it.
+    void run(const std::vector<Fault> &plan);
+    const Ledger &ledger() const { return m_ledger; }
+
+    std::optional<Choice> choose() override;
+    std::string key() override;
+
+private:
+    struct EngineSlot
+    {
+        std::unique_ptr<SoakEngine> engine;
+        std::unique_ptr<FaultProxy> link;
+        std::string state = "ready";
+        unsigned heartbeats = 0;
+    };
+
+    void configure();
+    void addEngine(const std::string &id, const std::string &service, std::size_t index, std::int64_t born);
+    void list(EngineSlot &slot);
+    void beat();
+    void watchNodes();
+    void askReady(std::size_t index);
+    bool waitReady();
+    void runFor(base::Duration time);
+
+    void apply(const Fault &fault);
+    void harmNode(const Fault &fault, std::size_t index);
+    void checkStopped(std::size_t index);
+    void harmStore(const Fault &fault);
+    void harmEngine(const Fault &fault, std::size_t index);
+    void changeOrders(const Fault &fault);
+    void restartEngine(std::size_t index, base::Duration after);
+    void after(base::Duration delay, std::function<void()> step);
+    /// Notes a disturbance of @p node, or of all, from now until @p lasts is over.
+    void disturb(std::optional<std::size_t> node, base::Duration lasts);
+    void checkQuietTime(base::TimePoint from);
+
+    WorldSettings m_settings;
+    net::EventBasePtr m_base;
+    std::mt19937_64 m_random;
+    Ledger m_ledger;
+    gateway::test::FakeStore m_store;
+    http::CallClient m_client;
+    std::vector<std::unique_ptr<NodeProcess>> m_nodes;
+    std::vector<EngineSlot> m_engines;
+    std::vector<std::unique_ptr<SoakCaller>> m_callers;
+    std::vector<std::unique_ptr<net::Timer>> m_later;
+    unsigned m_configuration = 0;
+    std::string m_movingTo = "a";
+    bool m_secondKey = true;
+    bool m_storeAway = false;
+    unsigned m_engineCount = 0;
+    net::Timer m_beatTimer;
+    net::Timer m_watchTimer;
+};
+
+} // namespace ibisfork::soak
--- /dev/null
+++ b/soak/worldfaults.cpp
@@ -0,0 +1,221 @@
+#include "world.h"
+
+#include <csignal>
+
+#include <fmt/format.h>
+
+namespace ibisfork::soak {
+
+namespace {
+
+using namespace std::chrono_literals;
+using gateway::test::StoreMode;
+
+constexpr auto nodeRestart = 400ms;
+constexpr auto engineRestart = 800ms;
+/// A draining engine goes on serving for at least this long.
+constexpr auto drainTime = 2500ms;
+/// The grace of the nodes' settings, and some time to end.
+constexpr auto gracefulStop = 9s;
+constexpr auto lapsedEntries = 1000ms;
+constexpr auto storeClockStep = 700ms;
+
+} // namespace
+
+void World::apply(const Fault &fault)
+{
+    switch (fault.kind) {
+    case FaultKind::KillNode:
+    case FaultKind::TerminateNode:
+    case FaultKind::PauseNode:
+    case FaultKind::SignalReload:
+    case FaultKind::CutNodeFromStore:
+    case FaultKind::SilenceNodesStoreLinks:
+        harmNode(fault, fault.target % m_nodes.size());
+        return;
+    case FaultKind::RefuseAtStore:
+    case FaultKind::SilenceStore:
+    case FaultKind::LoseWriteAnswers:
+    case FaultKind::ForgetHistory:
+    case FaultKind::StepStoreClock:
+        harmStore(fault);
+        return;
+    case FaultKind::ResetEngineLinks:
+    case FaultKind::SilenceEngineLinks:
+    case FaultKind::CutEngineOneWay:
+    case FaultKind::DelayEngineLinks:
+    case FaultKind::CrashEngine:
+    case FaultKind::RestartEngineSameId:
+    case FaultKind::DrainEngine:
+    case FaultKind::FailAtEngine:
+        harmEngine(fault, fault.target % m_engines.size());
+        return;
+    case FaultKind::ChangeConfiguration:
+    case FaultKind::RevokeKey:
+    case FaultKind::EvacuateDomain:
+        changeOrders(fault);
+        return;
+    }
+}
+
+void World::harmNode(const Fault &fault, std::size_t index)
+{
+    auto &node = *m_nodes[index];
+    switch (fault.kind) {
+    case FaultKind::KillNode:
+        disturb(index, nodeRestart);
+        node.kill();
+        after(nodeRestart, [&node] { node.started() ? void() : node.start(); });
+        return;
+    case FaultKind::TerminateNode:
+        // A graceful stop harms nobody, so it is no disturbance. The node starts again when it has ended.
+        if (!node.stopping()) {
+            node.terminate();
+            after(gracefulStop, [this, index] { checkStopped(index); });
+        }
+        return;
+    case FaultKind::PauseNode:
+        disturb(index, fault.lasts);
+        node.signal(SIGSTOP);
+        after(fault.lasts, [&node] { node.signal(SIGCONT); });
+        return;
+    case FaultKind::SignalReload:
+        node.signal(SIGHUP);
+        return;
+    case FaultKind::CutNodeFromStore:
+        disturb(index, fault.lasts);
+        node.storeLink().setMode(LinkMode::Silent);
+        after(fault.lasts, [&node] {
+            node.storeLink().setMode(LinkMode::Passing);
+            node.storeLink().resetAll();
+        });
+        return;
+    default:
+        // For the promises this counts as a reset of the node's connections.
+        disturb(index, 0s);
+        node.storeLink().silenceOpen();
+        return;
+    }
+}
+
+void World::checkStopped(std::size_t index)
+{
+    auto &node = *m_nodes[index];
+    const auto now = base::monotonicNow();
+    if (!node.started() || !node.stopping() || !m_ledger.disturbances.calm(index, now - gracefulStop, now)) {
+        return;
+    }
+    m_ledger.broken(fmt::format("node {} does not end within its grace", index));
+}
+
+void World::harmStore(const Fault &fault)
+{
+    switch (fault.kind) {
+    case FaultKind::ForgetHistory:
+        m_store.dropHistory();
+        return;
+    case FaultKind::StepStoreClock:
+        m_store.stepClock(storeClockStep);
+        return;
+    case FaultKind::LoseWriteAnswers:
+        disturb(std::nullopt, fault.lasts);
+        m_store.setMode(StoreMode::LosingWriteAnswers);
+        break;
+    default:
+        disturb(std::nullopt, fault.lasts);
+        m_storeAway = true;
+        m_store.setMode(fault.kind == FaultKind::SilenceStore ? StoreMode::Silent : StoreMode::Refusing);
+        break;
+    }
+    after(fault.lasts, [this] {
+        m_store.setMode(StoreMode::Serving);
+        if (!std::exchange(m_storeAway, false)) {
+            return;
+        }
+        // Some entries have lapsed, and their engines, which live, write them again.
+        disturb(std::nullopt, lapsedEntries);
+        for (std::size_t i = 0; i < m_engines.size(); i += 2) {
+            m_store.remove("servers", m_engines[i].engine->identity().id);
+        }
+        after(lapsedEntries, [this] { beat(); });
+    });
+}
+
+void World::harmEngine(const Fault &fault, std::size_t index)
+{
+    auto &slot = m_engines[index];
+    // Whatever harms an engine may break off any node's requests there.
+    disturb(std::nullopt, fault.kind == FaultKind::DrainEngine ? 0s : fault.lasts);
+    switch (fault.kind) {
+    case FaultKind::ResetEngineLinks:
+        slot.link->resetAll();
+        return;
+    case FaultKind::SilenceEngineLinks:
+        slot.link->silenceOpen();
+        return;
+    case FaultKind::CutEngineOneWay:
+    case FaultKind::DelayEngineLinks:
+        slot.link->setMode(fault.kind == FaultKind::CutEngineOneWay ? LinkMode::OneWay : LinkMode::Delayed);
+        after(fault.lasts, [this, index] { m_engines[index].link->setMode(LinkMode::Passing); });
+        return;
+    case FaultKind::FailAtEngine:
+        slot.engine->setFailing(true);
+        after(fault.lasts, [this, index] { m_engines[index].engine->setFailing(false); });
+        return;
+    case FaultKind::CrashEngine:
+        m_store.remove("servers", slot.engine->identity().id);
+        restartEngine(index, engineRestart);
+        return;
+    case FaultKind::RestartEngineSameId: {
+        auto identity = slot.engine->identity();
+        slot.link->resetAll();
+        slot.engine->crash();
+        addEngine(identity.id, identity.service, index, identity.born + 1);
+        return;
+    }
+    default:
+        slot.state = "draining";
+        list(slot);
+        m_ledger.drained(slot.engine->identity().id, base::monotonicNow());
+        restartEngine(index, drainTime + fault.lasts);
+        return;
+    }
+}
+
+void World::restartEngine(std::size_t index, base::Duration delay)
+{
+    if (delay == base::Duration(engineRestart)) {
+        m_engines[index].link->resetAll();
+        m_engines[index].engine->crash();
+    }
+    after(delay, [this, index] {
+        disturb(std::nullopt, 0s);
+        const auto identity = m_engines[index].engine->identity();
+        m_store.remove("servers", identity.id);
+        m_engines[index].link->resetAll();
+        addEngine(fmt::format("e{}", m_engineCount++), identity.service, index, 1);
+    });
+}
+
+void World::changeOrders(const Fault &fault)
+{
+    if (fault.kind == FaultKind::ChangeConfiguration) {
+        m_movingTo = m_movingTo == "a" ? "b" : "a";
+        configure();
+        return;
+    }
+    if (fault.kind == FaultKind::RevokeKey) {
+        m_secondKey = false;
+        configure();
+        return;
+    }
+    const auto domain = fmt::format("d{}", fault.target % 3);
+    m_store.put("op", "evacuate/" + domain, "{}");
+    m_ledger.evacuated(domain, true, base::monotonicNow());
+    after(fault.lasts, [this, domain] {
+        m_ledger.evacuated(domain, false, base::monotonicNow());
+        m_store.remove("op", "evacuate/" + domain);
+    });
+}
+
+} // namespace ibisfork::soak
--- a/tests/process/harness.cpp
+++ b/tests/process/harness.cpp
@@ -33,19 +33,15 @@
 /// Nodes take a free port and say which, so that no port is given up between being found and being used.
 constexpr const char *anyPort = "127.0.0.1:0";
 
-std::string fieldOf(const std::string &line, const std::string &name)
+void writeFile(const std::string &path, const std::string &text)
 {
-    const auto at = line.find(" " + name + "=");
-    if (at == std::string::npos) {
-        return {};
-    }
-    const auto from = at + name.size() + 2;
-    return line.substr(from, line.find(' ', from) - from);
+    std::ofstream(path) << text;
 }
 
-void writeFile(const std::string &path, const std::string &text)
+/// -1 for an empty path.
+int openLog(const std::string &path)
 {
-    std::ofstream(path) << text;
+    return path.empty() ? -1 : open(path.c_str(), O_CREAT | O_APPEND | O_WRONLY | O_CLOEXEC, 0600);
 }
 
 [[noreturn]] void runProgram(const std::string &name, const std::vector<std::string> &arguments, int output, int log)
@@ -66,20 +62,35 @@
 
 } // namespace
 
-Program::Program(const std::string &name, const std::vector<std::string> &arguments, const std::string &logPath)
+std::string fieldOf(const std::string &line, const std::string &name)
+{
+    const auto at = line.find(" " + name + "=");
+    if (at == std::string::npos) {
+        return {};
+    }
+    const auto from = at + name.size() + 2;
+    return line.substr(from, line.find(' ', from) - from);
+}
+
+Program::Program(const std::string &name,
+                 const std::vector<std::string> &arguments,
+                 const std::string &logPath,
+                 const std::string &outputPath)
 {
     int ends[2];
     if (pipe2(ends, O_CLOEXEC) != 0) {
         throw std::runtime_error("no pipe can be made");
     }
-    const int log = logPath.empty() ? -1 : open(logPath.c_str(), O_CREAT | O_APPEND | O_WRONLY | O_CLOEXEC, 0600);
+    const int log = openLog(logPath);
+    const int output = openLog(outputPath);
     m_pid = fork();
     if (m_pid == 0) {
-        runProgram(name, arguments, ends[1], log);
+        runProgram(name, arguments, output >= 0 ? output : ends[1], log);
     }
-    close(ends[1]);
-    if (log >= 0) {
-        close(log);
+    for (const int used : {ends[1], log, output}) {
+        if (used >= 0) {
+            close(used);
+        }
     }
     m_output = ends[0];
     fcntl(m_output, F_SETFL, O_NONBLOCK);
@@ -115,6 +126,14 @@
     kill(m_pid, number);
 }
 
+bool Program::ended()
+{
+    if (m_pid > 0 && waitpid(m_pid, nullptr, WNOHANG) == m_pid) {
+        m_pid = -1;
+    }
+    return m_pid < 0;
+}
+
 int Program::wait(base::Duration within)
 {
     int status = 0;
--- a/tests/process/harness.h
+++ b/tests/process/harness.h
@@ -16,7 +16,11 @@
 class Program
 {
 public:
-    Program(const std::string &name, const std::vector<std::string> &arguments, const std::string &logPath = {});
+    /// Standard error goes to @p logPath and standard output to @p outputPath, where they are given.
+    Program(const std::string &name,
+            const std::vector<std::string> &arguments,
+            const std::string &logPath = {},
+            const std::string &outputPath = {});
     ~Program();
     Program(const Program &) = delete;
     Program &operator=(const Program &) = delete;
@@ -24,6 +28,8 @@
     /// The address in the line "listening IP:PORT" that stand-ins print. Throws after 10 s.
     std::string listening() const;
     void signal(int number) const;
+    /// Whether the process has ended by itself or by a signal.
+    bool ended();
     /// Waits for the end and gives the exit status, or -1 after @p within.
     int wait(base::Duration within);
 
@@ -32,6 +38,9 @@
     int m_output = -1;
 };
 
+/// The value of field @p name in a log line, or an empty text.
+std::string fieldOf(const std::string &line, const std::string &name);
+
 /// An answer as a test sees it: status 0 where there was none.
 struct Answer
 {
