Let a node's own requests stand for those of at most eight nodes

Cause: without a report an engine's load was taken to be the node's own requests there times all nodes. With 70 nodes one own request made an engine look fuller than full, so a subject left the engine that had read its part. Test: homeWithOneRequestOfThisNode_noReports_isNotTakenForFull (fails before).

--- a/src/gateway/enginebook.cpp
+++ b/src/gateway/enginebook.cpp
@@ -10,6 +10,8 @@
 constexpr std::chrono::milliseconds lapseGrace{2000};
 /// A load report says little after this.
 constexpr std::chrono::milliseconds reportLifetime{2500};
+/// Without a report this node's own requests stand for those of others; few of them say little of many nodes.
+constexpr unsigned mostNodesLikeThis = 8;
 /// Weight of the newest run in the share of faults.
 constexpr double faultWeight = 0.15;
 /// Rest after a fault that says that the engine can't be used now; it doubles with each further one in a row.
@@ -30,7 +32,7 @@
 {
     const bool fresh = reportedAt != base::TimePoint{} && now - reportedAt < reportLifetime;
     if (!fresh) {
-        return static_cast<double>(inFlight) * nodes;
+        return static_cast<double>(inFlight) * std::min(nodes, mostNodesLikeThis);
     }
     const double reportedNow = static_cast<double>(reported.running + reported.waiting) + sentSinceReport;
     const double left = reportedNow - doneSinceReport;
--- a/tests/gateway/placement_test.cpp
+++ b/tests/gateway/placement_test.cpp
@@ -222,6 +222,17 @@
     std::mt19937_64 m_random{seed};
 };
 
+TEST_F(SubjectsTest, homeWithOneRequestOfThisNode_noReports_isNotTakenForFull)
+{
+    PlacementRequest request;
+    request.sharedPart = "p1";
+    request.nodes = 70;
+    const auto home = m_placement.choose(m_book.ofService("s"), request, now).engine->entry.id;
+    m_book.noteSent(home, 900);
+    m_book.notePromptRead(home, 900);
+    EXPECT_EQ(m_placement.choose(m_book.ofService("s"), request, now).engine->entry.id, home);
+}
+
 TEST_F(SubjectsTest, requestsOfOneSubject_loadsDiffer_findTheEngineThatHasReadItsPart)
 {
     std::uniform_int_distribution<unsigned> subject(0, subjects - 1);
