Ask the large model below confidence 43 in place of 50

Cause: a prompt read by the large model holds up all streams at its engine; between 43 and 50 its answer is needed about as often as not, and the time of the others outweighs it.

--- a/src/gateway/modelpolicy.cpp
+++ b/src/gateway/modelpolicy.cpp
@@ -4,8 +4,8 @@
 
 namespace {
 
-/// Below this the largest model is more likely to be needed than not.
-constexpr int leastConfidence = 50;
+/// Somewhat below it the large model is needed as often as not, but its prompts hold up the streams of all others there.
+constexpr int leastConfidence = 43;
 
 } // namespace
 
