Log what an engine was chosen by; name states and outcomes in the log

Cause: a request's line named the engine but not why it was chosen, and roll-out lines gave numbers for names.

--- a/src/gateway/engine.h
+++ b/src/gateway/engine.h
@@ -1,9 +1,12 @@
 #pragma once
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <string>
 
+#include <ibisfork/base/names.h>
+
 #include "net/address.h"
 
 namespace ibisfork::gateway {
@@ -36,6 +39,11 @@
 };
 
 enum class RolloutState { InProgress, Completed, Reverted };
+inline constexpr std::array<base::Name<RolloutState>, 3> rolloutStateNames{{
+    {RolloutState::InProgress, "in_progress"},
+    {RolloutState::Completed, "completed"},
+    {RolloutState::Reverted, "reverted"},
+}};
 
 /// What this system says of a roll-out to operators.
 struct RolloutStatus
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -170,7 +170,7 @@
     if (placement.engine == nullptr) {
         noEngine(placement);
     } else {
-        send(*placement.engine);
+        send(placement);
     }
 }
 
@@ -220,8 +220,10 @@
     return dispatch;
 }
 
-void Exchange::send(Engine &engine)
+void Exchange::send(const Placement &placement)
 {
+    auto &engine = *placement.engine;
+    m_grounds = placement.grounds;
     const auto now = base::monotonicNow();
     m_model = chooseModel();
     m_engineId = engine.entry.id;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -61,7 +61,8 @@
     void dispatch();
     Placement place(base::TimePoint now);
     void noEngine(const Placement &placement);
-    void send(Engine &engine);
+    /// Sends the request to the engine of @p placement, which has one.
+    void send(const Placement &placement);
     std::string chooseModel();
     Dispatch dispatchTo(const Engine &engine, base::TimePoint now) const;
 
@@ -125,6 +126,7 @@
     std::unique_ptr<http::UpstreamConnection> m_connection;
     std::string m_engineId;
     std::string m_engineVersion;
+    PlacementGrounds m_grounds;
     std::string m_model;
     base::TimePoint m_sentAt;
     base::TimePoint m_lastProgress;
--- a/src/gateway/exchangeanswer.cpp
+++ b/src/gateway/exchangeanswer.cpp
@@ -57,7 +57,7 @@
     m_model = m_context.models.larger(m_route->models);
     m_mayHaveRun = true;
     endRun();
-    send(*placement.engine);
+    send(placement);
 }
 
 bool Exchange::headIsUsable() const
--- a/src/gateway/exchangeend.cpp
+++ b/src/gateway/exchangeend.cpp
@@ -1,5 +1,7 @@
 #include "gateway/exchange.h"
 
+#include <cmath>
+
 #include <fmt/format.h>
 
 #include "gateway/eventlog.h"
@@ -145,6 +147,10 @@
         .field("model", m_model.empty() ? "-" : m_model)
         .field("confidence", m_answer.confidence.value_or(-1))
         .field("sends", m_sends)
+        .field("candidates", m_grounds.candidates)
+        .field("expected_load", std::lround(m_grounds.expectedLoad))
+        .field("report_ms", m_grounds.reportAge ? base::toMilliseconds(*m_grounds.reportAge) : -1)
+        .field("by_part", m_grounds.byPart)
         .field("first_byte_ms", m_firstByteAfter ? base::toMilliseconds(*m_firstByteAfter) : -1)
         .field("took_ms", base::toMilliseconds(took))
         .field("status", status)
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -120,7 +120,9 @@
     m_store.write({row}, [fingerprint](const WriteResult &result) {
         if (result.outcome != WriteOutcome::Done) {
             // This node still knows; the others learn it when they lose an engine themselves.
-            EventLog::state("crash_row_not_written").field("fingerprint", fingerprint);
+            EventLog::state("crash_row_not_written")
+                .field("fingerprint", fingerprint)
+                .field("outcome", base::nameOf(writeOutcomeNames, result.outcome));
         }
     });
 }
@@ -240,7 +242,7 @@
     EventLog::state("rollout_status")
         .field("service", service)
         .field("to", status.toVersion)
-        .field("state", static_cast<int>(status.state))
+        .field("state", base::nameOf(rolloutStateNames, status.state))
         .field("evidence", m_context.view.rollouts().evidence(service));
     std::vector<ConditionalWrite> rows{row};
     if (status.state == RolloutState::InProgress) {
@@ -250,7 +252,7 @@
         m_saying.erase(service);
         EventLog::state("rollout_status_written")
             .field("service", service)
-            .field("outcome", static_cast<int>(result.outcome))
+            .field("outcome", base::nameOf(writeOutcomeNames, result.outcome))
             .field("row", result.version);
         if (result.outcome == WriteOutcome::Done) {
             m_context.view.takeStatus(service, status, result.version);
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -117,14 +117,21 @@
         usable = resting;
     }
     if (usable.empty()) {
-        return {nullptr, retryAt};
+        return {nullptr, retryAt, {}};
+    }
+    auto *home = request.sharedPart.empty() ? nullptr : byPart(usable, request, now);
+    auto *chosen = home == nullptr ? byDraw(usable, request, now) : home;
+    PlacementGrounds grounds;
+    grounds.candidates = usable.size();
+    grounds.expectedLoad = chosen->expectedLoad(now, request.nodes);
+    grounds.byPart = home != nullptr;
+    if (chosen->reportedAt != base::TimePoint{}) {
+        grounds.reportAge = now - chosen->reportedAt;
     }
-    auto *chosen = request.sharedPart.empty() ? nullptr : byPart(usable, request, now);
-    chosen = chosen == nullptr ? byDraw(usable, request, now) : chosen;
     if (request.coldRate > 0 && chosen->cold(now)) {
         chosen->coldStarts.take(now, shareOf(request.coldRate, request.nodes));
     }
-    return {chosen, std::nullopt};
+    return {chosen, std::nullopt, grounds};
 }
 
 } // namespace ibisfork::gateway
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -26,12 +26,26 @@
     double coldBurst = 0;
 };
 
+/// What a choice was made by, for the log.
+struct PlacementGrounds
+{
+    /// Engines that might have been chosen.
+    std::size_t candidates = 0;
+    /// Requests that the chosen one was expected to hold.
+    double expectedLoad = 0;
+    /// Age of the report that this follows from; nothing if there is none.
+    std::optional<base::Duration> reportAge;
+    /// Chosen for a part of the prompt that it has read.
+    bool byPart = false;
+};
+
 /// The engine chosen, or when to ask again.
 struct Placement
 {
     Engine *engine = nullptr;
     /// Set if engines are there but none may take a request before this time.
     std::optional<base::TimePoint> retryAt;
+    PlacementGrounds grounds;
 };
 
 /// Chooses one of @p candidates.
--- a/src/gateway/rows.h
+++ b/src/gateway/rows.h
@@ -1,11 +1,14 @@
 #pragma once
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
 
+#include <ibisfork/base/names.h>
+
 namespace ibisfork::gateway {
 
 /// One row of a table of the store.
@@ -49,6 +52,12 @@
     NotDone, ///< The store did nothing.
     Unknown, ///< No answer: it may have been done, or may be done later.
 };
+inline constexpr std::array<base::Name<WriteOutcome>, 4> writeOutcomeNames{{
+    {WriteOutcome::Done, "done"},
+    {WriteOutcome::ConditionFailed, "condition_failed"},
+    {WriteOutcome::NotDone, "not_done"},
+    {WriteOutcome::Unknown, "unknown"},
+}};
 
 struct WriteResult
 {
