--- a/src/caller/refusal.h
+++ b/src/caller/refusal.h
@@ -37,6 +37,9 @@
     Internal,
 };
 
+/// Time to come back after trouble that is usually over at once.
+inline constexpr int shortRetryAfterSeconds = 1;
+
 /// An error answer to a caller.
 struct Refusal
 {
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -22,7 +22,6 @@
 constexpr std::size_t maxAttempts = 2;
 /// Time between looks for a newer revision that was heard of.
 constexpr std::chrono::milliseconds catchUpCheck{10};
-constexpr int retryAfterSeconds = 1;
 constexpr std::chrono::milliseconds maxRetryDelay{20};
 /// Keeps requests from trying the same dead upstreams one after the other.
 constexpr std::chrono::milliseconds restAfterFailure{1000};
@@ -102,17 +101,18 @@
 {
     // Checked before every dispatch, since the process may have been paused since the last one.
     const auto now = base::monotonicNow();
-    if (!m_context.confirmed(now) && m_context.catchingUp(now)) {
+    const bool confirmed = m_context.confirmed(now);
+    if (!confirmed && m_context.catchingUp(now)) {
         // A request that waits for room is woken again by the queue.
         if (!m_waiting) {
             m_retryTimer.startOnce(catchUpCheck);
         }
         return;
     }
-    if (!m_context.confirmed(now)) {
+    if (!confirmed) {
         refuse(RefusalCode::Unconfirmed,
                "this node can't confirm that its configuration is the newest",
-               retryAfterSeconds);
+               caller::shortRetryAfterSeconds);
         return;
     }
     const auto view = m_context.view;
@@ -176,12 +176,14 @@
         return;
     }
     if (!decision.version && !m_tried.empty()) {
-        refuse(
-            RefusalCode::UpstreamFailed, "the upstream that was tried failed and no other has room", retryAfterSeconds);
+        refuse(RefusalCode::UpstreamFailed,
+               "the upstream that was tried failed and no other has room",
+               caller::shortRetryAfterSeconds);
         return;
     }
     if (!decision.version) {
-        refuse(RefusalCode::NoUpstream, "no permitted version has an upstream with room", retryAfterSeconds);
+        refuse(
+            RefusalCode::NoUpstream, "no permitted version has an upstream with room", caller::shortRetryAfterSeconds);
         return;
     }
     m_waiting = false;
@@ -201,7 +203,7 @@
         const auto seconds = std::chrono::ceil<std::chrono::seconds>(retryAfter).count();
         refuse(RefusalCode::Overloaded,
                "the request would not be served before its deadline",
-               std::max(retryAfterSeconds, static_cast<int>(seconds)));
+               std::max(caller::shortRetryAfterSeconds, static_cast<int>(seconds)));
     };
     const admission::WaitingRequest request{m_request.id,
                                             workspace.name,
@@ -351,7 +353,7 @@
 void Exchange::retry()
 {
     if (m_tried.size() >= maxAttempts || !m_context.retries.take(m_request.workspace)) {
-        refuse(RefusalCode::UpstreamFailed, "the upstreams that were tried failed", retryAfterSeconds);
+        refuse(RefusalCode::UpstreamFailed, "the upstreams that were tried failed", caller::shortRetryAfterSeconds);
         return;
     }
     m_context.metrics.counter("ibisfork_retries_total").add();
@@ -361,63 +363,6 @@
     m_retryTimer.startOnce(retryDelay());
 }
 
-void Exchange::cut()
-{
-    count("cut");
-    record(BillOutcome::Cut, [] {});
-    m_reply->abort();
-    finish();
-}
-
-void Exchange::onGone()
-{
-    count("caller-gone");
-    record(BillOutcome::CallerGone, [] {});
-    m_reply->abort();
-    finish();
-}
-
-void Exchange::onDeadline()
-{
-    if (m_reply->started()) {
-        cut();
-        return;
-    }
-    m_mayHaveRun = m_mayHaveRun || m_run != nullptr;
-    refuse(RefusalCode::DeadlinePassed, "the deadline passed", 0);
-}
-
-void Exchange::refuse(RefusalCode code, const std::string &message, int retryAfter)
-{
-    if (m_reply->started()) {
-        cut();
-        return;
-    }
-    if (m_held) {
-        // A poor answer is better than none.
-        const auto held = *std::exchange(m_held, std::nullopt);
-        release();
-        m_version = held.version;
-        m_answer.begin(m_version, answerHeaders());
-        m_answer.piece(held.text);
-        deliver(held.usage);
-        return;
-    }
-    const bool mayHaveRun = m_mayHaveRun || m_run != nullptr;
-    const auto run = mayHaveRun ? RunState::Unknown : RunState::NotRun;
-    LogLine(LogLevel::Info, "refuse")
-        .field("request", m_request.id)
-        .field("workspace", m_request.workspace)
-        .field("code", caller::nameOf(code))
-        .field("run", base::nameOf(caller::runStateNames, run));
-    count("refused");
-    record(BillOutcome::Refused, [] {});
-    net::HttpHeaders headers;
-    headers.add("X-Request-Id", m_request.id);
-    caller::sendRefusal(*m_reply, {code, run, message, retryAfter}, headers);
-    finish();
-}
-
 void Exchange::logDecision(const routing::RoutingDecision &decision)
 {
     const auto version = decision.version ? decision.version->text() : std::string("none");
@@ -439,62 +384,4 @@
                                         leftOut));
 }
 
-void Exchange::record(BillOutcome outcome, std::function<void()> recorded)
-{
-    const auto bill = m_bill.close(outcome);
-    if (bill) {
-        m_context.recorder(*bill, std::move(recorded));
-    } else {
-        recorded();
-    }
-}
-
-void Exchange::count(const char *outcome)
-{
-    m_context.metrics.counter("ibisfork_requests_total", {{"outcome", outcome}}).add();
-}
-
-void Exchange::release()
-{
-    m_backPressure.stop();
-    if (m_upstream.empty()) {
-        return;
-    }
-    m_context.poison.ended(m_request.id);
-    // Work that may still run counts at its upstream until it is known not to.
-    const auto upstream = std::exchange(m_upstream, {});
-    const auto ended = [&context = m_context, upstream, sentAt = m_sentAt](bool) {
-        context.limits.ended(upstream);
-        context.admission.ended(base::monotonicNow() - sentAt);
-    };
-    if (!m_run || m_run->finished()) {
-        ended(true);
-    } else if (m_run->streamId().empty()) {
-        m_context.canceller.hold(m_context.settings.timing.longestRun, ended);
-    } else {
-        const auto cancelled = [&context = m_context, ended](bool stopped) {
-            stopped ? ended(true) : context.canceller.hold(context.settings.timing.longestRun, ended);
-        };
-        m_context.canceller.cancel(m_run->address(), m_run->streamId(), cancelled);
-    }
-    if (m_run) {
-        m_run->stop();
-        net::deleteLater(m_context.base, std::move(m_run));
-    }
-}
-
-void Exchange::finish()
-{
-    release();
-    m_waiting = false;
-    m_context.admission.leave(m_request.id);
-    m_deadline.stop();
-    m_retryTimer.stop();
-    // The owner destroys this object in the callback.
-    const auto done = std::exchange(m_done, nullptr);
-    if (done) {
-        done();
-    }
-}
-
 } // namespace ibisfork::serving
--- a/src/serving/serviceexchange.cpp
+++ b/src/serving/serviceexchange.cpp
@@ -20,7 +20,6 @@
 
 constexpr const char *servicesPrefix = "/v1/services/";
 constexpr std::size_t maxAttempts = 2;
-constexpr int retryAfterSeconds = 1;
 constexpr std::size_t maxKeyLength = 200;
 /// An answer past it is not recorded; who asks again is told that the outcome is not known.
 constexpr std::size_t maxRecordedAnswer = 64UL * 1024;
@@ -136,7 +135,7 @@
     }
     m_claimToken.clear();
     if (result == nullptr) {
-        refuse(RefusalCode::ClaimsUnavailable, "the call can't be claimed now", retryAfterSeconds);
+        refuse(RefusalCode::ClaimsUnavailable, "the call can't be claimed now", caller::shortRetryAfterSeconds);
     } else if (result->verdict == coord::ClaimVerdict::Answered) {
         replay(*result->answer);
     } else if (result->verdict == coord::ClaimVerdict::OtherCall) {
@@ -145,7 +144,7 @@
         m_mayHaveRun = true;
         refuse(RefusalCode::InProgress,
                "a call with this key runs or its outcome is not known; ask again later or check at the service",
-               retryAfterSeconds);
+               caller::shortRetryAfterSeconds);
     }
 }
 
@@ -186,7 +185,7 @@
     if (!m_context.confirmed(now)) {
         refuse(RefusalCode::Unconfirmed,
                "this node can't confirm that its configuration is the newest",
-               retryAfterSeconds);
+               caller::shortRetryAfterSeconds);
         return;
     }
     if (!permitted()) {
@@ -201,11 +200,11 @@
     if (decision.upstream.empty() && !m_tried.empty()) {
         refuse(RefusalCode::UpstreamFailed,
                "the upstream that was tried failed and no other has room",
-               m_mayHaveRun ? 0 : retryAfterSeconds);
+               m_mayHaveRun ? 0 : caller::shortRetryAfterSeconds);
         return;
     }
     if (decision.upstream.empty()) {
-        refuse(RefusalCode::NoUpstream, "no upstream of the service has room", retryAfterSeconds);
+        refuse(RefusalCode::NoUpstream, "no upstream of the service has room", caller::shortRetryAfterSeconds);
         return;
     }
     send(decision.upstream);
@@ -249,7 +248,9 @@
         dispatch();
         return;
     }
-    refuse(RefusalCode::UpstreamFailed, "the service gave no whole answer", m_mayHaveRun ? 0 : retryAfterSeconds);
+    refuse(RefusalCode::UpstreamFailed,
+           "the service gave no whole answer",
+           m_mayHaveRun ? 0 : caller::shortRetryAfterSeconds);
 }
 
 void ServiceExchange::answer(const net::HttpResponse &response)
--- a/src/serving/servingtask.cpp
+++ b/src/serving/servingtask.cpp
@@ -21,7 +21,6 @@
 namespace {
 
 constexpr int statusOk = 200;
-constexpr int retryAfterSeconds = 1;
 constexpr std::chrono::milliseconds slotsCheckInterval{100};
 constexpr std::chrono::milliseconds drainCheckInterval{20};
 /// What evhttp takes in beyond the bound, so that the refusal can be ours.
@@ -302,7 +301,8 @@
     if (m_draining) {
         headers.add("Connection", "close");
     }
-    caller::sendRefusal(*request.reply, {code, RunState::NotRun, message, temporary ? retryAfterSeconds : 0}, headers);
+    caller::sendRefusal(
+        *request.reply, {code, RunState::NotRun, message, temporary ? caller::shortRetryAfterSeconds : 0}, headers);
 }
 
 void ServingTask::erase(const std::string &requestId)
