Judge a new version's speed by model; run large models less where engines fall behind

Change: each answer's first byte is set against what the old version takes for the same route and model; the sum over a route decides, so that few runs still add up. Tests: newVersion_runsMostlyTheLargeModelByChance_andIsNoSlower_isKept (fails before), newVersion_slowAtEachModel_isLeft.

--- a/src/gateway/context.cpp
+++ b/src/gateway/context.cpp
@@ -37,4 +37,9 @@
     return firstBytes.try_emplace(route, initialFirstByteSeconds).first->second;
 }
 
+RecentMean &Context::pressure(const std::string &route)
+{
+    return pressures.try_emplace(route, 0).first->second;
+}
+
 } // namespace ibisfork::gateway
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -53,12 +53,15 @@
     std::function<void(const std::string &fingerprint, unsigned crashes)> tellCrashes;
     /// Seconds to the first byte of an answer, by route.
     std::map<std::string, RecentMean> firstBytes;
+    /// The same as a share of the route's objective; 0 before there is any answer.
+    std::map<std::string, RecentMean> pressures;
     /// The node is shutting down; connections close behind their answers.
     bool stopping = false;
     /// So late in the shutdown that a stream which begins now may not end in time.
     bool stoppingLate = false;
 
     RecentMean &firstByte(const std::string &route);
+    RecentMean &pressure(const std::string &route);
 };
 
 } // namespace ibisfork::gateway
--- a/src/gateway/exchangeanswer.cpp
+++ b/src/gateway/exchangeanswer.cpp
@@ -33,6 +33,7 @@
     m_firstByteAfter = now - m_sentAt;
     promptRead();
     m_context.firstByte(m_route->name).add(base::toSeconds(*m_firstByteAfter));
+    m_context.pressure(m_route->name).add(base::toSeconds(*m_firstByteAfter) / base::toSeconds(m_route->objective));
     if (wantsSecondRun()) {
         beginSecondRun();
     }
@@ -77,7 +78,8 @@
     if (m_streamBegun || !m_call.anyModel || !m_answer.confidence || m_runs >= m_route->maxUpstreams) {
         return false;
     }
-    return m_context.models.worthSecondRun(m_route->models, m_model, *m_answer.confidence);
+    const auto pressure = m_context.pressure(m_route->name).value();
+    return m_context.models.worthSecondRun(m_route->models, m_model, *m_answer.confidence, pressure);
 }
 
 void Exchange::onBody(std::string_view bytes)
@@ -143,7 +145,8 @@
     }
     m_context.view.engines().noteSuccess(m_engineId);
     noteAnswered();
-    m_context.view.rollouts().noteOutcome(m_service, m_engineVersion, m_route->name, {false, m_firstByteAfter});
+    m_context.view.rollouts().noteOutcome(
+        m_service, m_engineVersion, m_route->name, {false, m_firstByteAfter, m_model});
     releaseConnection();
     if (!m_streamBegun) {
         m_caller.beginStream(m_answer.status, platform::answerHeaders(m_answerHead), m_context.stopping);
@@ -155,7 +158,8 @@
 void Exchange::completeBuffered()
 {
     const bool failed = m_answer.status >= http::status::firstServerError;
-    m_context.view.rollouts().noteOutcome(m_service, m_engineVersion, m_route->name, {failed, m_firstByteAfter});
+    m_context.view.rollouts().noteOutcome(
+        m_service, m_engineVersion, m_route->name, {failed, m_firstByteAfter, m_model});
     if (failed && m_streamBegun) {
         miss({EngineFault::Failed, true, "engine_failed"});
         return;
--- a/src/gateway/rolloutbook.cpp
+++ b/src/gateway/rolloutbook.cpp
@@ -191,29 +191,47 @@
     const bool isNew = version == rollout.order.toVersion;
     (isNew ? rollout.newRuns : rollout.oldRuns).add(outcome);
     (isNew ? rollout.newByRoute : rollout.oldByRoute)[route].add(outcome);
+    noteSpeed(rollout, isNew, route, outcome);
     if (!rollout.stoppedHere && !rollout.decided(RolloutState::Completed) && evidenceAgainst(rollout)) {
         rollout.stoppedHere = true;
     }
 }
 
-bool RolloutBook::isBad(const VersionRuns &newRuns, const VersionRuns &oldRuns)
+void RolloutBook::noteSpeed(Rollout &rollout, bool isNew, const std::string &route, const RunOutcome &outcome)
 {
-    const bool failing = newRuns.failed >= leastFailures && newRuns.failedShare() >= leastFailedShare
+    auto &old = rollout.oldByModel[{route, outcome.model}];
+    if (!isNew) {
+        old.add(outcome);
+    } else if (outcome.firstByte && old.timed >= leastTimed) {
+        auto &slowness = rollout.slowness[route];
+        ++slowness.timed;
+        slowness.seconds += base::toSeconds(*outcome.firstByte);
+        slowness.usualSeconds += old.meanFirstByte();
+    }
+}
+
+bool RolloutBook::isFailing(const VersionRuns &newRuns, const VersionRuns &oldRuns)
+{
+    return newRuns.failed >= leastFailures && newRuns.failedShare() >= leastFailedShare
         && newRuns.failedShare() >= failureFactor * oldRuns.failedShare();
-    const bool slow = newRuns.timed >= leastTimed && oldRuns.timed >= leastTimed
-        && newRuns.meanFirstByte() > slowFactor * oldRuns.meanFirstByte() + slowSlackSeconds;
-    return failing || slow;
+}
+
+bool RolloutBook::isSlow(const Slowness &slowness)
+{
+    return slowness.timed >= leastTimed
+        && slowness.seconds > slowFactor * slowness.usualSeconds + slowSlackSeconds * slowness.timed;
 }
 
 bool RolloutBook::evidenceAgainst(const Rollout &rollout)
 {
     for (const auto &[route, runs] : rollout.newByRoute) {
         const auto old = rollout.oldByRoute.find(route);
-        if (isBad(runs, old == rollout.oldByRoute.end() ? VersionRuns{} : old->second)) {
+        if (isFailing(runs, old == rollout.oldByRoute.end() ? VersionRuns{} : old->second)) {
             return true;
         }
     }
-    return false;
+    return std::any_of(
+        rollout.slowness.begin(), rollout.slowness.end(), [](const auto &item) { return isSlow(item.second); });
 }
 
 std::optional<RolloutStatus> RolloutBook::due(const std::string &service, base::TimePoint now) const
--- a/src/gateway/rolloutbook.h
+++ b/src/gateway/rolloutbook.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <ibisfork/base/clock.h>
@@ -26,6 +27,8 @@
     bool failed = false;
     /// Time to the first byte of the answer, if there was an answer.
     std::optional<base::Duration> firstByte;
+    /// The model that ran, if the node chose it.
+    std::string model{};
 };
 
 /// Runs of one version, in all or of one route.
@@ -41,6 +44,14 @@
     double meanFirstByte() const { return timed == 0 ? 0.0 : firstByteSeconds / timed; }
 };
 
+/// Answers of the new version against what the old one takes for the same route and model.
+struct Slowness
+{
+    unsigned timed = 0;
+    double seconds = 0;
+    double usualSeconds = 0;
+};
+
 /// The roll-outs that operators have ordered, and the evidence about their versions.
 ///
 /// In the first half of the period a small share of the requests goes to the new version. Sessions stay on the old one:
@@ -104,13 +115,19 @@
         VersionRuns oldRuns;
         std::map<std::string, VersionRuns> newByRoute;
         std::map<std::string, VersionRuns> oldByRoute;
+        /// The old version's runs by route and model: a large model is several times slower than a small one, and few
+        /// runs of a node may be of one model by chance.
+        std::map<std::pair<std::string, std::string>, VersionRuns> oldByModel;
+        std::map<std::string, Slowness> slowness;
 
         bool decided(RolloutState state) const;
         bool stopped() const { return stoppedHere || decided(RolloutState::Reverted); }
     };
 
     static double progress(const Rollout &rollout, base::TimePoint now);
-    static bool isBad(const VersionRuns &newRuns, const VersionRuns &oldRuns);
+    static bool isFailing(const VersionRuns &newRuns, const VersionRuns &oldRuns);
+    static bool isSlow(const Slowness &slowness);
+    static void noteSpeed(Rollout &rollout, bool isNew, const std::string &route, const RunOutcome &outcome);
     static bool evidenceAgainst(const Rollout &rollout);
     const Rollout *find(const std::string &service) const;
 
--- a/tests/gateway/rolloutbook_test.cpp
+++ b/tests/gateway/rolloutbook_test.cpp
@@ -90,6 +90,33 @@
     EXPECT_EQ(m_book.due("s", at(2s))->state, RolloutState::Reverted);
 }
 
+TEST_F(RolloutBookTest, newVersion_runsMostlyTheLargeModelByChance_andIsNoSlower_isKept)
+{
+    for (int i = 0; i < 40; ++i) {
+        m_book.noteOutcome("s", "v1", "r", {false, 60ms, "small"});
+    }
+    for (int i = 0; i < 8; ++i) {
+        m_book.noteOutcome("s", "v1", "r", {false, 500ms, "large"});
+    }
+    for (int i = 0; i < 8; ++i) {
+        m_book.noteOutcome("s", "v2", "r", {false, 700ms, "large"});
+    }
+    EXPECT_NE(m_book.due("s", at(2s))->state, RolloutState::Reverted);
+}
+
+TEST_F(RolloutBookTest, newVersion_slowAtEachModel_isLeft)
+{
+    for (int i = 0; i < 20; ++i) {
+        m_book.noteOutcome("s", "v1", "r", {false, 60ms, "small"});
+        m_book.noteOutcome("s", "v1", "r", {false, 500ms, "large"});
+    }
+    for (int i = 0; i < 3; ++i) {
+        m_book.noteOutcome("s", "v2", "r", {false, 480ms, "small"});
+        m_book.noteOutcome("s", "v2", "r", {false, 4000ms, "large"});
+    }
+    EXPECT_EQ(m_book.due("s", at(2s))->state, RolloutState::Reverted);
+}
+
 TEST_F(RolloutBookTest, bothVersionsFail_underTheSameTrouble_newOneIsKept)
 {
     runs("v1", 60, 40);
