Ask seeds for a short time only, and not all the same one first

Cause: since nodes learn from seeds at a start, one that asked a seed without power waited 750 ms (500 ms hold and 250 ms for an answer) before the next, longer than the 500 ms for which a first request waits. Change: a first question is held for 100 ms, and each node begins at a seed of its own choice. Ruled out: the store (its reads were answered within 30 ms at the seeds that ran). Test: seedSilent_nodeThatStarts_knowsAllWithinHalfASecond; allStartAtOnce_... now starts the seed 20 ms after the others, within the shorter hold, and still demands that no other node asks the store.

--- a/src/gateway/factsource.cpp
+++ b/src/gateway/factsource.cpp
@@ -21,6 +21,9 @@
 constexpr std::chrono::milliseconds peerWait{500};
 /// The same for a relay that asks a reader: shorter, since the ages of both reach those who ask the relay.
 constexpr std::chrono::milliseconds relayWait{250};
+/// The same for a first question to a node that has perhaps only just started too. It is short, since a seed without
+/// power costs it and the time for an answer besides.
+constexpr std::chrono::milliseconds startWait{100};
 constexpr std::chrono::milliseconds peerAnswerTimeout{250};
 /// A node, or the store, that did not answer is not asked again for this time.
 constexpr std::chrono::milliseconds peerRest{2000};
@@ -86,6 +89,11 @@
             m_order.push_back({seed.text(), seed});
         }
     }
+    if (!m_order.empty()) {
+        // Not all of them first ask the one that may be down.
+        const auto first = coord::rendezvousWeight(m_self.name, "seed") % m_order.size();
+        std::rotate(m_order.begin(), m_order.begin() + static_cast<std::ptrdiff_t>(first), m_order.end());
+    }
     m_order.insert(isSeed ? m_order.begin() : m_order.end(), {storeName, {}});
 }
 
@@ -189,7 +197,7 @@
 {
     const auto choice = choose(base::monotonicNow());
     if (choice.name != storeName) {
-        askPeer(choice, {table, std::nullopt, peerWait}, longestAge, done);
+        askPeer(choice, {table, std::nullopt, startWait}, longestAge, done);
         return;
     }
     askStore([&](auto answered) { m_store.read(table, from, std::move(answered)); }, done);
