Let a request to reload that comes during the start not end the process

Change: SIGHUP is ignored from the first line of main until the handler is set; settings are read after that anyway.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -172,6 +172,8 @@
 
 int main(int argc, char **argv)
 {
+    // Whoever asks for new settings while the process starts must not end it; it reads them now anyway.
+    std::signal(SIGHUP, SIG_IGN);
     try {
         auto options = makeOptions();
         const auto arguments = options.parse(argc, argv);
