--- a/soak/worldfaults.cpp
+++ b/soak/worldfaults.cpp
@@ -168,6 +168,8 @@
         return;
     case FaultKind::CrashEngine:
         m_store.remove("servers", slot.engine->identity().id);
+        slot.link->resetAll();
+        slot.engine->crash();
         restartEngine(index, engineRestart);
         return;
     case FaultKind::RestartEngineSameId: {
@@ -188,10 +190,6 @@
 
 void World::restartEngine(std::size_t index, base::Duration delay)
 {
-    if (delay == base::Duration(engineRestart)) {
-        m_engines[index].link->resetAll();
-        m_engines[index].engine->crash();
-    }
     after(delay, [this, index] {
         disturb(std::nullopt, 0s);
         const auto identity = m_engines[index].engine->identity();
