Log how far the runs of both versions of a rollout have come

The logs of a rollout gave only complete answers, and only when a status was written, so they could not tell a version that was not tried from one whose answers do not come. RunMonitor judges each run as soon as it can be judged, late ones while they are still open, and rollout_runs logs the counts once a second. No decision uses them yet.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -242,6 +242,9 @@
     m_splitter.reset();
     m_context.view.engines().recordSent(m_engineId, m_call.promptTokens);
     m_promptPending = true;
+    const MonitoredRun run{
+        m_engineVersion, m_engineId, {m_route->name, m_model}, m_call.promptTokens, m_route->objective};
+    m_runId = m_context.view.rollouts().recordSent(m_service, run, now);
     m_connection = m_context.pool.acquire(m_engineId, engine.entry.address, !repeatable(), now);
     m_phase = m_connection->connected() ? Phase::AwaitingHead : Phase::Connecting;
     const auto head = platform::encodeDispatch(m_request.head, dispatchTo(engine, now));
@@ -283,6 +286,13 @@
     }
 }
 
+void Exchange::endRun(RunEnd end)
+{
+    if (const auto id = std::exchange(m_runId, 0)) {
+        m_context.view.rollouts().recordEnded(m_service, id, end, base::monotonicNow());
+    }
+}
+
 void Exchange::promptRead()
 {
     if (std::exchange(m_promptPending, false)) {
@@ -310,6 +320,7 @@
         return;
     }
     promptRead();
+    endRun(RunEnd::Withdrawn);
     m_context.view.engines().recordEnded(m_engineId);
     m_paused = false;
     m_context.pool.release(m_engineId, std::move(m_connection), maxIdleConnections(), base::monotonicNow());
@@ -367,6 +378,7 @@
     }
     if (now >= m_deadline) {
         m_mayHaveRun = m_mayHaveRun || (m_connection && m_connection->sent());
+        endRun(RunEnd::TimedOut);
         cancelAttempt();
         failRequest("timeout");
         return;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -81,6 +81,8 @@
     void completeStream();
     void completeBuffered();
 
+    /// Reports the end of the current run, if it has not been reported yet.
+    void endRun(RunEnd end);
     void promptRead();
     void releaseConnection();
     /// This node's share of the idle connections that an engine accepts.
@@ -127,6 +129,7 @@
     std::unique_ptr<http::UpstreamConnection> m_connection;
     std::string m_engineId;
     std::string m_engineVersion;
+    RunId m_runId = 0;
     PlacementDetails m_placementDetails;
     std::string m_model;
     base::TimePoint m_sentAt;
--- a/src/gateway/exchangeanswer.cpp
+++ b/src/gateway/exchangeanswer.cpp
@@ -32,6 +32,9 @@
     }
     m_firstByteAfter = now - m_sentAt;
     promptRead();
+    if (m_answer.status < http::status::firstServerError) {
+        m_context.view.rollouts().recordFirstByte(m_service, m_runId, now);
+    }
     m_context.firstByteTime(m_route->name).add(base::toSeconds(*m_firstByteAfter));
     m_context.latencyRatio(m_route->name).add(base::toSeconds(*m_firstByteAfter) / base::toSeconds(m_route->objective));
     if (wantsSecondRun()) {
@@ -147,6 +150,7 @@
     recordAnswered();
     m_context.view.rollouts().recordOutcome(
         m_service, m_engineVersion, m_route->name, {false, m_firstByteAfter, m_model});
+    endRun(RunEnd::Answered);
     releaseConnection();
     if (!m_streamBegun) {
         m_caller.beginStream(m_answer.status, platform::answerHeaders(m_answerHead), m_context.stopping);
@@ -160,6 +164,7 @@
     const bool failed = m_answer.status >= http::status::firstServerError;
     m_context.view.rollouts().recordOutcome(
         m_service, m_engineVersion, m_route->name, {failed, m_firstByteAfter, m_model});
+    endRun(failed ? RunEnd::Failed : RunEnd::Answered);
     if (failed && m_streamBegun) {
         handleFailedAttempt({EngineFault::Failed, true, "engine_failed"});
         return;
--- a/src/gateway/exchangeend.cpp
+++ b/src/gateway/exchangeend.cpp
@@ -18,6 +18,23 @@
     return fmt::format("{:.2f}", static_cast<double>(duration.count()) / millisecondsPerSecond);
 }
 
+/// What an attempt that failed with @p fault says about the engine's version: a lost connection or a full engine is
+/// the fault of one engine.
+RunEnd runEndOf(EngineFault fault)
+{
+    switch (fault) {
+    case EngineFault::Failed:
+        return RunEnd::Failed;
+    case EngineFault::Silent:
+        return RunEnd::TimedOut;
+    case EngineFault::Unreachable:
+    case EngineFault::Lost:
+    case EngineFault::Full:
+        return RunEnd::Withdrawn;
+    }
+    return RunEnd::Withdrawn;
+}
+
 } // namespace
 
 void Exchange::onFailure(http::ConnectionFailure failure)
@@ -50,6 +67,7 @@
         m_connection->abandon();
     }
     m_phase = Phase::Waiting;
+    endRun(runEndOf(miss.fault));
     m_context.view.engines().recordFault(m_engineId, miss.fault, coldPeriod(), now);
     m_lastReason = miss.reason;
     if (miss.fault == EngineFault::Lost) {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -44,6 +44,8 @@
 /// that not all nodes write at the same time.
 constexpr std::chrono::milliseconds statusWriteDelay{1500};
 
+constexpr std::chrono::milliseconds rolloutLogInterval{1000};
+
 PeerNode selfOf(const settings::GatewaySettings &settings)
 {
     return {settings.node.name, settings.node.region, settings.node.failureDomain, settings.operators};
@@ -198,8 +200,10 @@
     const auto now = base::monotonicNow();
     m_context.view.dropExpiredEngines(now);
     m_context.pool.dropStale(now);
+    m_context.view.rollouts().judgeUnanswered(now);
     registerNode();
     writeDueStatuses();
+    logRolloutRuns(now);
     if (ready() != m_wasReady) {
         m_wasReady = ready();
         EventLog::state("ready").field("ready", m_wasReady);
@@ -230,6 +234,19 @@
     }
 }
 
+void Gateway::logRolloutRuns(base::TimePoint now)
+{
+    if (now - m_rolloutRunsLoggedAt < rolloutLogInterval) {
+        return;
+    }
+    m_rolloutRunsLoggedAt = now;
+    for (const auto &service : m_context.view.rollouts().servicesWithOrders()) {
+        EventLog::state("rollout_runs")
+            .field("service", service)
+            .field("sent_unjudged_good_late_failed", m_context.view.rollouts().runSummary(service));
+    }
+}
+
 ConditionalWrite Gateway::rolloutStartRow(const std::string &service) const
 {
     ConditionalWrite row;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -47,6 +47,8 @@
     void writeCrashCount(const std::string &fingerprint, unsigned crashes);
     void updateGauges() const;
     void writeDueStatuses();
+    /// Logs the runs of services with a rollout in progress, at most once in rolloutLogInterval.
+    void logRolloutRuns(base::TimePoint now);
     /// Returns true if this node may write @p status now, false if that is left to the nodes that read the store.
     bool mayWriteStatus(const std::string &service, const RolloutStatus &status, base::TimePoint now);
     ConditionalWrite rolloutStartRow(const std::string &service) const;
@@ -72,6 +74,7 @@
     std::set<std::string> m_pendingStatusWrites;
     /// Since when a rollout status has been due that this node leaves to the nodes that read the store, by service.
     std::map<std::string, base::TimePoint> m_dueSince;
+    base::TimePoint m_rolloutRunsLoggedAt{};
     bool m_registered = false;
     bool m_registering = false;
     bool m_wasReady = false;
--- a/src/gateway/rollouttracker.cpp
+++ b/src/gateway/rollouttracker.cpp
@@ -47,6 +47,22 @@
     }
 }
 
+void RunCounts::add(const RunVerdict &verdict)
+{
+    good -= verdict.isRevised ? 1 : 0;
+    switch (verdict.quality) {
+    case RunQuality::Good:
+        ++good;
+        return;
+    case RunQuality::Late:
+        ++late;
+        return;
+    case RunQuality::Failed:
+        ++failed;
+        return;
+    }
+}
+
 bool RolloutTracker::Rollout::hasStatus(RolloutState state) const
 {
     return status && statusRow > orderRow && status->toVersion == order.toVersion && status->state == state;
@@ -70,6 +86,7 @@
     next.orderRow = orderRow;
     next.startedAt = next.start.orderRow == orderRow ? next.start.startedAt : now;
     rollout = std::move(next);
+    m_monitors[order.service].setTrialVersion(order.toVersion);
 }
 
 void RolloutTracker::setStart(const std::string &service, std::uint64_t orderRow, base::TimePoint startedAt)
@@ -91,6 +108,7 @@
 {
     auto &rollout = m_rollouts[service];
     rollout.orderRow = 0;
+    m_monitors[service].setTrialVersion({});
 }
 
 void RolloutTracker::setStatus(const std::string &service, const RolloutStatus &status, std::uint64_t statusRow)
@@ -112,6 +130,12 @@
     return found == m_rollouts.end() || found->second.orderRow == 0 ? nullptr : &found->second;
 }
 
+RolloutTracker::Rollout *RolloutTracker::find(const std::string &service)
+{
+    const auto found = m_rollouts.find(service);
+    return found == m_rollouts.end() || found->second.orderRow == 0 ? nullptr : &found->second;
+}
+
 double RolloutTracker::progress(const Rollout &rollout, base::TimePoint now)
 {
     const auto period = std::max<base::Duration>(rollout.order.period, std::chrono::seconds(1));
@@ -199,6 +223,41 @@
     }
 }
 
+RunId RolloutTracker::recordSent(const std::string &service, const MonitoredRun &run, base::TimePoint now)
+{
+    if (auto *rollout = find(service)) {
+        ++(run.version == rollout->order.toVersion ? rollout->newCounts : rollout->oldCounts).sent;
+    }
+    return m_monitors[service].recordSent(run, now);
+}
+
+void RolloutTracker::recordFirstByte(const std::string &service, RunId id, base::TimePoint now)
+{
+    apply(service, m_monitors[service].recordFirstByte(id, now));
+}
+
+void RolloutTracker::recordEnded(const std::string &service, RunId id, RunEnd end, base::TimePoint now)
+{
+    apply(service, m_monitors[service].recordEnded(id, end, now));
+}
+
+void RolloutTracker::judgeUnanswered(base::TimePoint now)
+{
+    for (auto &[service, monitor] : m_monitors) {
+        for (const auto &verdict : monitor.judgeUnanswered(now)) {
+            apply(service, verdict);
+        }
+    }
+}
+
+void RolloutTracker::apply(const std::string &service, const std::optional<RunVerdict> &verdict)
+{
+    auto *rollout = find(service);
+    if (verdict && rollout != nullptr) {
+        (verdict->run.version == rollout->order.toVersion ? rollout->newCounts : rollout->oldCounts).add(*verdict);
+    }
+}
+
 void RolloutTracker::recordSpeed(Rollout &rollout, bool isNew, const std::string &route, const RunOutcome &outcome)
 {
     auto &old = rollout.oldByModel[{route, outcome.model}];
@@ -280,4 +339,26 @@
                        rollout->oldRuns.meanFirstByte());
 }
 
+std::string RolloutTracker::runSummary(const std::string &service) const
+{
+    const auto *rollout = find(service);
+    if (rollout == nullptr) {
+        return "none";
+    }
+    const auto &old = rollout->oldCounts;
+    const auto &next = rollout->newCounts;
+    const auto monitor = m_monitors.find(service);
+    const auto unjudged = monitor == m_monitors.end() ? 0 : monitor->second.unjudged(rollout->order.toVersion);
+    return fmt::format("new:{}/{}/{}/{}/{},old:{}/-/{}/{}/{}",
+                       next.sent,
+                       unjudged,
+                       next.good,
+                       next.late,
+                       next.failed,
+                       old.sent,
+                       old.good,
+                       old.late,
+                       old.failed);
+}
+
 } // namespace ibisfork::gateway
--- a/src/gateway/rollouttracker.h
+++ b/src/gateway/rollouttracker.h
@@ -11,6 +11,7 @@
 #include <ibisfork/base/clock.h>
 
 #include "gateway/enginetracker.h"
+#include "gateway/runmonitor.h"
 
 namespace ibisfork::gateway {
 
@@ -52,6 +53,17 @@
     double usualSeconds = 0;
 };
 
+/// Number of a version's runs at this node, by how far they have come.
+struct RunCounts
+{
+    unsigned sent = 0;
+    unsigned good = 0;
+    unsigned late = 0;
+    unsigned failed = 0;
+
+    void add(const RunVerdict &verdict);
+};
+
 /// Tracks the rollouts that operators have ordered, and the run statistics of their versions.
 ///
 /// In the first half of the period a small share of the requests goes to the new version. Sessions stay on the old one:
@@ -95,12 +107,22 @@
                        const std::string &route,
                        const RunOutcome &outcome);
 
+    /// Records that a request was sent to an engine of @p service; the result identifies the run in the next calls.
+    RunId recordSent(const std::string &service, const MonitoredRun &run, base::TimePoint now);
+    /// Records the first byte of a response that is no failure.
+    void recordFirstByte(const std::string &service, RunId id, base::TimePoint now);
+    void recordEnded(const std::string &service, RunId id, RunEnd end, base::TimePoint now);
+    /// Judges the runs that are late and have not been answered. Must be called regularly.
+    void judgeUnanswered(base::TimePoint now);
+
     /// Status that should be written to the store for @p service now, if it differs from the last one read.
     std::optional<RolloutStatus> dueStatus(const std::string &service, base::TimePoint now) const;
     /// Services that have a rollout order.
     std::vector<std::string> servicesWithOrders() const;
     /// Run statistics of both versions in short, for logs: failed/total/mean time to first byte.
     std::string evidence(const std::string &service) const;
+    /// Runs of both versions at this node in short, for logs: sent/unjudged/good/late/failed.
+    std::string runSummary(const std::string &service) const;
 
 private:
     struct Start
@@ -126,6 +148,8 @@
         /// few runs of the new version at one node may all be of one model by chance.
         std::map<std::pair<std::string, std::string>, VersionRuns> oldByModel;
         std::map<std::string, Slowness> slowness;
+        RunCounts newCounts;
+        RunCounts oldCounts;
 
         /// True if the current order's status, as read from the store, is @p state.
         bool hasStatus(RolloutState state) const;
@@ -139,8 +163,12 @@
     static void recordSpeed(Rollout &rollout, bool isNew, const std::string &route, const RunOutcome &outcome);
     static bool evidenceAgainst(const Rollout &rollout);
     const Rollout *find(const std::string &service) const;
+    Rollout *find(const std::string &service);
+    void apply(const std::string &service, const std::optional<RunVerdict> &verdict);
 
     std::map<std::string, Rollout> m_rollouts;
+    /// Open runs, by service, also of services without an order: what is usual must be known when an order arrives.
+    std::map<std::string, RunMonitor> m_monitors;
     /// Versions that were stopped, by service; their engines may keep running for a while under a later order.
     std::map<std::string, std::set<std::string>> m_rejected;
 };
--- /dev/null
+++ b/src/gateway/usualtimes.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+#include <ibisfork/base/clock.h>
+
+namespace ibisfork::gateway {
+
+/// Runs that take a comparable time: those of one route, run by one model.
+struct RunKind
+{
+    std::string route;
+    /// Model that ran the request if the node chose it, otherwise empty.
+    std::string model{};
+
+    auto operator<=>(const RunKind &) const = default;
+};
+
+/// Learns how long the runs of each kind usually take to their first byte.
+class UsualTimes
+{
+public:
+    /// Records a run with a prompt of @p promptTokens; 0 if the request has no prompt.
+    void record(const RunKind &kind, std::uint32_t promptTokens, base::Duration firstByte);
+    /// Time after which the first byte of a run is several times later than usual; nullopt while too few runs of the
+    /// kind are known. A prompt longer than the mean is allowed more time in proportion.
+    std::optional<base::Duration> lateAfter(const RunKind &kind, std::uint32_t promptTokens) const;
+
+private:
+    struct Mean
+    {
+        unsigned runs = 0;
+        double firstByteSeconds = 0;
+        double promptTokens = 0;
+    };
+
+    std::map<RunKind, Mean> m_means;
+};
+
+} // namespace ibisfork::gateway
