Failing test: a slow version gets more requests than its share

RolloutFleet plays the rollout trackers of 7 and 89 nodes in virtual time under load; the bound is the stated one, 0.15 of all requests and 30. Failing versions stay within the bound.

--- /dev/null
+++ b/tests/gateway/rolloutfleet.cpp
@@ -0,0 +1,129 @@
+#include "rolloutfleet.h"
+
+#include <cmath>
+
+namespace ibisfork::gateway::test {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t orderRow = 30;
+constexpr base::Duration warmUp = 4s;
+constexpr base::Duration tickInterval = 250ms;
+/// Time until a row that one node writes is read by the others.
+constexpr base::Duration rowDelay = 700ms;
+/// Runs are cut off after this time.
+constexpr base::Duration runTimeout = 4s;
+constexpr double medianSeconds = 0.08;
+constexpr double spread = 0.6;
+constexpr std::size_t engines = 9;
+
+base::Duration duration(double seconds)
+{
+    return std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(seconds));
+}
+
+} // namespace
+
+RolloutFleet::RolloutFleet(const FleetLoad &load, const VersionFault &fault, std::uint64_t seed)
+    : m_load(load)
+    , m_fault(fault)
+    , m_random(seed)
+    , m_nodes(load.nodes)
+    , m_row(orderRow + 1)
+{ }
+
+base::TimePoint RolloutFleet::time(base::Duration at)
+{
+    return base::TimePoint(1000s) + at;
+}
+
+void RolloutFleet::schedule(base::Duration at, std::function<void()> act)
+{
+    m_events.push({at, m_eventCount++, std::move(act)});
+}
+
+void RolloutFleet::play()
+{
+    const base::Duration end = warmUp + m_load.period;
+    for (std::size_t node = 0; node < m_nodes.size(); ++node) {
+        schedule(warmUp + 1ms * node, [this, node] {
+            m_nodes[node].setOrder({"s", "v2", m_load.period}, orderRow, time(m_now));
+        });
+        for (auto at = base::Duration(1ms * node); at < end; at += tickInterval) {
+            schedule(at, [this, node] { tick(node); });
+        }
+    }
+    schedule(base::Duration::zero(), [this] { request(); });
+    while (!m_events.empty() && m_events.top().at < end) {
+        const auto event = m_events.top();
+        m_events.pop();
+        m_now = event.at;
+        event.act();
+    }
+}
+
+void RolloutFleet::request()
+{
+    std::exponential_distribution<double> gap(m_load.requestsPerSecond);
+    schedule(m_now + duration(gap(m_random)), [this] { request(); });
+    const std::size_t node = m_random() % m_nodes.size();
+    const std::string route = "r" + std::to_string(m_random() % 3);
+    const auto subject = std::to_string(m_random());
+    const auto preference = m_nodes[node].preferredVersion("s", subject, m_load.sessions, time(m_now));
+    run(node, preference == VersionPreference::New ? "v2" : "v1", route);
+}
+
+void RolloutFleet::run(std::size_t node, const std::string &version, const std::string &route)
+{
+    const bool isNew = version == "v2";
+    m_newRequests += isNew ? 1 : 0;
+    m_allRequests += m_now >= warmUp ? 1 : 0;
+    const bool routeHit = m_fault.route.empty() || m_fault.route == route;
+    const bool hit = isNew && routeHit && m_now >= warmUp + m_fault.after
+        && std::uniform_real_distribution<double>(0, 1)(m_random) < m_fault.share;
+    const MonitoredRun details{version, "e" + std::to_string(m_random() % engines), {route}, 0, 2s};
+    const auto id = m_nodes[node].recordSent("s", details, time(m_now));
+    const bool fails = hit && m_fault.fails;
+    auto &tracker = m_nodes[node];
+    double seconds = medianSeconds * std::exp(spread * std::normal_distribution<double>(0, 1)(m_random));
+    seconds *= hit ? m_fault.slowFactor : 1;
+    const auto firstByte = hit && m_fault.isSilent ? runTimeout : duration(seconds);
+    if (firstByte >= runTimeout) {
+        schedule(m_now + runTimeout,
+                 [this, &tracker, id] { tracker.recordEnded("s", id, RunEnd::TimedOut, time(m_now)); });
+        return;
+    }
+    schedule(m_now + firstByte, [this, &tracker, id, fails, version, route, firstByte] {
+        tracker.recordOutcome("s", version, route, {fails, firstByte});
+        if (!fails) {
+            tracker.recordFirstByte("s", id, time(m_now));
+        }
+        tracker.recordEnded("s", id, fails ? RunEnd::Failed : RunEnd::Answered, time(m_now));
+    });
+}
+
+void RolloutFleet::tick(std::size_t node)
+{
+    auto &tracker = m_nodes[node];
+    tracker.judgeUnanswered(time(m_now));
+    const auto due = tracker.dueStatus("s", time(m_now));
+    const bool isEnd = m_state && *m_state != RolloutState::InProgress;
+    if (due && !isEnd && due->state != m_state) {
+        publish(*due);
+    }
+}
+
+void RolloutFleet::publish(const RolloutStatus &status)
+{
+    m_state = status.state;
+    const auto row = m_row++;
+    schedule(m_now + rowDelay, [this, status, row] {
+        for (auto &tracker : m_nodes) {
+            tracker.setStatus("s", status, row);
+        }
+    });
+}
+
+} // namespace ibisfork::gateway::test
