--- a/src/gateway/exchangeanswer.cpp
+++ b/src/gateway/exchangeanswer.cpp
@@ -148,8 +148,6 @@
     }
     m_context.view.engines().recordSuccess(m_engineId);
     recordAnswered();
-    m_context.view.rollouts().recordOutcome(
-        m_service, m_engineVersion, m_route->name, {false, m_firstByteAfter, m_model});
     endRun(RunEnd::Answered);
     releaseConnection();
     if (!m_streamBegun) {
@@ -162,8 +160,6 @@
 void Exchange::completeBuffered()
 {
     const bool failed = m_answer.status >= http::status::firstServerError;
-    m_context.view.rollouts().recordOutcome(
-        m_service, m_engineVersion, m_route->name, {failed, m_firstByteAfter, m_model});
     endRun(failed ? RunEnd::Failed : RunEnd::Answered);
     if (failed && m_streamBegun) {
         handleFailedAttempt({EngineFault::Failed, true, "engine_failed"});
--- a/src/gateway/fleetview.cpp
+++ b/src/gateway/fleetview.cpp
@@ -5,7 +5,7 @@
 
 #include "gateway/eventlog.h"
 #include "gateway/noderow.h"
-#include "gateway/rolloutstart.h"
+#include "gateway/rolloutplan.h"
 #include "platform/codecerror.h"
 #include "platform/factcodec.h"
 
@@ -164,15 +164,32 @@
     }
 }
 
-void FleetView::applyRolloutStart(const Row &row, std::int64_t storeNowMs, base::TimePoint now)
+void FleetView::applyRolloutPlan(const Row &row, std::int64_t storeNowMs, base::TimePoint now)
 {
-    const auto service = row.key.substr(rolloutStartPrefix.size());
-    const auto start = decodeRolloutStart(row.data);
-    if (row.removed || !start) {
+    const auto service = row.key.substr(rolloutPlanPrefix.size());
+    m_planVersions[service] = row.removed ? 0 : row.version;
+    const auto plan = decodeRolloutPlan(row.data);
+    if (row.removed || !plan) {
         return;
     }
-    const auto elapsed = std::chrono::milliseconds(std::max<std::int64_t>(0, storeNowMs - start->storeMs));
-    m_rollouts.setStart(service, start->orderRow, now - elapsed);
+    const auto elapsed = std::chrono::milliseconds(std::max<std::int64_t>(0, storeNowMs - plan->startMs));
+    std::optional<base::TimePoint> fullAt;
+    if (plan->fullMs) {
+        fullAt = now + std::chrono::milliseconds(*plan->fullMs - storeNowMs);
+    }
+    m_rollouts.setPlan(service, plan->orderRow, now - elapsed, fullAt);
+}
+
+void FleetView::applyEvidence(const Row &row)
+{
+    if (row.removed) {
+        return;
+    }
+    if (const auto stored = decodeEvidence(row.data)) {
+        m_rollouts.setEvidence(*stored);
+    } else {
+        EventLog::state("evidence_unreadable").field("key", row.key).field("version", row.version);
+    }
 }
 
 void FleetView::applyNode(const Row &row)
@@ -225,14 +242,17 @@
     }
     for (const auto &row : change.rows) {
         const std::string_view key = row.key;
-        if (key.starts_with(rolloutStartPrefix)) {
-            applyRolloutStart(row, storeNowMs, now);
+        if (key.starts_with(rolloutPlanPrefix)) {
+            applyRolloutPlan(row, storeNowMs, now);
+        } else if (key.starts_with(evidencePrefix)) {
+            applyEvidence(row);
         } else if (key.starts_with(nodePrefix)) {
             applyNode(row);
         } else if (key.starts_with(crashPrefix) && !row.removed) {
             applyCrash(row);
         }
     }
+    m_rollouts.setNodes(nodes());
     EventLog::state("own_rows").field("nodes", m_nodes.size()).field("rows", change.rows.size());
 }
 
@@ -260,6 +280,12 @@
     return found == m_statusVersions.end() ? 0 : found->second;
 }
 
+std::uint64_t FleetView::planVersion(const std::string &service) const
+{
+    const auto found = m_planVersions.find(service);
+    return found == m_planVersions.end() ? 0 : found->second;
+}
+
 std::vector<Engine *> FleetView::usableEngines(const std::string &service, VersionPreference preference)
 {
     auto engines = m_engines.ofService(service);
--- a/src/gateway/fleetview.h
+++ b/src/gateway/fleetview.h
@@ -49,6 +49,8 @@
     bool hasRowOf(const PeerNode &node) const;
     /// Row version of the rollout status of @p service, 0 if there is none.
     std::uint64_t statusVersion(const std::string &service) const;
+    /// Row version of the rollout plan of @p service, 0 if there is none.
+    std::uint64_t planVersion(const std::string &service) const;
 
     /// Engines of @p service that may get new requests: in no evacuated domain, of a permitted version.
     std::vector<Engine *> usableEngines(const std::string &service, VersionPreference preference);
@@ -58,8 +60,9 @@
     void applyRollout(const std::string &service, const Row &row, base::TimePoint now);
     void applyEngine(const Row &row, base::TimePoint now);
     void applyNode(const Row &row);
+    void applyEvidence(const Row &row);
     void applyCrash(const Row &row);
-    void applyRolloutStart(const Row &row, std::int64_t storeNowMs, base::TimePoint now);
+    void applyRolloutPlan(const Row &row, std::int64_t storeNowMs, base::TimePoint now);
 
     ConfigurationPtr m_configuration;
     std::uint64_t m_configurationRow = 0;
@@ -68,16 +71,18 @@
     bool m_enginesLoaded = false;
     RolloutTracker m_rollouts;
     std::map<std::string, std::uint64_t> m_statusVersions;
+    std::map<std::string, std::uint64_t> m_planVersions;
     std::set<std::string> m_nodes;
     std::map<std::string, unsigned> m_crashes;
     std::map<std::string, PeerNode> m_peers;
 };
 
-/// Table of this system's own rows, and its key prefixes for nodes, rollout starts and crash counts by request
-/// fingerprint.
+/// Table of this system's own rows, and its key prefixes for nodes, plans of rollouts, evidence about their versions,
+/// and crash counts by request fingerprint.
 inline constexpr const char *ownTable = "ibisfork";
 inline constexpr std::string_view nodePrefix = "node/";
-inline constexpr std::string_view rolloutStartPrefix = "rollout/";
+inline constexpr std::string_view rolloutPlanPrefix = "rollout/";
+inline constexpr std::string_view evidencePrefix = "evidence/";
 inline constexpr std::string_view crashPrefix = "crash/";
 
 } // namespace ibisfork::gateway
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -4,7 +4,6 @@
 
 #include "gateway/eventlog.h"
 #include "gateway/noderow.h"
-#include "gateway/rolloutstart.h"
 #include "http/status.h"
 #include "platform/callcodec.h"
 #include "platform/factcodec.h"
@@ -31,7 +30,7 @@
                                    std::chrono::milliseconds(300),
                                    std::chrono::milliseconds(5000)};
 constexpr WatchTiming ownTiming{std::chrono::milliseconds(3000),
-                                std::chrono::milliseconds(500),
+                                std::chrono::milliseconds(300),
                                 std::chrono::milliseconds(5000)};
 
 /// Time since the store last confirmed the table of @p watch, in milliseconds; -1 before the first answer.
@@ -40,12 +39,6 @@
     return watch.confirmedAt() ? base::toMilliseconds(now - *watch.confirmedAt()) : -1;
 }
 
-/// A due rollout status is written by the nodes that read the store. The other nodes write it only after this delay, so
-/// that not all nodes write at the same time.
-constexpr std::chrono::milliseconds statusWriteDelay{1500};
-
-constexpr std::chrono::milliseconds rolloutLogInterval{1000};
-
 PeerNode selfOf(const settings::GatewaySettings &settings)
 {
     return {settings.node.name, settings.node.region, settings.node.failureDomain, settings.operators};
@@ -64,7 +57,7 @@
                       [this](const TableChange &change) {
                           m_context.view.applyOperatorRows(change, base::monotonicNow());
                           m_tableServer.update(platform::operatorsTable(), change);
-                          writeDueStatuses();
+                          m_rollouts.writeDueStatuses(base::monotonicNow());
                       })
     , m_engineTable(base,
                     m_source,
@@ -95,6 +88,7 @@
                      }
                      m_tableServer.update(ownTable, change);
                  })
+    , m_rollouts(m_context, m_store, m_source, m_operatorTable, m_statusTable)
     , m_tableServer(base)
     , m_callers(m_context, settings.callers)
     , m_readiness(
@@ -200,91 +194,14 @@
     const auto now = base::monotonicNow();
     m_context.view.dropExpiredEngines(now);
     m_context.pool.dropStale(now);
-    m_context.view.rollouts().judgeUnanswered(now);
     registerNode();
-    writeDueStatuses();
-    logRolloutRuns(now);
+    m_rollouts.tick(now);
     if (ready() != m_wasReady) {
         m_wasReady = ready();
         EventLog::state("ready").field("ready", m_wasReady);
     }
 }
 
-bool Gateway::mayWriteStatus(const std::string &service, const RolloutStatus &status, base::TimePoint now)
-{
-    // A revert rests on evidence that only this node may have, so it must not wait.
-    if (m_source.isReader() || status.state == RolloutState::Reverted) {
-        return true;
-    }
-    const auto [since, isNew] = m_dueSince.try_emplace(service, now);
-    return now - since->second >= statusWriteDelay;
-}
-
-void Gateway::writeDueStatuses()
-{
-    const auto now = base::monotonicNow();
-    for (const auto &service : m_context.view.rollouts().servicesWithOrders()) {
-        const auto due = m_context.view.rollouts().dueStatus(service, now);
-        if (!due) {
-            m_dueSince.erase(service);
-        } else if (m_statusTable.loaded() && !m_pendingStatusWrites.contains(service)
-                   && mayWriteStatus(service, *due, now)) {
-            writeRolloutStatus(service, *due);
-        }
-    }
-}
-
-void Gateway::logRolloutRuns(base::TimePoint now)
-{
-    if (now - m_rolloutRunsLoggedAt < rolloutLogInterval) {
-        return;
-    }
-    m_rolloutRunsLoggedAt = now;
-    for (const auto &service : m_context.view.rollouts().servicesWithOrders()) {
-        EventLog::state("rollout_runs")
-            .field("service", service)
-            .field("sent_unjudged_good_late_failed", m_context.view.rollouts().runSummary(service));
-    }
-}
-
-ConditionalWrite Gateway::rolloutStartRow(const std::string &service) const
-{
-    ConditionalWrite row;
-    row.table = ownTable;
-    row.key = std::string(rolloutStartPrefix) + service;
-    row.data = encodeRolloutStart({m_context.view.rollouts().orderRow(service), m_operatorTable.storeNowMs()});
-    return row;
-}
-
-void Gateway::writeRolloutStatus(const std::string &service, const RolloutStatus &status)
-{
-    m_pendingStatusWrites.insert(service);
-    ConditionalWrite row;
-    row.table = platform::statusTable();
-    row.key = platform::rolloutStatusKey(service);
-    row.data = platform::encodeRolloutStatus(status);
-    row.expectedVersion = m_context.view.statusVersion(service);
-    EventLog::state("rollout_status")
-        .field("service", service)
-        .field("to", status.toVersion)
-        .field("state", base::nameOf(rolloutStateNames, status.state))
-        .field("evidence", m_context.view.rollouts().evidence(service));
-    std::vector<ConditionalWrite> rows{row};
-    if (status.state == RolloutState::InProgress) {
-        rows.push_back(rolloutStartRow(service));
-    }
-    m_store.write(rows, [this, service, status](const WriteResult &result) {
-        m_pendingStatusWrites.erase(service);
-        EventLog::state("rollout_status_written")
-            .field("service", service)
-            .field("outcome", base::nameOf(writeOutcomeNames, result.outcome))
-            .field("row", result.version);
-        if (result.outcome == WriteOutcome::Done) {
-            m_context.view.applyStatus(service, status, result.version);
-        }
-    });
-}
-
 void Gateway::stop(std::function<void()> stopped)
 {
     if (m_stopBegan) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -1,8 +1,6 @@
 #pragma once
 
-#include <map>
 #include <optional>
-#include <set>
 #include <string>
 
 #include <ibisfork/base/metrics.h>
@@ -10,6 +8,7 @@
 #include "gateway/callerport.h"
 #include "gateway/context.h"
 #include "gateway/infoport.h"
+#include "gateway/rolloutdriver.h"
 #include "gateway/storeclient.h"
 #include "gateway/tableserver.h"
 #include "gateway/tablesource.h"
@@ -46,13 +45,6 @@
     void registerNode();
     void writeCrashCount(const std::string &fingerprint, unsigned crashes);
     void updateGauges() const;
-    void writeDueStatuses();
-    /// Logs the runs of services with a rollout in progress, at most once in rolloutLogInterval.
-    void logRolloutRuns(base::TimePoint now);
-    /// Returns true if this node may write @p status now, false if that is left to the nodes that read the store.
-    bool mayWriteStatus(const std::string &service, const RolloutStatus &status, base::TimePoint now);
-    ConditionalWrite rolloutStartRow(const std::string &service) const;
-    void writeRolloutStatus(const std::string &service, const RolloutStatus &status);
     void answerOperators(const std::string &target, const InfoPort::Reply &reply);
     std::string statusDocument() const;
 
@@ -63,6 +55,7 @@
     TableWatch m_engineTable;
     TableWatch m_statusTable;
     TableWatch m_ownTable;
+    RolloutDriver m_rollouts;
     TableServer m_tableServer;
     CallerPort m_callers;
     InfoPort m_readiness;
@@ -71,10 +64,6 @@
     net::Timer m_stopTick;
     std::function<void()> m_stopped;
     std::optional<base::TimePoint> m_stopBegan;
-    std::set<std::string> m_pendingStatusWrites;
-    /// Since when a rollout status has been due that this node leaves to the nodes that read the store, by service.
-    std::map<std::string, base::TimePoint> m_dueSince;
-    base::TimePoint m_rolloutRunsLoggedAt{};
     bool m_registered = false;
     bool m_registering = false;
     bool m_wasReady = false;
--- /dev/null
+++ b/src/gateway/rolloutdriver.cpp
@@ -0,0 +1,205 @@
+#include "gateway/rolloutdriver.h"
+
+#include <algorithm>
+
+#include "gateway/eventlog.h"
+#include "platform/factcodec.h"
+
+namespace ibisfork::gateway {
+
+namespace {
+
+/// What is due is written by the nodes that read the store. The other nodes write it only after this delay, so that not
+/// all nodes write at the same time.
+constexpr std::chrono::milliseconds otherNodesDelay{1500};
+/// Time between the decision to move all requests and the move, in which all nodes learn of it: a session whose
+/// requests arrive at several nodes must not go back and forth between versions.
+constexpr std::chrono::milliseconds fullStepNotice{1000};
+/// A node stores its evidence at most once in this time, and the less often the more nodes there are: all nodes
+/// together must leave most of the store's writes to others.
+constexpr std::chrono::milliseconds minEvidenceInterval{200};
+constexpr std::chrono::milliseconds evidenceIntervalPerNode{20};
+constexpr std::chrono::milliseconds logInterval{1000};
+
+} // namespace
+
+RolloutDriver::RolloutDriver(Context &context,
+                             StoreClient &store,
+                             const TableSource &source,
+                             const TableWatch &operatorTable,
+                             const TableWatch &statusTable)
+    : m_context(context)
+    , m_store(store)
+    , m_source(source)
+    , m_operatorTable(operatorTable)
+    , m_statusTable(statusTable)
+{
+    const auto &settings = context.settings;
+    auto &rollouts = context.view.rollouts();
+    rollouts.setNode(settings.node.name);
+    rollouts.setExposureBound({settings.bounds.exposureShare, settings.bounds.exposureTolerance});
+}
+
+void RolloutDriver::tick(base::TimePoint now)
+{
+    m_context.view.rollouts().update(now);
+    writeDueStatuses(now);
+    writeDueFullSteps(now);
+    shareEvidence(now);
+    logRuns(now);
+}
+
+bool RolloutDriver::mayWrite(base::TimePoint since, base::TimePoint now) const
+{
+    return m_source.isReader() || now - since >= otherNodesDelay;
+}
+
+bool RolloutDriver::mayWriteStatus(const std::string &service, const RolloutStatus &status, base::TimePoint now)
+{
+    const auto [since, isNew] = m_statusDueSince.try_emplace(service, now);
+    // A revert rests on evidence that only this node may have, so it must not wait.
+    return status.state == RolloutState::Reverted || mayWrite(since->second, now);
+}
+
+void RolloutDriver::writeDueStatuses(base::TimePoint now)
+{
+    const auto &rollouts = m_context.view.rollouts();
+    for (const auto &service : rollouts.servicesWithOrders()) {
+        const auto due = rollouts.dueStatus(service, now);
+        if (!due) {
+            m_statusDueSince.erase(service);
+        } else if (m_statusTable.loaded() && !m_pendingStatuses.contains(service)
+                   && mayWriteStatus(service, *due, now)) {
+            writeStatus(service, *due);
+        }
+    }
+}
+
+ConditionalWrite RolloutDriver::planRow(const std::string &service, const RolloutPlan &plan) const
+{
+    ConditionalWrite row;
+    row.table = ownTable;
+    row.key = std::string(rolloutPlanPrefix) + service;
+    row.data = encodeRolloutPlan(plan);
+    return row;
+}
+
+void RolloutDriver::writeStatus(const std::string &service, const RolloutStatus &status)
+{
+    m_pendingStatuses.insert(service);
+    ConditionalWrite row;
+    row.table = platform::statusTable();
+    row.key = platform::rolloutStatusKey(service);
+    row.data = platform::encodeRolloutStatus(status);
+    row.expectedVersion = m_context.view.statusVersion(service);
+    const auto &rollouts = m_context.view.rollouts();
+    EventLog::state("rollout_status")
+        .field("service", service)
+        .field("to", status.toVersion)
+        .field("state", base::nameOf(rolloutStateNames, status.state))
+        .field("evidence", rollouts.evidence(service));
+    std::vector<ConditionalWrite> rows{row};
+    if (status.state == RolloutState::InProgress) {
+        rows.push_back(planRow(service, {rollouts.orderRow(service), m_operatorTable.storeNowMs(), {}}));
+    }
+    m_store.write(rows, [this, service, status](const WriteResult &result) {
+        m_pendingStatuses.erase(service);
+        EventLog::state("rollout_status_written")
+            .field("service", service)
+            .field("outcome", base::nameOf(writeOutcomeNames, result.outcome))
+            .field("row", result.version);
+        if (result.outcome == WriteOutcome::Done) {
+            m_context.view.applyStatus(service, status, result.version);
+        }
+    });
+}
+
+void RolloutDriver::writeDueFullSteps(base::TimePoint now)
+{
+    const auto &rollouts = m_context.view.rollouts();
+    for (const auto &service : rollouts.servicesWithOrders()) {
+        if (!rollouts.isFullStepDue(service)) {
+            m_stepDueSince.erase(service);
+            continue;
+        }
+        const auto [since, isNew] = m_stepDueSince.try_emplace(service, now);
+        if (!m_pendingPlans.contains(service) && mayWrite(since->second, now)) {
+            writeFullStep(service, now);
+        }
+    }
+}
+
+void RolloutDriver::writeFullStep(const std::string &service, base::TimePoint now)
+{
+    m_pendingPlans.insert(service);
+    const auto &rollouts = m_context.view.rollouts();
+    const auto nowMs = m_operatorTable.storeNowMs();
+    const auto startMs = nowMs - base::toMilliseconds(now - rollouts.startedAt(service));
+    auto row = planRow(service, {rollouts.orderRow(service), startMs, nowMs + fullStepNotice.count()});
+    row.expectedVersion = m_context.view.planVersion(service);
+    EventLog::state("rollout_full_step")
+        .field("service", service)
+        .field("in_ms", fullStepNotice.count())
+        .field("evidence", rollouts.evidence(service));
+    m_store.write({row}, [this, service](const WriteResult &result) {
+        m_pendingPlans.erase(service);
+        EventLog::state("rollout_full_step_written")
+            .field("service", service)
+            .field("outcome", base::nameOf(writeOutcomeNames, result.outcome));
+    });
+}
+
+void RolloutDriver::shareEvidence(base::TimePoint now)
+{
+    const auto interval
+        = std::max<base::Duration>(minEvidenceInterval, evidenceIntervalPerNode * m_context.view.nodes());
+    if (now - m_evidenceSharedAt < interval) {
+        return;
+    }
+    const auto &rollouts = m_context.view.rollouts();
+    for (const auto &service : rollouts.servicesWithOrders()) {
+        const auto evidence = rollouts.unsharedEvidence(service);
+        if (evidence && !m_pendingEvidence.contains(service)) {
+            m_evidenceSharedAt = now;
+            writeEvidence(service, *evidence);
+        }
+    }
+}
+
+void RolloutDriver::writeEvidence(const std::string &service, const RolloutEvidence &evidence)
+{
+    m_pendingEvidence.insert(service);
+    const auto &node = m_context.settings.node.name;
+    ConditionalWrite row;
+    row.table = ownTable;
+    row.key = std::string(evidencePrefix) + service + '/' + node;
+    row.data = encodeEvidence(service, node, evidence);
+    m_store.write({row}, [this, service, evidence](const WriteResult &result) {
+        m_pendingEvidence.erase(service);
+        if (result.outcome == WriteOutcome::Done) {
+            m_context.view.rollouts().recordShared(service, evidence);
+            return;
+        }
+        // Written again with the next runs' evidence.
+        EventLog::state("evidence_not_written")
+            .field("service", service)
+            .field("outcome", base::nameOf(writeOutcomeNames, result.outcome));
+    });
+}
+
+void RolloutDriver::logRuns(base::TimePoint now)
+{
+    if (now - m_runsLoggedAt < logInterval) {
+        return;
+    }
+    m_runsLoggedAt = now;
+    const auto &rollouts = m_context.view.rollouts();
+    for (const auto &service : rollouts.servicesWithOrders()) {
+        EventLog::state("rollout_runs")
+            .field("service", service)
+            .field("sent_unjudged_good_late_failed", rollouts.runSummary(service))
+            .field("all_nodes", rollouts.evidence(service));
+    }
+}
+
+} // namespace ibisfork::gateway
--- a/src/gateway/rollouttracker.cpp
+++ b/src/gateway/rollouttracker.cpp
@@ -10,23 +10,19 @@
 
 namespace {
 
-/// Share of requests sent to a new version during its trial; below the usual bound on exposure.
-constexpr double trialShare = 0.08;
-/// Fractions of the period at which the move begins, covers all requests, and is reported as completed. Responses still
-/// outstanding at the old version end before completion. Between the first two, moveShare of the subjects are moved.
-constexpr double moveStart = 0.5;
-constexpr double moveEnd = 0.6;
-constexpr double moveShare = 0.35;
+/// Share of the requests without a session that go to a new version during its trial.
+constexpr double trialShare = 0.11;
+/// Share of all requests in the partial step, which begins at this fraction of the period.
+constexpr double partialShare = 0.35;
+constexpr double partialStart = 0.5;
+/// A rollout completes at this fraction of the period at the earliest, and not before drainFraction of the period has
+/// passed in the full step: the old engines stop at completion, so their responses must have ended by then.
 constexpr double completeAt = 0.82;
-
-/// A new version is rejected for its own failures if their rate is far above the old version's in the same time.
-constexpr unsigned minFailures = 3;
-constexpr double minFailedShare = 0.2;
-constexpr double failureFactor = 3.0;
-/// A new version is also rejected if its first bytes take several times as long as the old version's.
-constexpr unsigned minTimedRuns = 5;
-constexpr double slowFactor = 3.5;
-constexpr double slowSlackSeconds = 0.15;
+constexpr double drainFraction = 0.15;
+/// A rollout that has not completed at this fraction of the period is reverted.
+constexpr double giveUpAt = 0.97;
+/// Fraction of the exposure bound that nodes use; the rest covers retries and nodes that restart.
+constexpr double usedExposure = 2.0 / 3.0;
 
 /// Maps @p subject to a stable fraction in [0, 1), the same at every node.
 double fractionOf(const std::string &subject)
@@ -35,18 +31,21 @@
     return static_cast<double>(coord::rendezvousWeight("rollout", subject) % steps) / steps;
 }
 
-} // namespace
-
-void VersionRuns::add(const RunOutcome &outcome)
+double shareOf(RolloutStep step)
 {
-    ++total;
-    failed += outcome.failed ? 1 : 0;
-    if (outcome.firstByte) {
-        ++timed;
-        firstByteSeconds += base::toSeconds(*outcome.firstByte);
+    switch (step) {
+    case RolloutStep::Trial:
+        return trialShare;
+    case RolloutStep::Partial:
+        return partialShare;
+    case RolloutStep::Full:
+        return 1.0;
     }
+    return 0.0;
 }
 
+} // namespace
+
 void RunCounts::add(const RunVerdict &verdict)
 {
     good -= verdict.isRevised ? 1 : 0;
@@ -68,6 +67,36 @@
     return status && statusRow > orderRow && status->toVersion == order.toVersion && status->state == state;
 }
 
+std::optional<base::TimePoint> RolloutTracker::Rollout::fullAt() const
+{
+    return plan.orderRow == orderRow ? plan.fullAt : std::nullopt;
+}
+
+double RolloutTracker::Rollout::progress(base::TimePoint now) const
+{
+    const auto period = std::max<base::Duration>(order.period, std::chrono::seconds(1));
+    return base::toSeconds(now - startedAt) / base::toSeconds(period);
+}
+
+RolloutStep RolloutTracker::Rollout::stepAt(base::TimePoint now) const
+{
+    if (fullAt() && now >= *fullAt()) {
+        return RolloutStep::Full;
+    }
+    return progress(now) >= partialStart ? RolloutStep::Partial : RolloutStep::Trial;
+}
+
+RolloutEvidence RolloutTracker::Rollout::pooled() const
+{
+    auto sum = evidence;
+    for (const auto &[node, other] : peers) {
+        if (other.orderRow == orderRow) {
+            sum.add(other);
+        }
+    }
+    return sum;
+}
+
 void RolloutTracker::setOrder(const RolloutOrder &order, std::uint64_t orderRow, base::TimePoint now)
 {
     auto &rollout = m_rollouts[order.service];
@@ -81,18 +110,27 @@
     Rollout next;
     next.status = rollout.status;
     next.statusRow = rollout.statusRow;
-    next.start = rollout.start;
+    next.plan = rollout.plan;
+    next.peers = rollout.peers;
     next.order = order;
     next.orderRow = orderRow;
-    next.startedAt = next.start.orderRow == orderRow ? next.start.startedAt : now;
+    next.evidence.orderRow = orderRow;
+    next.startedAt = next.plan.orderRow == orderRow ? next.plan.startedAt : now;
     rollout = std::move(next);
     m_monitors[order.service].setTrialVersion(order.toVersion);
 }
 
-void RolloutTracker::setStart(const std::string &service, std::uint64_t orderRow, base::TimePoint startedAt)
+void RolloutTracker::setPlan(const std::string &service,
+                             std::uint64_t orderRow,
+                             base::TimePoint startedAt,
+                             std::optional<base::TimePoint> fullAt)
 {
     auto &rollout = m_rollouts[service];
-    rollout.start = {orderRow, startedAt};
+    if (rollout.plan.orderRow == orderRow && rollout.plan.fullAt) {
+        // The first reading stands: later ones differ by the error of the store's clock.
+        fullAt = rollout.plan.fullAt;
+    }
+    rollout.plan = {orderRow, startedAt, fullAt};
     if (rollout.orderRow == orderRow) {
         rollout.startedAt = std::min(rollout.startedAt, startedAt);
     }
@@ -104,6 +142,12 @@
     return rollout == nullptr ? 0 : rollout->orderRow;
 }
 
+base::TimePoint RolloutTracker::startedAt(const std::string &service) const
+{
+    const auto *rollout = find(service);
+    return rollout == nullptr ? base::TimePoint{} : rollout->startedAt;
+}
+
 void RolloutTracker::removeOrder(const std::string &service)
 {
     auto &rollout = m_rollouts[service];
@@ -124,6 +168,18 @@
     }
 }
 
+void RolloutTracker::setEvidence(const StoredEvidence &stored)
+{
+    if (stored.node == m_node) {
+        return;
+    }
+    auto &rollout = m_rollouts[stored.service];
+    rollout.peers[stored.node] = stored.evidence;
+    if (rollout.orderRow != 0) {
+        stopIfBad(rollout);
+    }
+}
+
 const RolloutTracker::Rollout *RolloutTracker::find(const std::string &service) const
 {
     const auto found = m_rollouts.find(service);
@@ -136,10 +192,11 @@
     return found == m_rollouts.end() || found->second.orderRow == 0 ? nullptr : &found->second;
 }
 
-double RolloutTracker::progress(const Rollout &rollout, base::TimePoint now)
+bool RolloutTracker::hasAllowance(const Rollout &rollout) const
 {
-    const auto period = std::max<base::Duration>(rollout.order.period, std::chrono::seconds(1));
-    return base::toSeconds(now - rollout.startedAt) / base::toSeconds(period);
+    const double sent = rollout.newCounts.sent + rollout.oldCounts.sent;
+    const double allowed = m_bound.share * sent + m_bound.tolerance / std::max(1U, m_nodes);
+    return rollout.newCounts.sent + 1 <= usedExposure * allowed;
 }
 
 VersionPreference RolloutTracker::preferredVersion(const std::string &service,
@@ -154,15 +211,12 @@
     if (rollout->hasStatus(RolloutState::Completed)) {
         return VersionPreference::New;
     }
-    if (rollout->stopped()) {
+    const auto step = rollout->stepAt(now);
+    const bool onTrial = step != RolloutStep::Full;
+    if (rollout->stopped() || (isSession && step == RolloutStep::Trial) || (onTrial && !hasAllowance(*rollout))) {
         return VersionPreference::Old;
     }
-    const auto done = progress(*rollout, now);
-    if (isSession && done < moveStart) {
-        return VersionPreference::Old;
-    }
-    const double share = done < moveStart ? trialShare : (done < moveEnd ? moveShare : 1.0);
-    return fractionOf(subject) < share ? VersionPreference::New : VersionPreference::Old;
+    return fractionOf(subject) < shareOf(step) ? VersionPreference::New : VersionPreference::Old;
 }
 
 VersionPreference RolloutTracker::preferredRetryVersion(const std::string &service, const std::string &version) const
@@ -204,29 +258,15 @@
     return wanted.empty() && !onlyWanted ? engines : wanted;
 }
 
-void RolloutTracker::recordOutcome(const std::string &service,
-                                   const std::string &version,
-                                   const std::string &route,
-                                   const RunOutcome &outcome)
-{
-    const auto found = m_rollouts.find(service);
-    if (found == m_rollouts.end() || found->second.orderRow == 0) {
-        return;
-    }
-    auto &rollout = found->second;
-    const bool isNew = version == rollout.order.toVersion;
-    (isNew ? rollout.newRuns : rollout.oldRuns).add(outcome);
-    (isNew ? rollout.newByRoute : rollout.oldByRoute)[route].add(outcome);
-    recordSpeed(rollout, isNew, route, outcome);
-    if (!rollout.stoppedLocally && !rollout.hasStatus(RolloutState::Completed) && evidenceAgainst(rollout)) {
-        rollout.stoppedLocally = true;
-    }
-}
-
 RunId RolloutTracker::recordSent(const std::string &service, const MonitoredRun &run, base::TimePoint now)
 {
-    if (auto *rollout = find(service)) {
-        ++(run.version == rollout->order.toVersion ? rollout->newCounts : rollout->oldCounts).sent;
+    auto *rollout = find(service);
+    if (rollout != nullptr && run.version == rollout->order.toVersion) {
+        ++rollout->newCounts.sent;
+        rollout->evidence.addEngine(run.engineId);
+        rollout->alarms[run.kind.route].recordEngine(run.engineId);
+    } else if (rollout != nullptr) {
+        ++rollout->oldCounts.sent;
     }
     return m_monitors[service].recordSent(run, now);
 }
@@ -241,58 +281,76 @@
     apply(service, m_monitors[service].recordEnded(id, end, now));
 }
 
-void RolloutTracker::judgeUnanswered(base::TimePoint now)
+void RolloutTracker::update(base::TimePoint now)
 {
+    for (auto &[service, rollout] : m_rollouts) {
+        const auto step = rollout.stepAt(now);
+        if (rollout.orderRow != 0 && step > rollout.evidence.step) {
+            enterStep(rollout, step);
+        }
+    }
     for (auto &[service, monitor] : m_monitors) {
-        for (const auto &verdict : monitor.judgeUnanswered(now)) {
+        for (const auto &verdict : monitor.judgeByAge(now)) {
             apply(service, verdict);
         }
     }
 }
 
-void RolloutTracker::apply(const std::string &service, const std::optional<RunVerdict> &verdict)
+void RolloutTracker::enterStep(Rollout &rollout, RolloutStep step)
 {
-    auto *rollout = find(service);
-    if (verdict && rollout != nullptr) {
-        (verdict->run.version == rollout->order.toVersion ? rollout->newCounts : rollout->oldCounts).add(*verdict);
+    if (step == RolloutStep::Partial) {
+        // The trial's load differs little from the partial step's, and its runs may be few.
+        rollout.evidence.step = step;
+        return;
     }
+    // Runs under less load do not show how the version bears more.
+    RolloutEvidence next;
+    next.orderRow = rollout.orderRow;
+    next.step = step;
+    next.oldRuns = rollout.evidence.oldRuns;
+    rollout.evidence = std::move(next);
+    rollout.sharedRuns = 0;
 }
 
-void RolloutTracker::recordSpeed(Rollout &rollout, bool isNew, const std::string &route, const RunOutcome &outcome)
+void RolloutTracker::apply(const std::string &service, const std::optional<RunVerdict> &verdict)
 {
-    auto &old = rollout.oldByModel[{route, outcome.model}];
-    if (!isNew) {
-        old.add(outcome);
-    } else if (outcome.firstByte && old.timed >= minTimedRuns) {
-        auto &slowness = rollout.slowness[route];
-        ++slowness.timed;
-        slowness.seconds += base::toSeconds(*outcome.firstByte);
-        slowness.usualSeconds += old.meanFirstByte();
+    auto *rollout = find(service);
+    if (!verdict || rollout == nullptr) {
+        return;
+    }
+    const auto &run = verdict->run;
+    if (run.version != rollout->order.toVersion) {
+        rollout->oldCounts.add(*verdict);
+        rollout->evidence.addOld(*verdict);
+        return;
+    }
+    rollout->newCounts.add(*verdict);
+    rollout->evidence.addNew(*verdict);
+    const bool isBad = verdict->quality != RunQuality::Good;
+    auto &alarm = rollout->alarms[run.kind.route];
+    alarm.observe(run.engineId, isBad, rollout->pooled().ratesOn(run.kind.route));
+    if (alarm.raised() && rollout->isOpen()) {
+        rollout->stopReason = fmt::format("runs_of_{}_turned_bad_here", run.kind.route);
+    }
+    if (isBad) {
+        stopIfBad(*rollout);
     }
 }
 
-bool RolloutTracker::isFailing(const VersionRuns &newRuns, const VersionRuns &oldRuns)
-{
-    return newRuns.failed >= minFailures && newRuns.failedShare() >= minFailedShare
-        && newRuns.failedShare() >= failureFactor * oldRuns.failedShare();
-}
-
-bool RolloutTracker::isSlow(const Slowness &slowness)
+void RolloutTracker::stopIfBad(Rollout &rollout)
 {
-    return slowness.timed >= minTimedRuns
-        && slowness.seconds > slowFactor * slowness.usualSeconds + slowSlackSeconds * slowness.timed;
+    if (rollout.isOpen() && rollout.pooled().showsBadVersion()) {
+        rollout.stopReason = "runs_of_all_nodes_are_bad";
+    }
 }
 
-bool RolloutTracker::evidenceAgainst(const Rollout &rollout)
+bool RolloutTracker::mayComplete(const Rollout &rollout, base::TimePoint now)
 {
-    for (const auto &[route, runs] : rollout.newByRoute) {
-        const auto old = rollout.oldByRoute.find(route);
-        if (isFailing(runs, old == rollout.oldByRoute.end() ? VersionRuns{} : old->second)) {
-            return true;
-        }
+    if (!rollout.fullAt() || rollout.evidence.step != RolloutStep::Full || rollout.progress(now) < completeAt) {
+        return false;
     }
-    return std::any_of(
-        rollout.slowness.begin(), rollout.slowness.end(), [](const auto &item) { return isSlow(item.second); });
+    const auto inFullStep = base::toSeconds(now - *rollout.fullAt());
+    return inFullStep >= drainFraction * base::toSeconds(rollout.order.period) && rollout.pooled().showsGoodVersion();
 }
 
 std::optional<RolloutStatus> RolloutTracker::dueStatus(const std::string &service, base::TimePoint now) const
@@ -303,16 +361,45 @@
         return std::nullopt;
     }
     const auto &toVersion = rollout->order.toVersion;
-    if (rollout->stoppedLocally) {
+    if (!rollout->stopReason.empty()) {
         return RolloutStatus{toVersion, RolloutState::Reverted};
     }
-    if (progress(*rollout, now) >= completeAt) {
+    if (mayComplete(*rollout, now)) {
         return RolloutStatus{toVersion, RolloutState::Completed};
     }
+    if (rollout->progress(now) >= giveUpAt) {
+        return RolloutStatus{toVersion, RolloutState::Reverted};
+    }
     const bool isPublished = rollout->hasStatus(RolloutState::InProgress);
     return isPublished ? std::nullopt : std::optional(RolloutStatus{toVersion, RolloutState::InProgress});
 }
 
+bool RolloutTracker::isFullStepDue(const std::string &service) const
+{
+    const auto *rollout = find(service);
+    return rollout != nullptr && rollout->isOpen() && !rollout->fullAt()
+        && rollout->evidence.step == RolloutStep::Partial && rollout->pooled().showsGoodVersion();
+}
+
+std::optional<RolloutEvidence> RolloutTracker::unsharedEvidence(const std::string &service) const
+{
+    const auto *rollout = find(service);
+    if (rollout == nullptr || !rollout->isOpen()) {
+        return std::nullopt;
+    }
+    const auto runs = rollout->evidence.allNew();
+    return runs.judged + runs.bad > rollout->sharedRuns ? std::optional(rollout->evidence) : std::nullopt;
+}
+
+void RolloutTracker::recordShared(const std::string &service, const RolloutEvidence &evidence)
+{
+    auto *rollout = find(service);
+    if (rollout != nullptr && rollout->orderRow == evidence.orderRow && rollout->evidence.step == evidence.step) {
+        const auto runs = evidence.allNew();
+        rollout->sharedRuns = runs.judged + runs.bad;
+    }
+}
+
 std::vector<std::string> RolloutTracker::servicesWithOrders() const
 {
     std::vector<std::string> services;
@@ -330,13 +417,17 @@
     if (rollout == nullptr) {
         return "none";
     }
-    return fmt::format("new:{}/{}/{:.3f}s,old:{}/{}/{:.3f}s",
-                       rollout->newRuns.failed,
-                       rollout->newRuns.total,
-                       rollout->newRuns.meanFirstByte(),
-                       rollout->oldRuns.failed,
-                       rollout->oldRuns.total,
-                       rollout->oldRuns.meanFirstByte());
+    const auto pooled = rollout->pooled();
+    const auto next = pooled.allNew();
+    const auto old = pooled.allOld();
+    return fmt::format("{},new:{}/{},old:{}/{},nodes:{},stopped:{}",
+                       base::nameOf(rolloutStepNames, pooled.step),
+                       next.bad,
+                       next.judged,
+                       old.bad,
+                       old.judged,
+                       rollout->peers.size() + 1,
+                       rollout->stopReason.empty() ? "no" : rollout->stopReason);
 }
 
 std::string RolloutTracker::runSummary(const std::string &service) const
--- a/src/gateway/rollouttracker.h
+++ b/src/gateway/rollouttracker.h
@@ -5,13 +5,14 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include <ibisfork/base/clock.h>
 
 #include "gateway/enginetracker.h"
+#include "gateway/rolloutevidence.h"
 #include "gateway/runmonitor.h"
+#include "gateway/versionalarm.h"
 
 namespace ibisfork::gateway {
 
@@ -22,35 +23,13 @@
     New,
 };
 
-/// Result of one run, as evidence about the version that ran it.
-struct RunOutcome
+/// Bound on the requests that a version may get before it has proved good, over all nodes.
+struct ExposureBound
 {
-    bool failed = false;
-    /// Time to the first byte of the response, if there was a response.
-    std::optional<base::Duration> firstByte;
-    /// Model that ran the request if the node chose it, otherwise empty.
-    std::string model{};
-};
-
-/// Run statistics of one version, in total, per route, or per route and model.
-struct VersionRuns
-{
-    unsigned total = 0;
-    unsigned failed = 0;
-    unsigned timed = 0;
-    double firstByteSeconds = 0;
-
-    void add(const RunOutcome &outcome);
-    double failedShare() const { return total == 0 ? 0.0 : static_cast<double>(failed) / total; }
-    double meanFirstByte() const { return timed == 0 ? 0.0 : firstByteSeconds / timed; }
-};
-
-/// Time to first byte of the new version, compared with the old version's mean for the same route and model.
-struct Slowness
-{
-    unsigned timed = 0;
-    double seconds = 0;
-    double usualSeconds = 0;
+    /// Share of all requests to the service since the order.
+    double share = 0.15;
+    /// Requests in addition to the share.
+    double tolerance = 30;
 };
 
 /// Number of a version's runs at this node, by how far they have come.
@@ -64,30 +43,48 @@
     void add(const RunVerdict &verdict);
 };
 
-/// Tracks the rollouts that operators have ordered, and the run statistics of their versions.
+/// Tracks the rollouts that operators have ordered, and the runs of their versions.
+///
+/// The trial begins with the order: a few requests go to the new version. Sessions stay on the old one, since their
+/// requests arrive at several nodes and no node knows whether a session has started elsewhere. In the second half of
+/// the period a part of all requests moves. All requests move only after the judged runs of all nodes together show
+/// that the new version is good, and the rollout completes only after those of the full load do. Until then each node
+/// keeps its share of the exposure bound, whatever the clock says. Runs that show a bad version stop it at once; a
+/// rollout that has not proved its version good near the end of its period is reverted.
 ///
-/// In the first half of the period a small share of the requests goes to the new version. Sessions stay on the old one:
-/// their requests arrive at several nodes, and no node knows whether a session has started elsewhere. After that all
-/// requests move to the new version, each session at most once and never back, and the rollout completes before the end
-/// of the period. A new version that fails or is slow stops receiving requests at once.
+/// A session moves at most once and never back, unless the version is stopped.
 class RolloutTracker
 {
 public:
+    /// Sets the name under which this node stores its evidence; evidence stored under it is ignored.
+    void setNode(const std::string &name) { m_node = name; }
+    void setExposureBound(const ExposureBound &bound) { m_bound = bound; }
+    /// Sets the number of nodes that share the exposure bound.
+    void setNodes(unsigned nodes) { m_nodes = nodes; }
+
     /// Adds or replaces the order of a service. @p orderRow: row version of the order, which distinguishes it from a
     /// later order of the same content.
     void setOrder(const RolloutOrder &order, std::uint64_t orderRow, base::TimePoint now);
-    /// Records that the order of row version @p orderRow was first seen by any node at @p startedAt.
-    void setStart(const std::string &service, std::uint64_t orderRow, base::TimePoint startedAt);
+    /// Records that the order of row version @p orderRow was first seen by any node at @p startedAt, and that all
+    /// requests move to the new version at @p fullAt, if that is decided.
+    void setPlan(const std::string &service,
+                 std::uint64_t orderRow,
+                 base::TimePoint startedAt,
+                 std::optional<base::TimePoint> fullAt);
     /// Ends the rollout of @p service after its order was deleted.
     void removeOrder(const std::string &service);
     /// Takes a status read from the store. @p statusRow: row version of the status; a status older than the order does
     /// not apply to that order.
     void setStatus(const std::string &service, const RolloutStatus &status, std::uint64_t statusRow);
+    /// Takes the evidence that a node has stored; it replaces that node's earlier evidence.
+    void setEvidence(const StoredEvidence &stored);
     /// Row version of the current order, 0 if there is none.
     std::uint64_t orderRow(const std::string &service) const;
+    /// When the order was first seen by any node, as far as this node knows.
+    base::TimePoint startedAt(const std::string &service) const;
 
     /// Which version should serve a request. @p subject: id of the session, or of the request if it has no session;
-    /// equal subjects get equal results at every node.
+    /// equal subjects get equal results at every node while the exposure bound is not reached.
     VersionPreference preferredVersion(const std::string &service,
                                        const std::string &subject,
                                        bool isSession,
@@ -101,34 +98,36 @@
                                     std::vector<Engine *> engines,
                                     VersionPreference preference) const;
 
-    /// Adds the result of a run to the statistics; stops the new version if they show that it fails or is slow.
-    void recordOutcome(const std::string &service,
-                       const std::string &version,
-                       const std::string &route,
-                       const RunOutcome &outcome);
-
     /// Records that a request was sent to an engine of @p service; the result identifies the run in the next calls.
     RunId recordSent(const std::string &service, const MonitoredRun &run, base::TimePoint now);
     /// Records the first byte of a response that is no failure.
     void recordFirstByte(const std::string &service, RunId id, base::TimePoint now);
     void recordEnded(const std::string &service, RunId id, RunEnd end, base::TimePoint now);
-    /// Judges the runs that are late and have not been answered. Must be called regularly.
-    void judgeUnanswered(base::TimePoint now);
+    /// Enters the steps that are due and judges the runs that can be judged by their age. Must be called regularly.
+    void update(base::TimePoint now);
 
     /// Status that should be written to the store for @p service now, if it differs from the last one read.
     std::optional<RolloutStatus> dueStatus(const std::string &service, base::TimePoint now) const;
+    /// The evidence of all nodes allows all requests to move, and no time for that is planned yet.
+    bool isFullStepDue(const std::string &service) const;
+    /// This node's evidence if it has runs that were not in the evidence last taken.
+    std::optional<RolloutEvidence> unsharedEvidence(const std::string &service) const;
+    /// Records that @p evidence of this node was stored.
+    void recordShared(const std::string &service, const RolloutEvidence &evidence);
     /// Services that have a rollout order.
     std::vector<std::string> servicesWithOrders() const;
-    /// Run statistics of both versions in short, for logs: failed/total/mean time to first byte.
+    /// Step and judged runs of all nodes in short, for logs: bad/judged of each version, and why the new one is
+    /// stopped.
     std::string evidence(const std::string &service) const;
     /// Runs of both versions at this node in short, for logs: sent/unjudged/good/late/failed.
     std::string runSummary(const std::string &service) const;
 
 private:
-    struct Start
+    struct Plan
     {
         std::uint64_t orderRow = 0;
         base::TimePoint startedAt{};
+        std::optional<base::TimePoint> fullAt;
     };
 
     struct Rollout
@@ -138,34 +137,40 @@
         base::TimePoint startedAt{};
         std::optional<RolloutStatus> status;
         std::uint64_t statusRow = 0;
-        Start start;
-        bool stoppedLocally = false;
-        VersionRuns newRuns;
-        VersionRuns oldRuns;
-        std::map<std::string, VersionRuns> newByRoute;
-        std::map<std::string, VersionRuns> oldByRoute;
-        /// The old version's runs by route and model. A large model is several times slower than a small one, and the
-        /// few runs of the new version at one node may all be of one model by chance.
-        std::map<std::pair<std::string, std::string>, VersionRuns> oldByModel;
-        std::map<std::string, Slowness> slowness;
+        Plan plan;
+        /// Why this node has stopped the new version; empty if it has not.
+        std::string stopReason;
         RunCounts newCounts;
         RunCounts oldCounts;
+        RolloutEvidence evidence;
+        unsigned sharedRuns = 0;
+        std::map<std::string, VersionAlarm> alarms;
+        /// Evidence of the other nodes, by node.
+        std::map<std::string, RolloutEvidence> peers;
 
         /// True if the current order's status, as read from the store, is @p state.
         bool hasStatus(RolloutState state) const;
-        bool stopped() const { return stoppedLocally || hasStatus(RolloutState::Reverted); }
+        bool stopped() const { return !stopReason.empty() || hasStatus(RolloutState::Reverted); }
+        /// True while the new version's fate is open.
+        bool isOpen() const { return !stopped() && !hasStatus(RolloutState::Completed); }
+        std::optional<base::TimePoint> fullAt() const;
+        /// Elapsed fraction of the period; above 1 after its end.
+        double progress(base::TimePoint now) const;
+        RolloutStep stepAt(base::TimePoint now) const;
+        RolloutEvidence pooled() const;
     };
 
-    /// Elapsed fraction of the rollout's period; above 1 after its end.
-    static double progress(const Rollout &rollout, base::TimePoint now);
-    static bool isFailing(const VersionRuns &newRuns, const VersionRuns &oldRuns);
-    static bool isSlow(const Slowness &slowness);
-    static void recordSpeed(Rollout &rollout, bool isNew, const std::string &route, const RunOutcome &outcome);
-    static bool evidenceAgainst(const Rollout &rollout);
     const Rollout *find(const std::string &service) const;
     Rollout *find(const std::string &service);
+    bool hasAllowance(const Rollout &rollout) const;
+    static void enterStep(Rollout &rollout, RolloutStep step);
+    static void stopIfBad(Rollout &rollout);
+    static bool mayComplete(const Rollout &rollout, base::TimePoint now);
     void apply(const std::string &service, const std::optional<RunVerdict> &verdict);
 
+    std::string m_node;
+    ExposureBound m_bound;
+    unsigned m_nodes = 1;
     std::map<std::string, Rollout> m_rollouts;
     /// Open runs, by service, also of services without an order: what is usual must be known when an order arrives.
     std::map<std::string, RunMonitor> m_monitors;
--- a/src/gateway/runmonitor.cpp
+++ b/src/gateway/runmonitor.cpp
@@ -1,29 +1,25 @@
 #include "gateway/runmonitor.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace ibisfork::gateway {
 
 RunId RunMonitor::recordSent(const MonitoredRun &run, base::TimePoint now)
 {
-    m_open.emplace(++m_lastId, OpenRun{run, now, std::nullopt});
+    const auto lateAfter = m_usual.lateAfter(run.kind, run.promptTokens).value_or(run.objective);
+    m_open.emplace(++m_lastId, OpenRun{run, now, now + lateAfter, std::nullopt, false, false});
     return m_lastId;
 }
 
-bool RunMonitor::isLate(const OpenRun &open, base::TimePoint now) const
+std::optional<RunVerdict> RunMonitor::judge(OpenRun &open, base::TimePoint now)
 {
-    const auto &run = open.run;
-    return now - open.sentAt > m_usual.lateAfter(run.kind, run.promptTokens).value_or(run.objective);
-}
-
-std::optional<RunVerdict> RunMonitor::judge(OpenRun &open, RunQuality quality)
-{
-    const bool wasGood = open.quality == RunQuality::Good;
-    if (open.quality && (!wasGood || quality == RunQuality::Good)) {
+    if (open.isJudged || now <= open.lateAt) {
         return std::nullopt;
     }
-    open.quality = quality;
-    return RunVerdict{open.run, quality, wasGood};
+    open.isJudged = true;
+    open.quality = open.quality.value_or(RunQuality::Late);
+    return RunVerdict{open.run, *open.quality, false};
 }
 
 std::optional<RunVerdict> RunMonitor::recordFirstByte(RunId id, base::TimePoint now)
@@ -33,11 +29,13 @@
         return std::nullopt;
     }
     auto &open = found->second;
-    auto verdict = judge(open, isLate(open, now) ? RunQuality::Late : RunQuality::Good);
     if (open.run.version != m_trialVersion) {
         m_usual.record(open.run.kind, open.run.promptTokens, now - open.sentAt);
     }
-    return verdict;
+    if (!open.quality && now <= open.lateAt) {
+        open.quality = RunQuality::Good;
+    }
+    return judge(open, now);
 }
 
 std::optional<RunVerdict> RunMonitor::recordEnded(RunId id, RunEnd end, base::TimePoint now)
@@ -47,25 +45,32 @@
         return std::nullopt;
     }
     auto &open = found->second;
-    std::optional<RunVerdict> verdict;
-    if (end == RunEnd::Failed) {
-        verdict = judge(open, RunQuality::Failed);
-    } else if (end == RunEnd::TimedOut || (!open.quality && isLate(open, now))) {
-        verdict = judge(open, RunQuality::Late);
-    } else if (end == RunEnd::Answered) {
-        verdict = judge(open, RunQuality::Good);
+    const bool isBad = end == RunEnd::Failed || end == RunEnd::TimedOut;
+    const bool wasGood = open.isJudged && open.quality == RunQuality::Good;
+    if (isBad && open.quality != RunQuality::Late) {
+        open.quality = end == RunEnd::Failed ? RunQuality::Failed : RunQuality::Late;
+    }
+    if (!open.isJudged && open.quality && now <= open.lateAt) {
+        open.hasEnded = true;
+        return std::nullopt;
+    }
+    auto verdict = judge(open, now);
+    if (isBad && wasGood) {
+        verdict = RunVerdict{open.run, *open.quality, true};
     }
     m_open.erase(found);
     return verdict;
 }
 
-std::vector<RunVerdict> RunMonitor::judgeUnanswered(base::TimePoint now)
+std::vector<RunVerdict> RunMonitor::judgeByAge(base::TimePoint now)
 {
     std::vector<RunVerdict> verdicts;
-    for (auto &[id, open] : m_open) {
-        if (!open.quality && isLate(open, now)) {
-            verdicts.push_back(*judge(open, RunQuality::Late));
+    for (auto item = m_open.begin(); item != m_open.end();) {
+        auto &open = item->second;
+        if (auto verdict = judge(open, now)) {
+            verdicts.push_back(std::move(*verdict));
         }
+        item = open.hasEnded && open.isJudged ? m_open.erase(item) : std::next(item);
     }
     return verdicts;
 }
@@ -73,7 +78,7 @@
 unsigned RunMonitor::unjudged(const std::string &version) const
 {
     return static_cast<unsigned>(std::count_if(m_open.begin(), m_open.end(), [&](const auto &item) {
-        return !item.second.quality && item.second.run.version == version;
+        return !item.second.isJudged && item.second.run.version == version;
     }));
 }
 
--- a/src/gateway/runmonitor.h
+++ b/src/gateway/runmonitor.h
@@ -52,8 +52,9 @@
 /// Identifies an open run; 0 stands for none.
 using RunId = std::uint64_t;
 
-/// Judges each run of a service as soon as it can be judged: on time or late at its first byte, failed at its end, and
-/// late without any answer once the time in which runs of its kind usually answer is exceeded several times.
+/// Judges the runs of a service, each one at the age at which its first byte would be several times later than usual,
+/// on time, late or failed, whether it has been answered or not. If fast runs counted sooner than slow ones, the first
+/// verdicts on a slow version would be good. A run that fails after that age is judged again.
 class RunMonitor
 {
 public:
@@ -63,10 +64,10 @@
     /// Records the first byte of a response that is no failure.
     std::optional<RunVerdict> recordFirstByte(RunId id, base::TimePoint now);
     std::optional<RunVerdict> recordEnded(RunId id, RunEnd end, base::TimePoint now);
-    /// Judges the runs whose first byte is late by now.
-    std::vector<RunVerdict> judgeUnanswered(base::TimePoint now);
+    /// Judges the runs that can be judged at @p now though nothing has happened to them.
+    std::vector<RunVerdict> judgeByAge(base::TimePoint now);
 
-    /// Number of runs of @p version that are neither judged nor ended.
+    /// Number of runs of @p version without a verdict.
     unsigned unjudged(const std::string &version) const;
 
 private:
@@ -74,11 +75,16 @@
     {
         MonitoredRun run;
         base::TimePoint sentAt;
+        /// When the run counts as late if its first byte has not arrived.
+        base::TimePoint lateAt;
+        /// What is known of its quality: nothing while its first byte and its end are still to come.
         std::optional<RunQuality> quality;
+        bool isJudged = false;
+        bool hasEnded = false;
     };
 
-    bool isLate(const OpenRun &open, base::TimePoint now) const;
-    static std::optional<RunVerdict> judge(OpenRun &open, RunQuality quality);
+    /// Verdict on @p open if one is due at @p now.
+    static std::optional<RunVerdict> judge(OpenRun &open, base::TimePoint now);
 
     UsualTimes m_usual;
     std::string m_trialVersion;
--- a/src/gateway/usualtimes.cpp
+++ b/src/gateway/usualtimes.cpp
@@ -8,35 +8,47 @@
 
 /// Fewer runs say too little about the usual time.
 constexpr unsigned minRuns = 5;
-/// Weight of the newest run in a mean, once the mean has as many runs as this stands for; earlier, all weigh the same.
-constexpr double minWeight = 0.05;
+/// Weight of the newest run in a fit, once the fit has as many runs as this stands for; earlier, all weigh the same.
+constexpr double minWeight = 0.03;
 /// A first byte is late after lateFactor times the usual time plus lateSlack.
 constexpr double lateFactor = 2.5;
-constexpr std::chrono::milliseconds lateSlack{100};
-/// Largest allowance for a long prompt, as a factor on the usual time.
-constexpr double maxPromptFactor = 8.0;
+constexpr std::chrono::milliseconds lateSlack{40};
+/// Bounds of the fitted time, as fractions of the mean: a fit to few runs may be far off at its ends.
+constexpr double minOfMean = 0.2;
+constexpr double maxOfMean = 10.0;
 
 } // namespace
 
+void UsualTimes::Fit::add(double runTokens, double runSeconds)
+{
+    ++runs;
+    const double weight = std::max(minWeight, 1.0 / runs);
+    const double tokensOff = runTokens - tokens;
+    const double secondsOff = runSeconds - seconds;
+    tokens += weight * tokensOff;
+    seconds += weight * secondsOff;
+    tokensVariance = (1 - weight) * (tokensVariance + weight * tokensOff * tokensOff);
+    covariance = (1 - weight) * (covariance + weight * tokensOff * secondsOff);
+}
+
+double UsualTimes::Fit::usual(double runTokens) const
+{
+    const double slope = tokensVariance > 0 ? std::max(0.0, covariance / tokensVariance) : 0.0;
+    return std::clamp(seconds + slope * (runTokens - tokens), minOfMean * seconds, maxOfMean * seconds);
+}
+
 void UsualTimes::record(const RunKind &kind, std::uint32_t promptTokens, base::Duration firstByte)
 {
-    auto &mean = m_means[kind];
-    ++mean.runs;
-    const double weight = std::max(minWeight, 1.0 / mean.runs);
-    mean.firstByteSeconds += weight * (base::toSeconds(firstByte) - mean.firstByteSeconds);
-    mean.promptTokens += weight * (promptTokens - mean.promptTokens);
+    m_fits[kind].add(promptTokens, base::toSeconds(firstByte));
 }
 
 std::optional<base::Duration> UsualTimes::lateAfter(const RunKind &kind, std::uint32_t promptTokens) const
 {
-    const auto found = m_means.find(kind);
-    if (found == m_means.end() || found->second.runs < minRuns) {
+    const auto found = m_fits.find(kind);
+    if (found == m_fits.end() || found->second.runs < minRuns) {
         return std::nullopt;
     }
-    const auto &mean = found->second;
-    const double promptFactor
-        = mean.promptTokens > 0 ? std::clamp(promptTokens / mean.promptTokens, 1.0, maxPromptFactor) : 1.0;
-    const std::chrono::duration<double> late(lateFactor * promptFactor * mean.firstByteSeconds);
+    const std::chrono::duration<double> late(lateFactor * found->second.usual(promptTokens));
     return std::chrono::duration_cast<base::Duration>(late) + lateSlack;
 }
 
--- a/src/gateway/usualtimes.h
+++ b/src/gateway/usualtimes.h
@@ -26,19 +26,26 @@
 public:
     /// Records a run with a prompt of @p promptTokens; 0 if the request has no prompt.
     void record(const RunKind &kind, std::uint32_t promptTokens, base::Duration firstByte);
-    /// Time after which the first byte of a run is several times later than usual; nullopt while too few runs of the
-    /// kind are known. A prompt longer than the mean is allowed more time in proportion.
+    /// Time after which the first byte of a run is several times later than usual for a prompt of this length; nullopt
+    /// while too few runs of the kind are known.
     std::optional<base::Duration> lateAfter(const RunKind &kind, std::uint32_t promptTokens) const;
 
 private:
-    struct Mean
+    /// Weighted moments of the runs of one kind, for a linear fit of seconds against prompt tokens.
+    struct Fit
     {
         unsigned runs = 0;
-        double firstByteSeconds = 0;
-        double promptTokens = 0;
+        double seconds = 0;
+        double tokens = 0;
+        double tokensVariance = 0;
+        double covariance = 0;
+
+        void add(double runTokens, double runSeconds);
+        /// Usual time to the first byte, in seconds.
+        double usual(double runTokens) const;
     };
 
-    std::map<RunKind, Mean> m_means;
+    std::map<RunKind, Fit> m_fits;
 };
 
 } // namespace ibisfork::gateway
--- a/src/policy/changedetector.cpp
+++ b/src/policy/changedetector.cpp
@@ -8,14 +8,13 @@
 // For a CUSUM of log-likelihood ratios clamped at zero, the mean time between false alarms is at least the exponential
 // of the threshold, for any pair of rates (Lorden 1971).
 ChangeDetector::ChangeDetector(const DetectorBounds &bounds)
-    : m_failureLogRatio(std::log(bounds.badRate / bounds.healthyRate))
-    , m_successLogRatio(std::log((1.0 - bounds.badRate) / (1.0 - bounds.healthyRate)))
+    : m_rates(bounds.rates)
     , m_threshold(std::log(bounds.falseAlarmInterval))
 { }
 
 void ChangeDetector::observe(bool failed)
 {
-    m_evidence = std::max(0.0, m_evidence + (failed ? m_failureLogRatio : m_successLogRatio));
+    m_evidence = std::max(0.0, m_evidence + m_rates.evidenceOf(failed));
     m_alarmed = m_alarmed || m_evidence >= m_threshold;
 }
 
--- a/src/policy/changedetector.h
+++ b/src/policy/changedetector.h
@@ -1,14 +1,13 @@
 #pragma once
 
+#include "policy/failurerates.h"
+
 namespace ibisfork::policy {
 
 /// Failure rates that a change detector distinguishes and the bound on its false alarms.
 struct DetectorBounds
 {
-    /// Failure rate of a healthy version, from 0 to 1.
-    double healthyRate = 0.05;
-    /// Failure rate from which a version is considered bad, from 0 to 1.
-    double badRate = 0.5;
+    FailureRates rates;
     /// Lower bound of the mean number of observations between two false alarms for a healthy version.
     double falseAlarmInterval = 1e6;
 };
@@ -30,8 +29,7 @@
     double threshold() const { return m_threshold; }
 
 private:
-    double m_failureLogRatio;
-    double m_successLogRatio;
+    FailureRates m_rates;
     double m_threshold;
     double m_evidence = 0.0;
     bool m_alarmed = false;
--- a/src/policy/versionmonitor.cpp
+++ b/src/policy/versionmonitor.cpp
@@ -31,8 +31,8 @@
 {
     for (const auto &bounds : signalBounds) {
         m_signals.push_back({bounds.signal,
-                             {ChangeDetector({bounds.healthyRate, bounds.badRate, falseAlarmInterval}),
-                              ChangeDetector({bounds.healthyRate, bounds.slightlyBadRate, falseAlarmInterval})}});
+                             {ChangeDetector({{bounds.healthyRate, bounds.badRate}, falseAlarmInterval}),
+                              ChangeDetector({{bounds.healthyRate, bounds.slightlyBadRate}, falseAlarmInterval})}});
     }
 }
 
--- a/src/settings/gatewaysettings.cpp
+++ b/src/settings/gatewaysettings.cpp
@@ -26,6 +26,8 @@
     bounds.resendWindow = fields.optionalMilliseconds("resend_window", bounds.resendWindow);
     bounds.coldFactor = fields.optionalInRange("cold_factor", bounds.coldFactor, 0, mostRatio);
     bounds.coldTolerance = fields.optionalInRange("cold_tolerance", bounds.coldTolerance, 0, mostCount);
+    bounds.exposureShare = fields.optionalInRange("exposure_share", bounds.exposureShare, 0, 1);
+    bounds.exposureTolerance = fields.optionalInRange("exposure_tolerance", bounds.exposureTolerance, 0, mostCount);
     bounds.shutdownGrace = fields.optionalMilliseconds("shutdown_grace", bounds.shutdownGrace);
     fields.refuseUnknown();
     return bounds;
--- a/tests/gateway/rolloutfleet.cpp
+++ b/tests/gateway/rolloutfleet.cpp
@@ -1,5 +1,6 @@
 #include "rolloutfleet.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace ibisfork::gateway::test {
@@ -13,6 +14,7 @@
 constexpr base::Duration tickInterval = 250ms;
 /// Time until a row that one node writes is read by the others.
 constexpr base::Duration rowDelay = 700ms;
+constexpr base::Duration fullStepNotice = 1s;
 /// Runs are cut off after this time.
 constexpr base::Duration runTimeout = 4s;
 constexpr double medianSeconds = 0.08;
@@ -32,7 +34,13 @@
     , m_random(seed)
     , m_nodes(load.nodes)
     , m_row(orderRow + 1)
-{ }
+    , m_sharedAt(load.nodes)
+{
+    for (std::size_t node = 0; node < m_nodes.size(); ++node) {
+        m_nodes[node].setNode("n" + std::to_string(node));
+        m_nodes[node].setNodes(load.nodes);
+    }
+}
 
 base::TimePoint RolloutFleet::time(base::Duration at)
 {
@@ -95,8 +103,7 @@
                  [this, &tracker, id] { tracker.recordEnded("s", id, RunEnd::TimedOut, time(m_now)); });
         return;
     }
-    schedule(m_now + firstByte, [this, &tracker, id, fails, version, route, firstByte] {
-        tracker.recordOutcome("s", version, route, {fails, firstByte});
+    schedule(m_now + firstByte, [this, &tracker, id, fails] {
         if (!fails) {
             tracker.recordFirstByte("s", id, time(m_now));
         }
@@ -107,12 +114,38 @@
 void RolloutFleet::tick(std::size_t node)
 {
     auto &tracker = m_nodes[node];
-    tracker.judgeUnanswered(time(m_now));
+    tracker.update(time(m_now));
     const auto due = tracker.dueStatus("s", time(m_now));
     const bool isEnd = m_state && *m_state != RolloutState::InProgress;
     if (due && !isEnd && due->state != m_state) {
         publish(*due);
     }
+    if (!m_fullPlanned && tracker.isFullStepDue("s")) {
+        m_fullPlanned = true;
+        const auto fullAt = m_now + fullStepNotice;
+        schedule(m_now + rowDelay, [this, fullAt] {
+            for (auto &each : m_nodes) {
+                each.setPlan("s", orderRow, time(warmUp), time(fullAt));
+            }
+        });
+    }
+    share(node);
+}
+
+void RolloutFleet::share(std::size_t node)
+{
+    const auto interval = std::max<base::Duration>(200ms, 20ms * m_nodes.size());
+    const auto evidence = m_nodes[node].unsharedEvidence("s");
+    if (!evidence || m_now - m_sharedAt[node] < interval) {
+        return;
+    }
+    m_sharedAt[node] = m_now;
+    m_nodes[node].recordShared("s", *evidence);
+    schedule(m_now + rowDelay, [this, node, evidence] {
+        for (auto &each : m_nodes) {
+            each.setEvidence({"s", "n" + std::to_string(node), *evidence});
+        }
+    });
 }
 
 void RolloutFleet::publish(const RolloutStatus &status)
--- a/tests/gateway/rolloutfleet.h
+++ b/tests/gateway/rolloutfleet.h
@@ -38,7 +38,8 @@
     bool sessions = true;
 };
 
-/// Rollout trackers of several nodes under load, in virtual time. The nodes share statuses with a delay.
+/// Rollout trackers of several nodes under load, in virtual time. The nodes share statuses, plans and evidence with
+/// a delay.
 class RolloutFleet
 {
 public:
@@ -67,6 +68,7 @@
     void run(std::size_t node, const std::string &version, const std::string &route);
     void tick(std::size_t node);
     void publish(const RolloutStatus &status);
+    void share(std::size_t node);
 
     FleetLoad m_load;
     VersionFault m_fault;
@@ -77,6 +79,8 @@
     base::Duration m_now{};
     std::optional<RolloutState> m_state;
     std::uint64_t m_row;
+    bool m_fullPlanned = false;
+    std::vector<base::Duration> m_sharedAt;
     unsigned m_newRequests = 0;
     unsigned m_allRequests = 0;
 };
--- a/tests/gateway/rollouttracker_test.cpp
+++ b/tests/gateway/rollouttracker_test.cpp
@@ -26,17 +26,36 @@
         return static_cast<double>(chosen) / requests;
     }
 
+    void run(const std::string &version, const RunKind &kind, bool failed, base::Duration firstByte)
+    {
+        const auto id = m_tracker.recordSent("s", {version, "e", kind, 0, 2s}, at(0s));
+        if (!failed) {
+            m_tracker.recordFirstByte("s", id, at(firstByte));
+        }
+        m_tracker.recordEnded("s", id, failed ? RunEnd::Failed : RunEnd::Answered, at(firstByte));
+        m_tracker.update(at(m_now + 2100ms));
+    }
+
     void runs(const std::string &version, int good, int bad, base::Duration firstByte = 50ms)
     {
         for (int i = 0; i < good; ++i) {
-            m_tracker.recordOutcome("s", version, "r", {false, firstByte});
+            run(version, {"r"}, false, firstByte);
         }
         for (int i = 0; i < bad; ++i) {
-            m_tracker.recordOutcome("s", version, "r", {true, firstByte});
+            run(version, {"r"}, true, firstByte);
         }
     }
 
+    /// Enters the full step at @p after, as if the evidence of all nodes had allowed it.
+    void moveAll(base::Duration after)
+    {
+        m_now = after;
+        m_tracker.setPlan("s", orderRow, at(0s), at(after));
+        m_tracker.update(at(after));
+    }
+
     RolloutTracker m_tracker;
+    base::Duration m_now{};
 };
 
 TEST_F(RolloutTrackerTest, share_firstHalf_staysBelowTheUsualExposure)
@@ -45,16 +64,131 @@
     EXPECT_LT(newShare(11s), 0.12);
 }
 
-TEST_F(RolloutTrackerTest, share_afterTheMove_isAll)
+TEST_F(RolloutTrackerTest, share_fullStep_isAll)
 {
+    runs("v2", 12, 0);
+    moveAll(15s);
     EXPECT_EQ(newShare(15s), 1.0);
 }
 
+TEST_F(RolloutTrackerTest, fullStep_isDueOnceEnoughGoodRunsAreJudgedAndThePartialStepHasBegun)
+{
+    runs("v2", 5, 0);
+    EXPECT_FALSE(m_tracker.isFullStepDue("s"));
+    m_tracker.update(at(12s));
+    EXPECT_FALSE(m_tracker.isFullStepDue("s"));
+    runs("v2", 7, 0);
+    EXPECT_TRUE(m_tracker.isFullStepDue("s"));
+    moveAll(15s);
+    EXPECT_FALSE(m_tracker.isFullStepDue("s"));
+}
+
+TEST_F(RolloutTrackerTest, fullStep_routeOfTheOldVersionUntried_isNotDue)
+{
+    for (int i = 0; i < 10; ++i) {
+        run("v1", {"rare"}, false, 50ms);
+    }
+    runs("v1", 50, 0);
+    m_tracker.update(at(12s));
+    runs("v2", 30, 0);
+    EXPECT_FALSE(m_tracker.isFullStepDue("s"));
+    for (int i = 0; i < 4; ++i) {
+        run("v2", {"rare"}, false, 50ms);
+    }
+    EXPECT_TRUE(m_tracker.isFullStepDue("s"));
+}
+
+TEST_F(RolloutTrackerTest, fewRunsAtEachNode_badTogether_areStoppedByTheSum)
+{
+    m_tracker.setNode("n0");
+    runs("v1", 30, 0);
+    runs("v2", 1, 2);
+    EXPECT_NE(m_tracker.dueStatus("s", at(2s))->state, RolloutState::Reverted);
+    StoredEvidence peer{"s", "n1", {orderRow}};
+    peer.evidence.newRuns["r"] = {8, 2};
+    peer.evidence.engines = {"e"};
+    peer.evidence.badEngines = {"e"};
+    m_tracker.setEvidence(peer);
+    peer.node = "n0";
+    m_tracker.setEvidence(peer);
+    EXPECT_NE(m_tracker.dueStatus("s", at(2s))->state, RolloutState::Reverted);
+    peer.node = "n2";
+    m_tracker.setEvidence(peer);
+    EXPECT_EQ(m_tracker.dueStatus("s", at(2s))->state, RolloutState::Reverted);
+}
+
+TEST_F(RolloutTrackerTest, evidenceOfAnEarlierOrder_doesNotCount)
+{
+    StoredEvidence peer{"s", "n1", {orderRow - 1}};
+    peer.evidence.newRuns["r"] = {20, 20};
+    m_tracker.setEvidence(peer);
+    EXPECT_NE(m_tracker.dueStatus("s", at(2s))->state, RolloutState::Reverted);
+}
+
+TEST_F(RolloutTrackerTest, badRunsOfOneEngineAmongSeveral_doNotStopTheVersion)
+{
+    runs("v1", 30, 0);
+    for (int i = 0; i < 8; ++i) {
+        for (const auto *engine : {"e1", "e2", "e3"}) {
+            const auto id = m_tracker.recordSent("s", {"v2", engine, {"r"}, 0, 2s}, at(0s));
+            const bool failed = std::string(engine) == "e2";
+            m_tracker.recordEnded("s", id, failed ? RunEnd::Failed : RunEnd::Answered, at(10ms));
+        }
+    }
+    EXPECT_NE(m_tracker.dueStatus("s", at(2s))->state, RolloutState::Reverted);
+}
+
+TEST_F(RolloutTrackerTest, unjudgedRuns_exposureBoundReached_getNoMore)
+{
+    m_tracker.setNodes(7);
+    m_tracker.setExposureBound({0.15, 30});
+    for (int i = 0; i < 100; ++i) {
+        m_tracker.recordSent("s", {"v1", "e", {"r"}, 0, 2s}, at(0s));
+    }
+    unsigned sent = 0;
+    while (newShare(13s) > 0 && sent < 100) {
+        m_tracker.recordSent("s", {"v2", "e", {"r"}, 0, 60s}, at(0s));
+        ++sent;
+    }
+    EXPECT_GT(sent, 0U);
+    EXPECT_LE(sent, 0.15 * (100 + sent) + 30.0 / 7);
+}
+
+TEST_F(RolloutTrackerTest, evidence_isSharedOnceUntilMoreRunsAreJudged)
+{
+    EXPECT_FALSE(m_tracker.unsharedEvidence("s"));
+    runs("v2", 2, 0);
+    const auto first = m_tracker.unsharedEvidence("s");
+    ASSERT_TRUE(first);
+    m_tracker.recordShared("s", *first);
+    EXPECT_FALSE(m_tracker.unsharedEvidence("s"));
+    runs("v2", 0, 1);
+    ASSERT_TRUE(m_tracker.unsharedEvidence("s"));
+    const auto stored = decodeEvidence(encodeEvidence("s", "n1", *m_tracker.unsharedEvidence("s")));
+    ASSERT_TRUE(stored);
+    EXPECT_EQ(stored->service, "s");
+    EXPECT_EQ(stored->node, "n1");
+    EXPECT_EQ(stored->evidence.orderRow, orderRow);
+    EXPECT_EQ(stored->evidence.newRuns.at("r").judged, 3U);
+    EXPECT_EQ(stored->evidence.newRuns.at("r").bad, 1U);
+    EXPECT_FALSE(decodeEvidence("{}"));
+    EXPECT_FALSE(decodeEvidence("no json"));
+}
+
+TEST_F(RolloutTrackerTest, versionNotProvedGood_endOfThePeriod_isReverted)
+{
+    m_tracker.setStatus("s", {"v2", RolloutState::InProgress}, orderRow + 1);
+    EXPECT_FALSE(m_tracker.dueStatus("s", at(22s)));
+    EXPECT_EQ(m_tracker.dueStatus("s", at(23500ms))->state, RolloutState::Reverted);
+}
+
 TEST_F(RolloutTrackerTest, goodVersion_nearTheEnd_isCompletedOnce)
 {
     EXPECT_EQ(m_tracker.dueStatus("s", at(1s))->state, RolloutState::InProgress);
     m_tracker.setStatus("s", {"v2", RolloutState::InProgress}, orderRow + 1);
     EXPECT_FALSE(m_tracker.dueStatus("s", at(15s)));
+    moveAll(15s);
+    EXPECT_FALSE(m_tracker.dueStatus("s", at(20s)));
     runs("v2", 100, 0);
     EXPECT_EQ(m_tracker.dueStatus("s", at(20s))->state, RolloutState::Completed);
     m_tracker.setStatus("s", {"v2", RolloutState::Completed}, orderRow + 2);
@@ -73,12 +207,12 @@
 TEST_F(RolloutTrackerTest, versionFailingOnOneRoute_manyGoodRunsOnOthers_isStopped)
 {
     for (int i = 0; i < 200; ++i) {
-        m_tracker.recordOutcome("s", "v2", "fine", {false, 50ms});
-        m_tracker.recordOutcome("s", "v1", "fine", {false, 50ms});
-        m_tracker.recordOutcome("s", "v1", "broken", {false, 50ms});
+        run("v2", {"fine"}, false, 50ms);
+        run("v1", {"fine"}, false, 50ms);
+        run("v1", {"broken"}, false, 50ms);
     }
     for (int i = 0; i < 3; ++i) {
-        m_tracker.recordOutcome("s", "v2", "broken", {true, 50ms});
+        run("v2", {"broken"}, true, 50ms);
     }
     EXPECT_EQ(m_tracker.dueStatus("s", at(2s))->state, RolloutState::Reverted);
 }
@@ -93,13 +227,13 @@
 TEST_F(RolloutTrackerTest, newVersion_runsMostlyTheLargeModelByChance_andIsNoSlower_isKept)
 {
     for (int i = 0; i < 40; ++i) {
-        m_tracker.recordOutcome("s", "v1", "r", {false, 60ms, "small"});
+        run("v1", {"r", "small"}, false, 60ms);
     }
     for (int i = 0; i < 8; ++i) {
-        m_tracker.recordOutcome("s", "v1", "r", {false, 500ms, "large"});
+        run("v1", {"r", "large"}, false, 500ms);
     }
     for (int i = 0; i < 8; ++i) {
-        m_tracker.recordOutcome("s", "v2", "r", {false, 700ms, "large"});
+        run("v2", {"r", "large"}, false, 700ms);
     }
     EXPECT_NE(m_tracker.dueStatus("s", at(2s))->state, RolloutState::Reverted);
 }
@@ -107,12 +241,12 @@
 TEST_F(RolloutTrackerTest, newVersion_slowAtEachModel_isStopped)
 {
     for (int i = 0; i < 20; ++i) {
-        m_tracker.recordOutcome("s", "v1", "r", {false, 60ms, "small"});
-        m_tracker.recordOutcome("s", "v1", "r", {false, 500ms, "large"});
+        run("v1", {"r", "small"}, false, 60ms);
+        run("v1", {"r", "large"}, false, 500ms);
     }
     for (int i = 0; i < 3; ++i) {
-        m_tracker.recordOutcome("s", "v2", "r", {false, 480ms, "small"});
-        m_tracker.recordOutcome("s", "v2", "r", {false, 4000ms, "large"});
+        run("v2", {"r", "small"}, false, 480ms);
+        run("v2", {"r", "large"}, false, 4000ms);
     }
     EXPECT_EQ(m_tracker.dueStatus("s", at(2s))->state, RolloutState::Reverted);
 }
@@ -134,6 +268,8 @@
 
 TEST_F(RolloutTrackerTest, session_movedToNew_neverGoesBack)
 {
+    runs("v2", 12, 0);
+    moveAll(15s);
     for (int i = 0; i < 200; ++i) {
         bool moved = false;
         for (auto after = 0s; after < 24s; after += 1s) {
@@ -146,22 +282,22 @@
     }
 }
 
-TEST_F(RolloutTrackerTest, startWrittenByAnotherNode_lateReader_usesIt)
+TEST_F(RolloutTrackerTest, planWrittenByAnotherNode_lateReader_usesIt)
 {
     RolloutTracker late;
-    late.setStart("s", orderRow, at(0s));
+    late.setPlan("s", orderRow, at(0s), at(14s));
     late.setOrder({"s", "v2", 24s}, orderRow, at(13s));
     EXPECT_EQ(late.preferredVersion("s", "any", false, at(15s)), VersionPreference::New);
     RolloutTracker later;
     later.setOrder({"s", "v2", 24s}, orderRow, at(13s));
-    later.setStart("s", orderRow, at(0s));
+    later.setPlan("s", orderRow, at(0s), at(14s));
     EXPECT_EQ(later.preferredVersion("s", "any", false, at(15s)), VersionPreference::New);
 }
 
-TEST_F(RolloutTrackerTest, startOfAnEarlierOrder_isNotTaken)
+TEST_F(RolloutTrackerTest, planOfAnEarlierOrder_isNotTaken)
 {
     RolloutTracker tracker;
-    tracker.setStart("s", orderRow - 1, at(0s));
+    tracker.setPlan("s", orderRow - 1, at(0s), at(5s));
     tracker.setOrder({"s", "v2", 24s}, orderRow, at(13s));
     EXPECT_FALSE(tracker.dueStatus("s", at(15s)) && tracker.dueStatus("s", at(15s))->state == RolloutState::Completed);
 }
--- a/tests/gateway/runmonitor_test.cpp
+++ b/tests/gateway/runmonitor_test.cpp
@@ -17,6 +17,7 @@
             m_monitor.recordFirstByte(id, at(100ms));
             m_monitor.recordEnded(id, RunEnd::Answered, at(200ms));
         }
+        m_monitor.judgeByAge(at(10s));
     }
 
     static base::TimePoint at(base::Duration after) { return base::TimePoint(1000s) + after; }
@@ -26,20 +27,41 @@
         return {version, "e1", {"r"}, promptTokens, 2000ms};
     }
 
+    /// Qualities of the verdicts that are due at @p after.
+    std::vector<RunQuality> verdictsAt(base::Duration after)
+    {
+        std::vector<RunQuality> qualities;
+        for (const auto &verdict : m_monitor.judgeByAge(at(after))) {
+            qualities.push_back(verdict.quality);
+        }
+        return qualities;
+    }
+
+    using Verdicts = std::vector<RunQuality>;
+
     RunMonitor m_monitor;
 };
 
-TEST_F(RunMonitorTest, firstByte_inTheUsualTime_isGood)
+TEST_F(RunMonitorTest, firstByte_inTheUsualTime_isGoodOnceALateRunWouldBeKnown)
 {
     const auto id = m_monitor.recordSent(run("v2"), at(0s));
+    EXPECT_FALSE(m_monitor.recordFirstByte(id, at(150ms)));
     EXPECT_EQ(m_monitor.unjudged("v2"), 1U);
-    const auto verdict = m_monitor.recordFirstByte(id, at(150ms));
-    ASSERT_TRUE(verdict);
-    EXPECT_EQ(verdict->quality, RunQuality::Good);
+    EXPECT_TRUE(verdictsAt(280ms).empty());
+    EXPECT_EQ(verdictsAt(500ms), Verdicts{RunQuality::Good});
     EXPECT_EQ(m_monitor.unjudged("v2"), 0U);
     EXPECT_FALSE(m_monitor.recordEnded(id, RunEnd::Answered, at(5s)));
 }
 
+TEST_F(RunMonitorTest, shortRun_endsBeforeItsVerdict_isGoodAllTheSame)
+{
+    const auto id = m_monitor.recordSent(run("v2"), at(0s));
+    m_monitor.recordFirstByte(id, at(50ms));
+    EXPECT_FALSE(m_monitor.recordEnded(id, RunEnd::Answered, at(60ms)));
+    EXPECT_EQ(verdictsAt(500ms), Verdicts{RunQuality::Good});
+    EXPECT_TRUE(verdictsAt(1s).empty());
+}
+
 TEST_F(RunMonitorTest, firstByte_severalTimesTheUsual_isLate)
 {
     const auto id = m_monitor.recordSent(run("v2"), at(0s));
@@ -49,9 +71,9 @@
 TEST_F(RunMonitorTest, noAnswer_severalTimesTheUsual_isLateBeforeItEnds)
 {
     const auto id = m_monitor.recordSent(run("v2"), at(0s));
-    EXPECT_TRUE(m_monitor.judgeUnanswered(at(200ms)).empty());
-    ASSERT_EQ(m_monitor.judgeUnanswered(at(800ms)).size(), 1U);
-    EXPECT_TRUE(m_monitor.judgeUnanswered(at(900ms)).empty());
+    EXPECT_TRUE(verdictsAt(200ms).empty());
+    EXPECT_EQ(verdictsAt(800ms), Verdicts{RunQuality::Late});
+    EXPECT_TRUE(verdictsAt(900ms).empty());
     EXPECT_FALSE(m_monitor.recordFirstByte(id, at(1s)));
     EXPECT_FALSE(m_monitor.recordEnded(id, RunEnd::Answered, at(2s)));
 }
@@ -68,24 +90,46 @@
 {
     const auto id = m_monitor.recordSent(run("v2"), at(0s));
     m_monitor.recordFirstByte(id, at(100ms));
+    EXPECT_EQ(verdictsAt(500ms), Verdicts{RunQuality::Good});
     const auto verdict = m_monitor.recordEnded(id, RunEnd::TimedOut, at(3s));
     ASSERT_TRUE(verdict);
     EXPECT_EQ(verdict->quality, RunQuality::Late);
     EXPECT_TRUE(verdict->isRevised);
 }
 
-TEST_F(RunMonitorTest, failedRun_isFailedAtItsEnd)
+TEST_F(RunMonitorTest, failedRun_isFailedOnceALateRunWouldBeKnown)
 {
     const auto id = m_monitor.recordSent(run("v2"), at(0s));
-    const auto verdict = m_monitor.recordEnded(id, RunEnd::Failed, at(10ms));
-    EXPECT_EQ(verdict->quality, RunQuality::Failed);
-    EXPECT_FALSE(verdict->isRevised);
+    EXPECT_FALSE(m_monitor.recordEnded(id, RunEnd::Failed, at(10ms)));
+    EXPECT_EQ(verdictsAt(500ms), Verdicts{RunQuality::Failed});
+    const auto slow = m_monitor.recordSent(run("v2"), at(0s));
+    EXPECT_EQ(m_monitor.recordEnded(slow, RunEnd::Failed, at(900ms))->quality, RunQuality::Failed);
+}
+
+TEST_F(RunMonitorTest, shortPrompt_isLateSoonerThanALongOne)
+{
+    for (int i = 0; i < 40; ++i) {
+        const std::uint32_t tokens = i % 2 == 0 ? 1000 : 100;
+        const auto id = m_monitor.recordSent(run("v1", tokens), at(0s));
+        m_monitor.recordFirstByte(id, at(i % 2 == 0 ? 100ms : 20ms));
+        m_monitor.recordEnded(id, RunEnd::Answered, at(200ms));
+    }
+    m_monitor.judgeByAge(at(10s));
+    EXPECT_EQ(m_monitor.recordFirstByte(m_monitor.recordSent(run("v2", 100), at(0s)), at(160ms))->quality,
+              RunQuality::Late);
+    EXPECT_FALSE(m_monitor.recordFirstByte(m_monitor.recordSent(run("v2", 1000), at(0s)), at(160ms)));
 }
 
 TEST_F(RunMonitorTest, longPrompt_mayTakeLongerInProportion)
 {
+    for (int i = 0; i < 10; ++i) {
+        m_monitor.recordFirstByte(m_monitor.recordSent(run("v1", 500), at(0s)), at(50ms));
+    }
+    m_monitor.judgeByAge(at(10s));
     const auto id = m_monitor.recordSent(run("v2", 4000), at(0s));
-    EXPECT_EQ(m_monitor.recordFirstByte(id, at(800ms))->quality, RunQuality::Good);
+    EXPECT_FALSE(m_monitor.recordFirstByte(id, at(800ms)));
+    EXPECT_TRUE(verdictsAt(900ms).empty());
+    EXPECT_EQ(verdictsAt(2s), Verdicts{RunQuality::Good});
 }
 
 TEST_F(RunMonitorTest, slowRunsOfTheTrialVersion_doNotBecomeUsual)
@@ -100,7 +144,7 @@
 {
     auto other = run("v2");
     other.kind.route = "other";
-    EXPECT_EQ(m_monitor.recordFirstByte(m_monitor.recordSent(other, at(0s)), at(1900ms))->quality, RunQuality::Good);
+    EXPECT_FALSE(m_monitor.recordFirstByte(m_monitor.recordSent(other, at(0s)), at(1900ms)));
     EXPECT_EQ(m_monitor.recordFirstByte(m_monitor.recordSent(other, at(0s)), at(2100ms))->quality, RunQuality::Late);
 }
 
