Log the limit that an engine names for all nodes together

Nothing in a log told whether a node knew of a limit. The header is decoded once, in platform/; a value that is no plain decimal number is known to be unreadable. Each change that a node learns is a line engine_limit with the request that brought it, and the node's status has it for each engine. No decision uses it yet.

Tests: StartLimitTest (10 texts).

--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -70,6 +70,10 @@
     std::optional<EngineLoad> load;
     /// Confidence of the model in its response, from 0 to 100.
     std::optional<int> confidence;
+    /// Requests a second that the engine takes from all nodes together, while it names such a limit.
+    std::optional<double> startLimit;
+    /// The response names a limit that cannot be read.
+    bool hasUnreadableLimit = false;
 };
 
 } // namespace ibisfork::gateway
--- a/src/gateway/enginetracker.cpp
+++ b/src/gateway/enginetracker.cpp
@@ -1,6 +1,7 @@
 #include "gateway/enginetracker.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace ibisfork::gateway {
 
@@ -154,6 +155,12 @@
     }
 }
 
+bool EngineTracker::recordStartLimit(const std::string &id, std::optional<double> perSecond)
+{
+    auto *engine = find(id);
+    return engine != nullptr && std::exchange(engine->startLimit, perSecond) != perSecond;
+}
+
 void EngineTracker::recordSuccess(const std::string &id)
 {
     if (auto *engine = find(id)) {
--- a/src/gateway/enginetracker.h
+++ b/src/gateway/enginetracker.h
@@ -54,6 +54,8 @@
     bool coldStartsSpread = false;
     /// Requests of this node that the engine is running.
     unsigned inFlight = 0;
+    /// Requests a second that the engine takes from all nodes together, by its last response to this node.
+    std::optional<double> startLimit;
     /// Consecutive faults of the kinds Unreachable, Lost and Silent; each one doubles the back-off.
     unsigned faultsInRow = 0;
     /// Moving average of the share of runs that failed, from 0 to 1.
@@ -99,6 +101,8 @@
     void recordEnded(const std::string &id);
     /// Records a load report of the engine; counts since the previous report restart.
     void recordLoad(const std::string &id, const EngineLoad &load, base::TimePoint now);
+    /// Records the limit that a response of the engine names, or that it names none. True if that is a change.
+    bool recordStartLimit(const std::string &id, std::optional<double> perSecond);
     /// Records a successful run: ends the series of consecutive faults and lowers the fault share.
     void recordSuccess(const std::string &id);
     /// Records a failed attempt. @p coldPeriod: how long an engine of the service stays cold after a start.
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -74,6 +74,8 @@
     void onTimer();
 
     bool headIsUsable() const;
+    bool headIsForeign() const;
+    void recordStartLimit();
     bool answerIsStream() const;
     bool wantsSecondRun() const;
     void beginSecondRun();
--- a/src/gateway/exchangeanswer.cpp
+++ b/src/gateway/exchangeanswer.cpp
@@ -1,5 +1,7 @@
 #include "gateway/exchange.h"
 
+#include <fmt/format.h>
+
 #include "gateway/eventlog.h"
 #include "http/status.h"
 #include "platform/callcodec.h"
@@ -23,6 +25,7 @@
     if (m_answer.load) {
         m_context.view.engines().recordLoad(m_engineId, *m_answer.load, now);
     }
+    recordStartLimit();
     if (!headIsUsable()) {
         handleFailedAttempt({EngineFault::Failed, true, "foreign_answer"});
         return;
@@ -64,11 +67,29 @@
     send(placement);
 }
 
+void Exchange::recordStartLimit()
+{
+    // An unreadable limit is still a limit: the last one read stays in force.
+    if (headIsForeign() || m_answer.hasUnreadableLimit) {
+        return;
+    }
+    if (m_context.view.engines().recordStartLimit(m_engineId, m_answer.startLimit)) {
+        EventLog::state("engine_limit")
+            .field("engine", m_engineId)
+            .field("per_second", m_answer.startLimit ? fmt::format("{}", *m_answer.startLimit) : "none")
+            .field("id", m_call.id);
+    }
+}
+
+bool Exchange::headIsForeign() const
+{
+    return !m_answer.callId.empty() && m_answer.callId != m_call.id;
+}
+
 bool Exchange::headIsUsable() const
 {
     const bool success = m_answer.status >= http::status::firstSuccess && m_answer.status < http::status::firstRedirect;
-    const bool foreign = !m_answer.callId.empty() && m_answer.callId != m_call.id;
-    return !foreign && (!success || m_answer.isSigned);
+    return !headIsForeign() && (!success || m_answer.isSigned);
 }
 
 bool Exchange::answerIsStream() const
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -269,14 +269,16 @@
         out["rollouts"][service] = view.rollouts().evidence(service);
     }
     for (const auto &[id, engine] : view.engines().all()) {
-        out["engines"].push_back({{"id", id},
-                                  {"service", engine.entry.service},
-                                  {"failure_domain", engine.entry.failureDomain},
-                                  {"software", engine.entry.softwareVersion},
-                                  {"leaving", engine.entry.draining},
-                                  {"cold", engine.isCold(now)},
-                                  {"in_flight", engine.inFlight},
-                                  {"fault_share", engine.faultShare}});
+        out["engines"].push_back(
+            {{"id", id},
+             {"service", engine.entry.service},
+             {"failure_domain", engine.entry.failureDomain},
+             {"software", engine.entry.softwareVersion},
+             {"leaving", engine.entry.draining},
+             {"cold", engine.isCold(now)},
+             {"start_limit", engine.startLimit ? nlohmann::json(*engine.startLimit) : nlohmann::json()},
+             {"in_flight", engine.inFlight},
+             {"fault_share", engine.faultShare}});
     }
     return out.dump();
 }
--- a/tests/platformcodec/callcodec_test.cpp
+++ b/tests/platformcodec/callcodec_test.cpp
@@ -120,4 +120,38 @@
     EXPECT_FALSE(answer.isSigned);
 }
 
+struct LimitCase
+{
+    const char *text;
+    std::optional<double> perSecond;
+};
+
+class StartLimitTest : public testing::TestWithParam<LimitCase>
+{
+};
+
+TEST_P(StartLimitTest, header_isReadOrKnownToBeUnreadable)
+{
+    http::ResponseHead head;
+    head.status = 200;
+    EXPECT_FALSE(decodeAnswer(head).startLimit);
+    EXPECT_FALSE(decodeAnswer(head).hasUnreadableLimit);
+    head.headers.add("Server-Limit", GetParam().text);
+    EXPECT_EQ(decodeAnswer(head).startLimit, GetParam().perSecond);
+    EXPECT_EQ(decodeAnswer(head).hasUnreadableLimit, !GetParam().perSecond);
+}
+
+INSTANTIATE_TEST_SUITE_P(Texts,
+                         StartLimitTest,
+                         testing::Values(LimitCase{"1", 1.0},
+                                         LimitCase{"1.1", 1.1},
+                                         LimitCase{"0", 0.0},
+                                         LimitCase{"250.75", 250.75},
+                                         LimitCase{"", {}},
+                                         LimitCase{"-1", {}},
+                                         LimitCase{"inf", {}},
+                                         LimitCase{"nan", {}},
+                                         LimitCase{"1e9", {}},
+                                         LimitCase{"2 a second", {}}));
+
 } // namespace ibisfork::platform
