Failing test: an engine gets more requests than the limit it names

What callers saw: an engine that had named a limit of one request a second got 14 to 24 in 4 s, 11 or 12 allowed (LIMIT).

--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -591,6 +591,57 @@
     EXPECT_LE(m_engines["e2"]->requests().size(), 10U);
 }
 
+TEST_F(GatewayTest, engineNamesALimit_onlyEngine_callersAreRefusedAtOnceWithATimeToComeBack)
+{
+    auto &engine = addEngine("e1");
+    engine.willReply({test::plainReply(200, "x", "Ibisfork-Response-Seal: s\r\nServer-Limit: 1\r\n")});
+    start();
+    ASSERT_EQ(ask(request("GET", "/read/x")).status, 200);
+    int refused = 0;
+    double lastWait = 0;
+    for (int i = 0; i < 20; ++i) {
+        const auto began = base::monotonicNow();
+        const auto answer = ask(request("GET", "/read/x"));
+        if (answer.status != 503) {
+            continue;
+        }
+        ++refused;
+        EXPECT_LT(base::monotonicNow() - began, 200ms);
+        ASSERT_TRUE(answer.headers.find("Retry-After"));
+        lastWait = std::stod(std::string(*answer.headers.find("Retry-After")));
+        EXPECT_GT(lastWait, 0.0);
+    }
+    EXPECT_GE(refused, 18);
+    EXPECT_GT(lastWait, 5.0);
+    EXPECT_LE(engine.requests().size(), 3U);
+}
+
+TEST_F(GatewayTest, engineNamesALimit_othersDoNot_theyServeAllCallers)
+{
+    auto &limited = addEngine("e1");
+    limited.willReply({test::plainReply(200, "x", "Ibisfork-Response-Seal: s\r\nServer-Limit: 1\r\n")});
+    auto &free = addEngine("e2");
+    free.willReply({test::plainReply(200, "x")});
+    start();
+    for (int i = 0; i < 40; ++i) {
+        EXPECT_EQ(ask(request("GET", "/read/x")).status, 200);
+    }
+    EXPECT_LE(limited.requests().size(), 3U);
+}
+
+TEST_F(GatewayTest, engineNamesALimitNoMore_isUsedAsBefore)
+{
+    auto &engine = addEngine("e1");
+    engine.willReply(
+        {test::plainReply(200, "x", "Ibisfork-Response-Seal: s\r\nServer-Limit: 4\r\n"), test::plainReply(200, "x")});
+    start();
+    ASSERT_EQ(ask(request("GET", "/read/x")).status, 200);
+    ASSERT_TRUE(until([&] { return ask(request("GET", "/read/x")).status == 200; }));
+    for (int i = 0; i < 20; ++i) {
+        EXPECT_EQ(ask(request("GET", "/read/x")).status, 200);
+    }
+}
+
 /// A route on which the node chooses among three models, and engines that report their confidence.
 class ModelChoiceTest : public GatewayTest
 {
--- a/tests/platformcodec/callcodec_test.cpp
+++ b/tests/platformcodec/callcodec_test.cpp
@@ -126,11 +126,16 @@
     std::optional<double> perSecond;
 };
 
-class StartLimitTest : public testing::TestWithParam<LimitCase>
+void PrintTo(const LimitCase &item, std::ostream *out)
+{
+    *out << '"' << item.text << '"';
+}
+
+class StartLimitHeaderTest : public testing::TestWithParam<LimitCase>
 {
 };
 
-TEST_P(StartLimitTest, header_isReadOrKnownToBeUnreadable)
+TEST_P(StartLimitHeaderTest, header_isReadOrKnownToBeUnreadable)
 {
     http::ResponseHead head;
     head.status = 200;
@@ -142,7 +147,7 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Texts,
-                         StartLimitTest,
+                         StartLimitHeaderTest,
                          testing::Values(LimitCase{"1", 1.0},
                                          LimitCase{"1.1", 1.1},
                                          LimitCase{"0", 0.0},
