Judge a new version's failures and late runs each by themselves

Cause: failed and late runs counted as one kind of bad run. 456 of 1,761 runs of the old version were late for want of capacity, so 14 bad ones of 48 of the new version passed, though the old one failed no run. Class: a sum that hides what its parts show.

Change: late and failed runs are tested each against the old version's share of the same, in total and by route, here and in the sum over the nodes.

The new test failed before (a third of the runs fails while half of the runs of both versions are late); 60 tests of rollouts pass.

--- a/src/gateway/rolloutevidence.cpp
+++ b/src/gateway/rolloutevidence.cpp
@@ -27,17 +27,24 @@
 constexpr double fewestRunsOnRoute = 3;
 constexpr double mostRunsOnRoute = 10;
 
-policy::StepTest testOf(const RunTally &tally, const policy::FailureRates &rates)
+policy::FailureRates ratesAgainst(const RunTally &old, RunQuality quality)
 {
-    policy::StepTest test(rates, testBounds);
-    test.observe(tally.judged, tally.bad);
+    const double share = old.judged == 0 ? 0.0 : static_cast<double>(old.of(quality)) / old.judged;
+    const double healthy = std::clamp(healthyFactor * share, minHealthyRate, maxHealthyRate);
+    return {healthy, healthy + badMargin};
+}
+
+policy::StepTest testOf(const RunTally &tally, const RunTally &old, RunQuality quality)
+{
+    policy::StepTest test(ratesAgainst(old, quality), testBounds);
+    test.observe(tally.judged, tally.of(quality));
     return test;
 }
 
-policy::FailureRates ratesAgainst(const RunTally &old)
+RunTally tallyOn(const std::map<std::string, RunTally> &byRoute, const std::string &route)
 {
-    const double healthy = std::clamp(healthyFactor * old.badShare(), minHealthyRate, maxHealthyRate);
-    return {healthy, healthy + badMargin};
+    const auto found = byRoute.find(route);
+    return found == byRoute.end() ? RunTally{} : found->second;
 }
 
 RunTally sumOf(const std::map<std::string, RunTally> &byRoute)
@@ -67,7 +74,7 @@
 {
     auto out = json::object();
     for (const auto &[route, tally] : byRoute) {
-        out[route] = {tally.judged, tally.bad};
+        out[route] = {tally.judged, tally.late, tally.failed};
     }
     return out;
 }
@@ -76,8 +83,8 @@
 {
     std::map<std::string, RunTally> out;
     for (const auto &[route, counts] : document.items()) {
-        const auto judged = counts.at(0).get<unsigned>();
-        out[route] = {judged, std::min(judged, counts.at(1).get<unsigned>())};
+        out[route] = {counts.at(0).get<unsigned>(), counts.at(1).get<unsigned>(), counts.at(2).get<unsigned>()};
+        out[route].judged = std::max(out[route].judged, out[route].bad());
     }
     return out;
 }
@@ -87,13 +94,17 @@
 void RunTally::add(const RunVerdict &verdict)
 {
     judged += verdict.isRevised ? 0 : 1;
-    bad += verdict.quality == RunQuality::Good ? 0 : 1;
+    late += verdict.quality == RunQuality::Late ? 1 : 0;
+    failed += verdict.quality == RunQuality::Failed ? 1 : 0;
+    // A run judged good in an earlier step may be revised in this one.
+    judged = std::max(judged, bad());
 }
 
 void RunTally::add(const RunTally &other)
 {
     judged += other.judged;
-    bad += other.bad;
+    late += other.late;
+    failed += other.failed;
 }
 
 void RolloutEvidence::addEngine(const std::string &engineId)
@@ -103,10 +114,7 @@
 
 void RolloutEvidence::addNew(const RunVerdict &verdict)
 {
-    auto &tally = newRuns[verdict.run.kind.route];
-    tally.add(verdict);
-    // A run judged good in an earlier step may be revised in this one.
-    tally.judged = std::max(tally.judged, tally.bad);
+    newRuns[verdict.run.kind.route].add(verdict);
     insertBounded(engines, verdict.run.engineId);
     if (verdict.quality != RunQuality::Good) {
         insertBounded(badEngines, verdict.run.engineId);
@@ -115,9 +123,7 @@
 
 void RolloutEvidence::addOld(const RunVerdict &verdict)
 {
-    auto &tally = oldRuns[verdict.run.kind.route];
-    tally.add(verdict);
-    tally.judged = std::max(tally.judged, tally.bad);
+    oldRuns[verdict.run.kind.route].add(verdict);
 }
 
 void RolloutEvidence::add(const RolloutEvidence &other)
@@ -145,10 +151,9 @@
     return sumOf(oldRuns);
 }
 
-policy::FailureRates RolloutEvidence::ratesOn(const std::string &route) const
+policy::FailureRates RolloutEvidence::ratesOn(const std::string &route, RunQuality quality) const
 {
-    const auto old = oldRuns.find(route);
-    return ratesAgainst(old == oldRuns.end() ? RunTally{} : old->second);
+    return ratesAgainst(tallyOn(oldRuns, route), quality);
 }
 
 bool RolloutEvidence::showsBadVersion() const
@@ -156,28 +161,31 @@
     if (blamesOneEngine()) {
         return false;
     }
-    return testOf(allNew(), ratesAgainst(allOld())).bad()
-        || std::any_of(newRuns.begin(), newRuns.end(), [this](const auto &item) {
-               return testOf(item.second, ratesOn(item.first)).bad();
-           });
+    const auto next = allNew();
+    const auto old = allOld();
+    return std::any_of(badQualities.begin(), badQualities.end(), [&](RunQuality quality) {
+        return testOf(next, old, quality).bad() || std::any_of(newRuns.begin(), newRuns.end(), [&](const auto &item) {
+                   return testOf(item.second, tallyOn(oldRuns, item.first), quality).bad();
+               });
+    });
 }
 
 bool RolloutEvidence::showsGoodVersion() const
 {
+    const auto next = allNew();
     const auto old = allOld();
-    if (!testOf(allNew(), ratesAgainst(old)).passed()) {
-        return false;
-    }
-    const bool suspicious = std::any_of(newRuns.begin(), newRuns.end(), [this](const auto &item) {
-        return testOf(item.second, ratesOn(item.first)).evidence() > 0;
+    const bool passed = std::all_of(badQualities.begin(), badQualities.end(), [&](RunQuality quality) {
+        return testOf(next, old, quality).passed()
+            && std::all_of(newRuns.begin(), newRuns.end(), [&](const auto &item) {
+                   return testOf(item.second, tallyOn(oldRuns, item.first), quality).evidence() <= 0;
+               });
     });
-    const bool untried = std::any_of(oldRuns.begin(), oldRuns.end(), [&](const auto &item) {
-        const auto next = newRuns.find(item.first);
-        const double wanted = std::clamp(minRunsFraction * item.second.judged, fewestRunsOnRoute, mostRunsOnRoute);
-        const bool few = next == newRuns.end() || next->second.judged < wanted;
-        return few && item.second.judged >= minRouteShare * old.judged;
+    const bool allRoutesTried = std::all_of(oldRuns.begin(), oldRuns.end(), [&](const auto &item) {
+        const auto judged = item.second.judged;
+        const double wanted = std::clamp(minRunsFraction * judged, fewestRunsOnRoute, mostRunsOnRoute);
+        return judged < minRouteShare * old.judged || tallyOn(newRuns, item.first).judged >= wanted;
     });
-    return !suspicious && !untried;
+    return passed && allRoutesTried;
 }
 
 std::string encodeEvidence(const std::string &service, const std::string &node, const RolloutEvidence &evidence)
--- a/src/gateway/rolloutevidence.h
+++ b/src/gateway/rolloutevidence.h
@@ -26,17 +26,24 @@
     {RolloutStep::Full, "full"},
 }};
 
-/// Number of judged runs, and how many of them were late or failed.
+/// Number of judged runs, and how many of them were late and how many failed.
 struct RunTally
 {
     unsigned judged = 0;
-    unsigned bad = 0;
+    unsigned late = 0;
+    unsigned failed = 0;
 
     void add(const RunVerdict &verdict);
     void add(const RunTally &other);
-    double badShare() const { return judged == 0 ? 0.0 : static_cast<double>(bad) / judged; }
+    unsigned bad() const { return late + failed; }
+    /// Number of runs of @p quality, which must be Late or Failed.
+    unsigned of(RunQuality quality) const { return quality == RunQuality::Late ? late : failed; }
 };
 
+/// Qualities that speak against a version. They are tested each by itself: where many runs of both versions are late
+/// for want of capacity, failures of the new one alone would go unnoticed in the sum.
+inline constexpr std::array<RunQuality, 2> badQualities{RunQuality::Late, RunQuality::Failed};
+
 /// Judged runs of both versions of a rollout, at one node or summed over several.
 struct RolloutEvidence
 {
@@ -60,8 +67,8 @@
 
     RunTally allNew() const;
     RunTally allOld() const;
-    /// Rates of bad runs that tell a good new version from a bad one on @p route, given the old version's.
-    policy::FailureRates ratesOn(const std::string &route) const;
+    /// Rates of runs of @p quality that tell a good new version from a bad one on @p route, given the old version's.
+    policy::FailureRates ratesOn(const std::string &route, RunQuality quality) const;
     /// The bad runs are all of one engine, although others have run requests too.
     bool blamesOneEngine() const { return badEngines.size() == 1 && engines.size() > 1; }
     /// The runs show a bad version, in total or on one route.
--- a/src/gateway/rollouttracker.cpp
+++ b/src/gateway/rollouttracker.cpp
@@ -264,7 +264,9 @@
     if (rollout != nullptr && run.version == rollout->order.toVersion) {
         ++rollout->newCounts.sent;
         rollout->evidence.addEngine(run.engineId);
-        rollout->alarms[run.kind.route].recordEngine(run.engineId);
+        for (const auto quality : badQualities) {
+            rollout->alarms[{run.kind.route, quality}].recordEngine(run.engineId);
+        }
     } else if (rollout != nullptr) {
         ++rollout->oldCounts.sent;
     }
@@ -326,13 +328,16 @@
     }
     rollout->newCounts.add(*verdict);
     rollout->evidence.addNew(*verdict);
-    const bool isBad = verdict->quality != RunQuality::Good;
-    auto &alarm = rollout->alarms[run.kind.route];
-    alarm.observe(run.engineId, isBad, rollout->pooled().ratesOn(run.kind.route));
-    if (alarm.raised() && rollout->isOpen()) {
-        rollout->stopReason = fmt::format("runs_of_{}_turned_bad_here", run.kind.route);
+    const auto pooled = rollout->pooled();
+    for (const auto quality : badQualities) {
+        auto &alarm = rollout->alarms[{run.kind.route, quality}];
+        alarm.observe(run.engineId, verdict->quality == quality, pooled.ratesOn(run.kind.route, quality));
+        if (alarm.raised() && rollout->isOpen()) {
+            const auto name = base::nameOf(runQualityNames, quality);
+            rollout->stopReason = fmt::format("runs_of_{}_turned_{}_here", run.kind.route, name);
+        }
     }
-    if (isBad) {
+    if (verdict->quality != RunQuality::Good) {
         stopIfBad(*rollout);
     }
 }
@@ -388,7 +393,7 @@
         return std::nullopt;
     }
     const auto runs = rollout->evidence.allNew();
-    return runs.judged + runs.bad > rollout->sharedRuns ? std::optional(rollout->evidence) : std::nullopt;
+    return runs.judged + runs.bad() > rollout->sharedRuns ? std::optional(rollout->evidence) : std::nullopt;
 }
 
 void RolloutTracker::recordShared(const std::string &service, const RolloutEvidence &evidence)
@@ -396,7 +401,7 @@
     auto *rollout = find(service);
     if (rollout != nullptr && rollout->orderRow == evidence.orderRow && rollout->evidence.step == evidence.step) {
         const auto runs = evidence.allNew();
-        rollout->sharedRuns = runs.judged + runs.bad;
+        rollout->sharedRuns = runs.judged + runs.bad();
     }
 }
 
@@ -420,12 +425,14 @@
     const auto pooled = rollout->pooled();
     const auto next = pooled.allNew();
     const auto old = pooled.allOld();
-    return fmt::format("{},new:{}/{},old:{}/{},nodes:{},stopped:{}",
+    return fmt::format("{},new:{}/{}/{},old:{}/{}/{},nodes:{},stopped:{}",
                        base::nameOf(rolloutStepNames, pooled.step),
-                       next.bad,
                        next.judged,
-                       old.bad,
+                       next.late,
+                       next.failed,
                        old.judged,
+                       old.late,
+                       old.failed,
                        rollout->peers.size() + 1,
                        rollout->stopReason.empty() ? "no" : rollout->stopReason);
 }
--- a/src/gateway/rollouttracker.h
+++ b/src/gateway/rollouttracker.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <ibisfork/base/clock.h>
@@ -116,7 +117,7 @@
     void recordShared(const std::string &service, const RolloutEvidence &evidence);
     /// Services that have a rollout order.
     std::vector<std::string> servicesWithOrders() const;
-    /// Step and judged runs of all nodes in short, for logs: bad/judged of each version, and why the new one is
+    /// Step and judged runs of all nodes in short, for logs: judged/late/failed of each version, and why the new one is
     /// stopped.
     std::string evidence(const std::string &service) const;
     /// Runs of both versions at this node in short, for logs: sent/unjudged/good/late/failed.
@@ -144,7 +145,8 @@
         RunCounts oldCounts;
         RolloutEvidence evidence;
         unsigned sharedRuns = 0;
-        std::map<std::string, VersionAlarm> alarms;
+        /// By route and quality.
+        std::map<std::pair<std::string, RunQuality>, VersionAlarm> alarms;
         /// Evidence of the other nodes, by node.
         std::map<std::string, RolloutEvidence> peers;
 
--- a/tests/gateway/rollouttracker_test.cpp
+++ b/tests/gateway/rollouttracker_test.cpp
@@ -105,7 +105,7 @@
     runs("v2", 1, 2);
     EXPECT_NE(m_tracker.dueStatus("s", at(2s))->state, RolloutState::Reverted);
     StoredEvidence peer{"s", "n1", {orderRow}};
-    peer.evidence.newRuns["r"] = {8, 2};
+    peer.evidence.newRuns["r"] = {8, 0, 2};
     peer.evidence.engines = {"e"};
     peer.evidence.badEngines = {"e"};
     m_tracker.setEvidence(peer);
@@ -120,7 +120,7 @@
 TEST_F(RolloutTrackerTest, evidenceOfAnEarlierOrder_doesNotCount)
 {
     StoredEvidence peer{"s", "n1", {orderRow - 1}};
-    peer.evidence.newRuns["r"] = {20, 20};
+    peer.evidence.newRuns["r"] = {20, 0, 20};
     m_tracker.setEvidence(peer);
     EXPECT_NE(m_tracker.dueStatus("s", at(2s))->state, RolloutState::Reverted);
 }
@@ -170,7 +170,7 @@
     EXPECT_EQ(stored->node, "n1");
     EXPECT_EQ(stored->evidence.orderRow, orderRow);
     EXPECT_EQ(stored->evidence.newRuns.at("r").judged, 3U);
-    EXPECT_EQ(stored->evidence.newRuns.at("r").bad, 1U);
+    EXPECT_EQ(stored->evidence.newRuns.at("r").failed, 1U);
     EXPECT_FALSE(decodeEvidence("{}"));
     EXPECT_FALSE(decodeEvidence("no json"));
 }
@@ -258,6 +258,18 @@
     EXPECT_GT(newShare(2s), 0.0);
 }
 
+TEST_F(RolloutTrackerTest, failingVersion_runsOfBothVersionsLateForWantOfCapacity_isStopped)
+{
+    runs("v1", 60, 0);
+    for (int i = 0; i < 20; ++i) {
+        run("v1", {"r"}, false, i % 2 == 0 ? 900ms : 50ms);
+    }
+    for (int i = 0; i < 12; ++i) {
+        run("v2", {"r"}, i % 3 == 0, i % 2 == 0 ? 900ms : 50ms);
+    }
+    EXPECT_EQ(m_tracker.dueStatus("s", at(2s))->state, RolloutState::Reverted);
+}
+
 TEST_F(RolloutTrackerTest, session_firstHalf_staysOnOldAtEveryNode)
 {
     for (int i = 0; i < 500; ++i) {
