Keep the limit that an engine names for all nodes together

What callers saw: an engine that had named a limit of about one request a second got 14 to 24 requests in 4 s from nodes that knew it, 11 or 12 allowed (LIMIT).

Cause: the header was not read; placement knew only load and the cold rate. Class: a bound of the other side that holds over all nodes and is kept by none.

Change: each node that has heard of the limit paces its starts at the engine at an equal share of it, through the one gate that first runs, second runs, retries and resumed streams pass; its first start is put off by a random part of its interval, as at cold engines. A node that does not know the number of nodes yet sends nothing there.

--- a/src/gateway/enginetracker.cpp
+++ b/src/gateway/enginetracker.cpp
@@ -25,10 +25,25 @@
 
 } // namespace
 
+double StartRate::shareOf(double perSecond, unsigned nodes)
+{
+    return std::max(perSecond, minPerSecond) / std::max(1U, nodes);
+}
+
+base::Duration StartRate::interval(double perSecond)
+{
+    return std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(1.0 / perSecond));
+}
+
 void StartRate::recordStart(base::TimePoint now, double perSecond)
 {
-    const auto interval = std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(1.0 / perSecond));
-    m_next = std::max(m_next, now) + interval;
+    m_next = std::max(m_next, now) + interval(perSecond);
+}
+
+base::TimePoint StartRate::promise(double perSecond)
+{
+    m_promised = std::max(m_next, m_promised + interval(perSecond));
+    return m_promised;
 }
 
 double Engine::expectedLoad(base::TimePoint now, unsigned nodes) const
@@ -158,7 +173,14 @@
 bool EngineTracker::recordStartLimit(const std::string &id, std::optional<double> perSecond)
 {
     auto *engine = find(id);
-    return engine != nullptr && std::exchange(engine->startLimit, perSecond) != perSecond;
+    if (engine == nullptr) {
+        return false;
+    }
+    if (!perSecond) {
+        engine->limitedStarts = {};
+        engine->limitedStartsSpread = false;
+    }
+    return std::exchange(engine->startLimit, perSecond) != perSecond;
 }
 
 void EngineTracker::recordSuccess(const std::string &id)
--- a/src/gateway/enginetracker.h
+++ b/src/gateway/enginetracker.h
@@ -26,6 +26,13 @@
 class StartRate
 {
 public:
+    /// Smallest rate that is kept, in starts a second. An engine that takes less, or nothing, is still asked now and
+    /// then, since only its answers tell when it takes more.
+    static constexpr double minPerSecond = 0.25;
+
+    /// An equal share of @p perSecond for one of @p nodes, which don't see each other's starts.
+    static double shareOf(double perSecond, unsigned nodes);
+
     /// True if a request may start at @p now.
     bool ready(base::TimePoint now) const { return now >= m_next; }
     /// Counts a start; the next one may follow after the interval of @p perSecond.
@@ -34,9 +41,14 @@
     void delayUntil(base::TimePoint time) { m_next = time; }
     /// Earliest time of the next start.
     base::TimePoint next() const { return m_next; }
+    /// Returns the earliest time of a start that has not been promised to a caller, and promises it.
+    base::TimePoint promise(double perSecond);
 
 private:
+    static base::Duration interval(double perSecond);
+
     base::TimePoint m_next{};
+    base::TimePoint m_promised{};
 };
 
 /// State of one engine as seen by this node.
@@ -50,6 +62,10 @@
     /// Set if the entry disappeared while the store was unreliable: the time at which the engine is removed.
     std::optional<base::TimePoint> removeAt;
     StartRate coldStarts;
+    /// Paces this node's starts while startLimit is set.
+    StartRate limitedStarts;
+    /// This node's first start since the limit was named has been delayed by a random part of the interval.
+    bool limitedStartsSpread = false;
     /// This node's first start since the engine became cold has been delayed by a random part of the interval.
     bool coldStartsSpread = false;
     /// Requests of this node that the engine is running.
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -187,6 +187,7 @@
     request.failureDomain = m_context.settings.node.failureDomain;
     request.tried = m_tried;
     request.nodes = m_context.view.nodes();
+    request.nodesKnown = m_context.view.nodesKnown();
     request.coldRate = service == nullptr ? 0 : service->coldRate;
     request.coldBurst = request.coldRate * (bounds.coldFactor - 1) + bounds.coldTolerance;
     return m_context.placement.choose(m_context.view.usableEngines(m_service, m_preference), request, now);
@@ -201,9 +202,24 @@
         arm();
         return;
     }
+    if (placement.limitedEngine != nullptr && m_tried.empty()) {
+        refuseForLimit(placement);
+        return;
+    }
     failRequest(m_tried.empty() ? "no_engine" : m_lastReason);
 }
 
+void Exchange::refuseForLimit(const Placement &placement)
+{
+    // Each caller gets a start of its own, so that they don't all come back at once.
+    auto &engine = *placement.limitedEngine;
+    auto &starts = engine.startLimit ? engine.limitedStarts : engine.coldStarts;
+    const auto startAt = std::max(*placement.retryAt, starts.promise(placement.startsPerSecond));
+    const auto wait = startAt - base::monotonicNow();
+    m_context.metrics.counter("ibisfork_limit_refusals_total", {{"service", m_service}}).add();
+    refuse(http::status::unavailable, "engines_at_limit", std::chrono::ceil<std::chrono::milliseconds>(wait));
+}
+
 std::string Exchange::chooseModel()
 {
     if (!m_call.autoSelectModel || m_route->models.empty()) {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -62,6 +62,8 @@
     void dispatch();
     Placement place(base::TimePoint now);
     void noEngine(const Placement &placement);
+    /// Refuses the request with the time at which this node may start it.
+    void refuseForLimit(const Placement &placement);
     /// Sends the request to the engine of @p placement, which must not be null.
     void send(const Placement &placement);
     std::string chooseModel();
--- a/src/gateway/exchangeend.cpp
+++ b/src/gateway/exchangeend.cpp
@@ -15,7 +15,10 @@
 std::string secondsText(std::chrono::milliseconds duration)
 {
     constexpr double millisecondsPerSecond = 1000.0;
-    return fmt::format("{:.2f}", static_cast<double>(duration.count()) / millisecondsPerSecond);
+    constexpr double hundredths = 100.0;
+    const double seconds = static_cast<double>(duration.count()) / millisecondsPerSecond;
+    // Rounded up, so that nobody comes back too early.
+    return fmt::format("{:.2f}", std::ceil(seconds * hundredths) / hundredths);
 }
 
 /// What an attempt that failed with @p fault says about the engine's version: a lost connection or a full engine is
--- a/src/gateway/fleetview.cpp
+++ b/src/gateway/fleetview.cpp
@@ -238,6 +238,7 @@
 {
     if (change.isFullRead) {
         m_nodes.clear();
+        m_nodesKnown = true;
         m_peers.clear();
     }
     for (const auto &row : change.rows) {
--- a/src/gateway/fleetview.h
+++ b/src/gateway/fleetview.h
@@ -43,6 +43,8 @@
     const std::set<std::string> &evacuatedDomains() const { return m_evacuated; }
     /// Number of nodes that may be sending requests to the engines; at least 1.
     unsigned nodes() const;
+    /// True once the rows of all nodes have been read.
+    bool nodesKnown() const { return m_nodesKnown; }
     /// Nodes that can be queried for table rows, except @p self.
     std::vector<PeerNode> peersOf(const std::string &self) const;
     /// Returns true if the store already holds the row that @p node would write for itself.
@@ -73,6 +75,7 @@
     std::map<std::string, std::uint64_t> m_statusVersions;
     std::map<std::string, std::uint64_t> m_planVersions;
     std::set<std::string> m_nodes;
+    bool m_nodesKnown = false;
     std::map<std::string, unsigned> m_crashes;
     std::map<std::string, PeerNode> m_peers;
 };
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -24,10 +24,21 @@
     return std::find(list.begin(), list.end(), id) != list.end();
 }
 
-/// Nodes don't see each other's starts at a cold engine, so each one uses an equal share of the rate.
-double shareOf(double coldRate, unsigned nodes)
+/// Time after which an engine with a limit is tried again while the number of nodes is not known.
+constexpr std::chrono::milliseconds nodesUnknownDelay{1000};
+
+bool isColdLimited(const Engine &engine, const PlacementRequest &request, base::TimePoint now)
 {
-    return coldRate / std::max(1U, nodes);
+    return request.coldRate > 0 && engine.isCold(now);
+}
+
+void waitFor(Placement &placement, Engine &engine, base::TimePoint until, double perSecond)
+{
+    if (!placement.retryAt || until < *placement.retryAt) {
+        placement.retryAt = until;
+        placement.limitedEngine = &engine;
+        placement.startsPerSecond = perSecond;
+    }
 }
 
 } // namespace
@@ -74,18 +85,65 @@
     return cost(*second, request, now) < cost(*first, request, now) ? second : first;
 }
 
+void EnginePlacement::spreadStarts(StartRate &starts, double perSecond, base::TimePoint now)
+{
+    std::uniform_real_distribution<double> draw(0, 1.0 / perSecond);
+    const std::chrono::duration<double> delay(draw(m_random));
+    starts.delayUntil(now + std::chrono::duration_cast<base::Duration>(delay));
+}
+
 void EnginePlacement::spreadColdStarts(Engine &engine, const PlacementRequest &request, base::TimePoint now)
 {
     engine.coldStartsSpread = true;
-    if (request.nodes <= request.coldBurst) {
-        return;
-    }
     // All nodes learn of a cold engine at about the same time; if each started its first request at once, they would
     // exceed the burst together.
-    const double interval = 1.0 / shareOf(request.coldRate, request.nodes);
-    std::uniform_real_distribution<double> draw(0, interval);
-    const std::chrono::duration<double> delay(draw(m_random));
-    engine.coldStarts.delayUntil(now + std::chrono::duration_cast<base::Duration>(delay));
+    if (request.nodes > request.coldBurst) {
+        spreadStarts(engine.coldStarts, StartRate::shareOf(request.coldRate, request.nodes), now);
+    }
+}
+
+bool EnginePlacement::isHeldBack(Engine &engine,
+                                 const PlacementRequest &request,
+                                 base::TimePoint now,
+                                 Placement &placement)
+{
+    const bool coldLimited = isColdLimited(engine, request, now);
+    engine.coldStartsSpread = engine.coldStartsSpread && coldLimited;
+    if (coldLimited && !engine.coldStartsSpread) {
+        spreadColdStarts(engine, request, now);
+    }
+    if (coldLimited && !engine.coldStarts.ready(now)) {
+        waitFor(placement, engine, engine.coldStarts.next(), StartRate::shareOf(request.coldRate, request.nodes));
+        return true;
+    }
+    if (!engine.startLimit) {
+        return false;
+    }
+    const double share = StartRate::shareOf(*engine.startLimit, request.nodes);
+    if (!request.nodesKnown) {
+        waitFor(placement, engine, now + nodesUnknownDelay, share);
+        return true;
+    }
+    if (!engine.limitedStartsSpread) {
+        // The start by which this node learned of the limit was one of its share.
+        engine.limitedStartsSpread = true;
+        spreadStarts(engine.limitedStarts, share, now);
+    }
+    if (!engine.limitedStarts.ready(now)) {
+        waitFor(placement, engine, engine.limitedStarts.next(), share);
+        return true;
+    }
+    return false;
+}
+
+void EnginePlacement::recordStart(Engine &engine, const PlacementRequest &request, base::TimePoint now)
+{
+    if (isColdLimited(engine, request, now)) {
+        engine.coldStarts.recordStart(now, StartRate::shareOf(request.coldRate, request.nodes));
+    }
+    if (engine.startLimit) {
+        engine.limitedStarts.recordStart(now, StartRate::shareOf(*engine.startLimit, request.nodes));
+    }
 }
 
 Placement EnginePlacement::choose(const std::vector<Engine *> &candidates,
@@ -94,33 +152,28 @@
 {
     std::vector<Engine *> usable;
     std::vector<Engine *> backedOff;
-    std::optional<base::TimePoint> retryAt;
-    const auto wait = [&](base::TimePoint until) {
-        retryAt = retryAt ? std::min(*retryAt, until) : until;
-    };
+    Placement held;
     for (auto *engine : candidates) {
         if (contains(request.tried, engine->entry.id)) {
             continue;
         }
-        const bool limited = request.coldRate > 0 && engine->isCold(now);
-        engine->coldStartsSpread = engine->coldStartsSpread && limited;
-        if (limited && !engine->coldStartsSpread) {
-            spreadColdStarts(*engine, request, now);
+        if (isHeldBack(*engine, request, now, held)) {
+            continue;
         }
-        if (limited && !engine->coldStarts.ready(now)) {
-            wait(engine->coldStarts.next());
-        } else if (now < engine->backoffUntil) {
+        if (now < engine->backoffUntil) {
             backedOff.push_back(engine);
         } else {
             usable.push_back(engine);
         }
     }
-    // An engine that is backed off may have recovered; trying it is better than refusing the request.
-    if (usable.empty() && !retryAt) {
+    // An engine that is backed off may have recovered; trying it is better than refusing the request, or than waiting
+    // as long as an engine's own limit may last.
+    const bool heldByOwnLimit = held.limitedEngine != nullptr && held.limitedEngine->startLimit;
+    if (usable.empty() && (!held.retryAt || heldByOwnLimit)) {
         usable = backedOff;
     }
     if (usable.empty()) {
-        return {nullptr, retryAt, {}};
+        return held;
     }
     auto *affinityEngine = request.sharedPart.empty() ? nullptr : chooseBySharedPart(usable, request, now);
     auto *chosen = affinityEngine == nullptr ? chooseOfTwoRandom(usable, request, now) : affinityEngine;
@@ -131,10 +184,11 @@
     if (chosen->reportedAt != base::TimePoint{}) {
         details.reportAge = now - chosen->reportedAt;
     }
-    if (request.coldRate > 0 && chosen->isCold(now)) {
-        chosen->coldStarts.recordStart(now, shareOf(request.coldRate, request.nodes));
-    }
-    return {chosen, std::nullopt, details};
+    recordStart(*chosen, request, now);
+    Placement placement;
+    placement.engine = chosen;
+    placement.details = details;
+    return placement;
 }
 
 } // namespace ibisfork::gateway
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -21,6 +21,8 @@
     std::vector<std::string> tried;
     /// Number of nodes that send to the same engines.
     unsigned nodes = 1;
+    /// False until this node has read how many nodes there are; engines that name a limit are not used until then.
+    bool nodesKnown = true;
     /// Requests per second that all nodes together may start at a cold engine; 0 means unlimited.
     double coldRate = 0;
     /// Starts above the rate that a cold engine tolerates within one second.
@@ -46,6 +48,9 @@
     Engine *engine = nullptr;
     /// Set if there are engines but all of them are rate-limited until this time.
     std::optional<base::TimePoint> retryAt;
+    /// The engine whose limit ends at retryAt, and this node's share of its rate in starts a second.
+    Engine *limitedEngine = nullptr;
+    double startsPerSecond = 0;
     PlacementDetails details;
 };
 
@@ -73,7 +78,12 @@
     Engine *chooseOfTwoRandom(const std::vector<Engine *> &usable,
                               const PlacementRequest &request,
                               base::TimePoint now);
+    /// Delays the first start at a rate of @p perSecond by a random part of the interval.
+    void spreadStarts(StartRate &starts, double perSecond, base::TimePoint now);
     void spreadColdStarts(Engine &engine, const PlacementRequest &request, base::TimePoint now);
+    /// Makes @p engine wait in @p placement if one of its limits allows no start at @p now. Returns true if it does.
+    bool isHeldBack(Engine &engine, const PlacementRequest &request, base::TimePoint now, Placement &placement);
+    static void recordStart(Engine &engine, const PlacementRequest &request, base::TimePoint now);
     double cost(const Engine &engine, const PlacementRequest &request, base::TimePoint now) const;
 
     std::mt19937_64 m_random;
