Name test cases by their stream operator; format the settings

The linter asks for the project's names of functions, which PrintTo breaks; a stream operator gives the same names to the cases.

--- a/src/settings/gatewaysettings.h
+++ b/src/settings/gatewaysettings.h
@@ -17,8 +17,8 @@
     std::chrono::milliseconds resendWindow{10000};
     double coldFactor = 1.0;
     double coldTolerance = 0;
-    /// Requests that a new version may get before it has proved good: this share of all requests to its service since the
-    /// order, and exposureTolerance more.
+    /// Requests that a new version may get before it has proved good: this share of all requests to its service since
+    /// the order, and exposureTolerance more.
     double exposureShare = 0.15;
     double exposureTolerance = 30;
     /// Time from the request to stop until the process is killed.
--- a/tests/gateway/rolloutexposure_test.cpp
+++ b/tests/gateway/rolloutexposure_test.cpp
@@ -23,9 +23,9 @@
     VersionFault fault;
 };
 
-void PrintTo(const BadVersionCase &item, std::ostream *out)
+std::ostream &operator<<(std::ostream &out, const BadVersionCase &item)
 {
-    *out << item.name;
+    return out << item.name;
 }
 
 class BadVersionTest : public testing::TestWithParam<BadVersionCase>
@@ -65,9 +65,9 @@
     FleetLoad load;
 };
 
-void PrintTo(const GoodVersionCase &item, std::ostream *out)
+std::ostream &operator<<(std::ostream &out, const GoodVersionCase &item)
 {
-    *out << item.name;
+    return out << item.name;
 }
 
 class GoodVersionTest : public testing::TestWithParam<GoodVersionCase>
--- a/tests/gateway/startlimit_test.cpp
+++ b/tests/gateway/startlimit_test.cpp
@@ -26,9 +26,9 @@
     double perSecond;
 };
 
-void PrintTo(const LimitCase &item, std::ostream *out)
+std::ostream &operator<<(std::ostream &out, const LimitCase &item)
 {
-    *out << item.name;
+    return out << item.name;
 }
 
 /// Several nodes send to the same engines, of which one names a limit to each node in its first answer.
--- a/tests/platformcodec/callcodec_test.cpp
+++ b/tests/platformcodec/callcodec_test.cpp
@@ -126,9 +126,9 @@
     std::optional<double> perSecond;
 };
 
-void PrintTo(const LimitCase &item, std::ostream *out)
+std::ostream &operator<<(std::ostream &out, const LimitCase &item)
 {
-    *out << '"' << item.text << '"';
+    return out << '"' << item.text << '"';
 }
 
 class StartLimitHeaderTest : public testing::TestWithParam<LimitCase>
