Give a version without a roll-out row nothing, also by its name

Cause: without a row the exposure was uncapped with share 0, and a request that names its version skips the share. Class: taking the absence of a fact for permission.

Change: without a row the version is capped, at no allowance. Sessions that hold it keep it, as before.

--- a/src/fleet/rollout.cpp
+++ b/src/fleet/rollout.cpp
@@ -32,7 +32,8 @@
 {
     const auto rollout = config.rollouts.find(version.id);
     if (rollout == config.rollouts.end()) {
-        return {};
+        // Without a row no node has an allowance, so the version is capped at nothing until the first step is written.
+        return {0.0, true, false, false};
     }
     if (rollout->second.state == RolloutState::Done) {
         return {1.0, false, false, true};
--- a/tests/routing/versionchooser_test.cpp
+++ b/tests/routing/versionchooser_test.cpp
@@ -155,6 +155,8 @@
     EXPECT_THAT(choose(), IsEmpty());
     EXPECT_EQ(exclusionOf("next"), "rollout-halted");
     m_config.rollouts.clear();
+    EXPECT_THAT(choose(), IsEmpty());
+    EXPECT_EQ(exclusionOf("next"), "exposure-cap");
     m_query.model = "m";
     EXPECT_THAT(choose(), ElementsAre("medium", "large", "small"));
 }
