Hold back engines of a version until its order would have been read

What could be seen: a node that reads the list of engines sooner than the operators' table (the two are read separately, and a store can answer one of them late) sends requests to engines of a new version before it knows of its roll-out, without any bound.

Change: while no order is known, engines of a version are used once the operators' table is known up to the store's version at which the version's first engine was listed; orders are written before their engines. If that leaves none, all are used as before.

--- a/src/gateway/fleetview.cpp
+++ b/src/gateway/fleetview.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <iterator>
 
 #include "gateway/eventlog.h"
 #include "gateway/noderow.h"
@@ -99,6 +100,7 @@
 {
     try {
         const auto entry = platform::decodeEngine(row.key, row.data);
+        m_firstEntries.try_emplace({entry.service, entry.softwareVersion}, row.version);
         if (m_engines.put(entry, now)) {
             EventLog::state("engine")
                 .field("engine", entry.id)
@@ -287,10 +289,24 @@
     return found == m_planVersions.end() ? 0 : found->second;
 }
 
+bool FleetView::orderWouldBeKnown(const Engine &engine) const
+{
+    const auto first = m_firstEntries.find({engine.entry.service, engine.entry.softwareVersion});
+    return first == m_firstEntries.end() || first->second <= m_operatorVersion;
+}
+
 std::vector<Engine *> FleetView::usableEngines(const std::string &service, VersionPreference preference)
 {
     auto engines = m_engines.ofService(service);
     std::erase_if(engines, [this](const Engine *engine) { return m_evacuated.contains(engine->entry.failureDomain); });
+    if (preference == VersionPreference::Any) {
+        std::vector<Engine *> ordered;
+        std::copy_if(engines.begin(), engines.end(), std::back_inserter(ordered), [this](const Engine *engine) {
+            return orderWouldBeKnown(*engine);
+        });
+        // If all versions are new to this node, none of them is the one on trial as far as it can tell.
+        engines = ordered.empty() ? engines : ordered;
+    }
     return m_rollouts.permitted(service, std::move(engines), preference);
 }
 
--- a/src/gateway/fleetview.h
+++ b/src/gateway/fleetview.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <set>
 #include <string>
@@ -21,6 +22,8 @@
 public:
     /// Applies rows of the operators' table: configuration, rollout orders and evacuated failure domains.
     void applyOperatorRows(const TableChange &change, base::TimePoint now);
+    /// Records that the operators' table is known up to @p version of the store.
+    void recordOperatorVersion(std::uint64_t version) { m_operatorVersion = std::max(m_operatorVersion, version); }
     /// Returns true if the engine entry @p now only repeats @p before, as a heartbeat does.
     static bool isHeartbeat(const Row &before, const Row &now);
     void applyEngineRows(const TableChange &change, base::TimePoint now);
@@ -58,6 +61,9 @@
     std::vector<Engine *> usableEngines(const std::string &service, VersionPreference preference);
 
 private:
+    /// Returns true if an order that brought the engine's version would have been read by now: orders are written
+    /// before the engines that they bring.
+    bool orderWouldBeKnown(const Engine &engine) const;
     void applyConfiguration(const Row &row);
     void applyRollout(const std::string &service, const Row &row, base::TimePoint now);
     void applyEngine(const Row &row, base::TimePoint now);
@@ -68,6 +74,9 @@
 
     ConfigurationPtr m_configuration;
     std::uint64_t m_configurationRow = 0;
+    std::uint64_t m_operatorVersion = 0;
+    /// Row version of the first engine entry of each software version, by service and software version.
+    std::map<std::pair<std::string, std::string>, std::uint64_t> m_firstEntries;
     std::set<std::string> m_evacuated;
     EngineTracker m_engines;
     bool m_enginesLoaded = false;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -56,6 +56,7 @@
                       operatorTiming,
                       [this](const TableChange &change) {
                           m_context.view.applyOperatorRows(change, base::monotonicNow());
+                          m_context.view.recordOperatorVersion(change.version);
                           m_tableServer.update(platform::operatorsTable(), change);
                           m_rollouts.writeDueStatuses(base::monotonicNow());
                       })
@@ -193,6 +194,7 @@
 {
     const auto now = base::monotonicNow();
     m_context.view.dropExpiredEngines(now);
+    m_context.view.recordOperatorVersion(m_operatorTable.version());
     m_context.pool.dropStale(now);
     registerNode();
     m_rollouts.tick(now);
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -642,6 +642,34 @@
     }
 }
 
+TEST_F(GatewayTest, enginesOfANewVersion_listedBeforeTheirOrderIsRead_getNothing)
+{
+    auto &old = addEngine("e1");
+    old.willReply({test::plainReply(200, "x")});
+    start();
+    auto &next = addEngine("e2", "d1", "v2");
+    next.willReply({test::plainReply(200, "x")});
+    FleetView view;
+    TableChange engines;
+    for (const auto *id : {"e1", "e2"}) {
+        const bool isNew = std::string(id) == "e2";
+        engines.rows.push_back({id, *m_store.find("servers", id), isNew ? 40U : 20U, false, false});
+    }
+    engines.isFullRead = true;
+    view.applyEngineRows(engines, base::monotonicNow());
+    const auto usable = [&view] {
+        std::string ids;
+        for (const auto *engine : view.usableEngines("s", VersionPreference::Any)) {
+            ids += engine->entry.id;
+        }
+        return ids;
+    };
+    view.recordOperatorVersion(30);
+    EXPECT_EQ(usable(), "e1");
+    view.recordOperatorVersion(41);
+    EXPECT_EQ(usable(), "e1e2");
+}
+
 /// A route on which the node chooses among three models, and engines that report their confidence.
 class ModelChoiceTest : public GatewayTest
 {
