Keep a rollout's verdict when its order is written again

What could be seen: a version that was found bad gets its trial once more, with a fresh exposure bound, when its order's row is written again, as it is after the store has lost its last seconds with the status 'reverted'.

Cause: a new row version was taken for a new order. Class: identity by a version number that others may give out again.

Change: an order of the same content within its period changes nothing; a stop is kept and its status is written again, the plan and the evidence go on. After its period, or after a removal, it is a new order as before.

--- a/src/gateway/rollouttracker.cpp
+++ b/src/gateway/rollouttracker.cpp
@@ -97,12 +97,39 @@
     return sum;
 }
 
+bool RolloutTracker::Rollout::isRepeatedBy(const RolloutOrder &other, base::TimePoint now) const
+{
+    const bool same = other.toVersion == order.toVersion && other.period == order.period;
+    return orderRow != 0 && same && progress(now) < 1.0;
+}
+
+void RolloutTracker::Rollout::repeatAs(std::uint64_t newOrderRow)
+{
+    // The row may have been lost with a status that followed it, so what the status said must be written again.
+    if (hasStatus(RolloutState::Reverted)) {
+        stopReason = stopReason.empty() ? "reverted_before" : stopReason;
+        status.reset();
+        statusRow = 0;
+    } else if (hasStatus(RolloutState::Completed)) {
+        statusRow = std::max(statusRow, newOrderRow + 1);
+    }
+    const auto fullTime = fullAt();
+    orderRow = newOrderRow;
+    evidence.orderRow = newOrderRow;
+    sharedRuns = 0;
+    plan = {newOrderRow, startedAt, fullTime};
+}
+
 void RolloutTracker::setOrder(const RolloutOrder &order, std::uint64_t orderRow, base::TimePoint now)
 {
     auto &rollout = m_rollouts[order.service];
     if (rollout.orderRow == orderRow) {
         return;
     }
+    if (rollout.isRepeatedBy(order, now)) {
+        rollout.repeatAs(orderRow);
+        return;
+    }
     if (rollout.orderRow != 0 && rollout.stopped()) {
         m_rejected[order.service].insert(rollout.order.toVersion);
     }
--- a/src/gateway/rollouttracker.h
+++ b/src/gateway/rollouttracker.h
@@ -63,8 +63,8 @@
     /// Sets the number of nodes that share the exposure bound.
     void setNodes(unsigned nodes) { m_nodes = nodes; }
 
-    /// Adds or replaces the order of a service. @p orderRow: row version of the order, which distinguishes it from a
-    /// later order of the same content.
+    /// Adds or replaces the order of a service. @p orderRow: row version of the order, which distinguishes it from an
+    /// order of the same content after the end of its period. Within the period such an order changes nothing.
     void setOrder(const RolloutOrder &order, std::uint64_t orderRow, base::TimePoint now);
     /// Records that the order of row version @p orderRow was first seen by any node at @p startedAt, and that all
     /// requests move to the new version at @p fullAt, if that is decided.
@@ -160,6 +160,11 @@
         double progress(base::TimePoint now) const;
         RolloutStep stepAt(base::TimePoint now) const;
         RolloutEvidence pooled() const;
+        /// True if @p other says the same as the current order, within its period: the order was written again, and is
+        /// no new one.
+        bool isRepeatedBy(const RolloutOrder &other, base::TimePoint now) const;
+        /// Goes on under the order's new row version.
+        void repeatAs(std::uint64_t newOrderRow);
     };
 
     const Rollout *find(const std::string &service) const;
--- a/tests/gateway/rollouttracker_test.cpp
+++ b/tests/gateway/rollouttracker_test.cpp
@@ -322,6 +322,35 @@
     EXPECT_GT(newShare(32s), 0.0);
 }
 
+TEST_F(RolloutTrackerTest, orderWrittenAgainWithinItsPeriod_stoppedVersion_staysStoppedAndIsReported)
+{
+    runs("v1", 60, 1);
+    runs("v2", 3, 3);
+    m_tracker.setStatus("s", {"v2", RolloutState::Reverted}, orderRow + 1);
+    m_tracker.setOrder({"s", "v2", 24s}, orderRow - 5, at(6s));
+    EXPECT_EQ(newShare(7s), 0.0);
+    EXPECT_EQ(newShare(14s), 0.0);
+    EXPECT_EQ(m_tracker.dueStatus("s", at(7s))->state, RolloutState::Reverted);
+}
+
+TEST_F(RolloutTrackerTest, orderWrittenAgainWithinItsPeriod_versionStoppedByAnotherNode_staysStopped)
+{
+    m_tracker.setStatus("s", {"v2", RolloutState::Reverted}, orderRow + 1);
+    m_tracker.setOrder({"s", "v2", 24s}, orderRow + 9, at(6s));
+    EXPECT_EQ(newShare(14s), 0.0);
+    EXPECT_EQ(m_tracker.dueStatus("s", at(7s))->state, RolloutState::Reverted);
+}
+
+TEST_F(RolloutTrackerTest, orderWrittenAgainWithinItsPeriod_keepsItsStartAndPlan)
+{
+    runs("v2", 12, 0);
+    moveAll(14s);
+    m_tracker.setOrder({"s", "v2", 24s}, orderRow + 9, at(15s));
+    EXPECT_EQ(newShare(15s), 1.0);
+    m_tracker.setOrder({"s", "v2", 30s}, orderRow + 12, at(16s));
+    EXPECT_LT(newShare(16s), 0.12);
+}
+
 TEST_F(RolloutTrackerTest, retriedRequest_staysOnItsVersionUnlessThatIsStopped)
 {
     EXPECT_EQ(m_tracker.preferredRetryVersion("s", "v1"), VersionPreference::Old);
