Let VersionAlarm use the change detector of src/policy

The cumulative sum stood twice: in ChangeDetector with fixed rates and in VersionAlarm with rates that follow the old version's. The detector takes the rates of an outcome as an argument.

--- a/src/gateway/versionalarm.cpp
+++ b/src/gateway/versionalarm.cpp
@@ -1,8 +1,5 @@
 #include "gateway/versionalarm.h"
 
-#include <algorithm>
-#include <cmath>
-
 namespace ibisfork::gateway {
 
 namespace {
@@ -13,18 +10,22 @@
 
 } // namespace
 
+VersionAlarm::VersionAlarm()
+    : m_detector({{}, falseAlarmInterval})
+{ }
+
 void VersionAlarm::observe(const std::string &engineId, bool bad, const policy::FailureRates &rates)
 {
     m_engines.insert(engineId);
-    m_evidence = std::max(0.0, m_evidence + rates.evidenceOf(bad));
-    if (m_evidence == 0.0) {
+    m_detector.observe(bad, rates);
+    if (m_detector.evidence() == 0.0) {
         m_badEngines.clear();
     }
     if (bad) {
         m_badEngines.insert(engineId);
     }
     const bool oneOfSeveral = m_badEngines.size() == 1 && m_engines.size() > 1;
-    m_raised = m_raised || (m_evidence >= std::log(falseAlarmInterval) && !oneOfSeveral);
+    m_raised = m_raised || (m_detector.evidence() >= m_detector.threshold() && !oneOfSeveral);
 }
 
 } // namespace ibisfork::gateway
--- a/src/policy/changedetector.cpp
+++ b/src/policy/changedetector.cpp
@@ -12,9 +12,9 @@
     , m_threshold(std::log(bounds.falseAlarmInterval))
 { }
 
-void ChangeDetector::observe(bool failed)
+void ChangeDetector::observe(bool failed, const FailureRates &rates)
 {
-    m_evidence = std::max(0.0, m_evidence + m_rates.evidenceOf(failed));
+    m_evidence = std::max(0.0, m_evidence + rates.evidenceOf(failed));
     m_alarmed = m_alarmed || m_evidence >= m_threshold;
 }
 
--- a/src/policy/changedetector.h
+++ b/src/policy/changedetector.h
@@ -20,7 +20,9 @@
     explicit ChangeDetector(const DetectorBounds &bounds);
 
     /// Adds one outcome to the evidence.
-    void observe(bool failed);
+    void observe(bool failed) { observe(failed, m_rates); }
+    /// Adds one outcome that is to be judged by other rates than those given at first.
+    void observe(bool failed, const FailureRates &rates);
     /// Whether the failure rate was found to be bad; never reset.
     bool alarmed() const { return m_alarmed; }
     /// Accumulated log-likelihood ratio (natural logarithm) in favour of the bad rate.
