Take no evidence from runs that were open while the node stood still

What could be seen: a node that freezes for seconds finds its open runs late when it wakes, and a good version is stopped for it.

Change: if the tracker has not been updated for a second, the runs without a verdict are forgotten. The test failed before: six runs of a node that stood still for six seconds stopped the version.

--- /dev/null
+++ b/src/gateway/rollout.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include <ibisfork/base/clock.h>
+
+#include "gateway/engine.h"
+#include "gateway/rolloutevidence.h"
+#include "gateway/versionalarm.h"
+
+namespace ibisfork::gateway {
+
+/// Number of a version's runs at this node, by how far they have come.
+struct RunCounts
+{
+    unsigned sent = 0;
+    unsigned good = 0;
+    unsigned late = 0;
+    unsigned failed = 0;
+
+    void add(const RunVerdict &verdict);
+};
+
+/// Times of a rollout's steps by this node's clock, as read from the stored plan.
+struct RolloutTimes
+{
+    std::uint64_t orderRow = 0;
+    base::TimePoint startedAt{};
+    std::optional<base::TimePoint> fullAt;
+};
+
+/// An order of the operators and what this node knows of its rollout.
+struct Rollout
+{
+    RolloutOrder order;
+    std::uint64_t orderRow = 0;
+    base::TimePoint startedAt{};
+    std::optional<RolloutStatus> status;
+    std::uint64_t statusRow = 0;
+    RolloutTimes plan;
+    /// Why this node has stopped the new version; empty if it has not.
+    std::string stopReason;
+    RunCounts newCounts;
+    RunCounts oldCounts;
+    /// Evidence of this node in the current step.
+    RolloutEvidence evidence;
+    /// Runs of the new version in the evidence that was last stored.
+    unsigned sharedRuns = 0;
+    /// By route and quality.
+    std::map<std::pair<std::string, RunQuality>, VersionAlarm> alarms;
+    /// Evidence of the other nodes, by node.
+    std::map<std::string, RolloutEvidence> peers;
+
+    /// True if the current order's status, as read from the store, is @p state.
+    bool hasStatus(RolloutState state) const;
+    bool stopped() const { return !stopReason.empty() || hasStatus(RolloutState::Reverted); }
+    /// True while the new version's fate is open.
+    bool isOpen() const { return !stopped() && !hasStatus(RolloutState::Completed); }
+    /// When the full step begins, if that is planned.
+    std::optional<base::TimePoint> fullAt() const;
+    /// Elapsed fraction of the period; above 1 after its end.
+    double progress(base::TimePoint now) const;
+    RolloutStep stepAt(base::TimePoint now) const;
+    /// Evidence of all nodes for the current order.
+    RolloutEvidence pooled() const;
+    /// True if @p other says the same as the current order, within its period: the order was written again, and is
+    /// no new one.
+    bool isRepeatedBy(const RolloutOrder &other, base::TimePoint now) const;
+    /// Goes on under the order's new row version.
+    void repeatAs(std::uint64_t newOrderRow);
+};
+
+} // namespace ibisfork::gateway
--- a/src/gateway/rollouttracker.cpp
+++ b/src/gateway/rollouttracker.cpp
@@ -12,9 +12,8 @@
 
 /// Share of the requests without a session that go to a new version during its trial.
 constexpr double trialShare = 0.11;
-/// Share of all requests in the partial step, which begins at this fraction of the period.
+/// Share of all requests in the partial step.
 constexpr double partialShare = 0.35;
-constexpr double partialStart = 0.5;
 /// A rollout completes at this fraction of the period at the earliest, and not before drainFraction of the period has
 /// passed in the full step: the old engines stop at completion, so their responses must have ended by then.
 constexpr double completeAt = 0.82;
@@ -24,6 +23,9 @@
 /// Fraction of the exposure bound that nodes use; the rest covers retries and nodes that restart.
 constexpr double usedExposure = 2.0 / 3.0;
 
+/// Longest time between updates of a node that runs, also of a slow one.
+constexpr std::chrono::milliseconds maxUpdateGap{1000};
+
 /// Maps @p subject to a stable fraction in [0, 1), the same at every node.
 double fractionOf(const std::string &subject)
 {
@@ -46,80 +48,6 @@
 
 } // namespace
 
-void RunCounts::add(const RunVerdict &verdict)
-{
-    good -= verdict.isRevised ? 1 : 0;
-    switch (verdict.quality) {
-    case RunQuality::Good:
-        ++good;
-        return;
-    case RunQuality::Late:
-        ++late;
-        return;
-    case RunQuality::Failed:
-        ++failed;
-        return;
-    }
-}
-
-bool RolloutTracker::Rollout::hasStatus(RolloutState state) const
-{
-    return status && statusRow > orderRow && status->toVersion == order.toVersion && status->state == state;
-}
-
-std::optional<base::TimePoint> RolloutTracker::Rollout::fullAt() const
-{
-    return plan.orderRow == orderRow ? plan.fullAt : std::nullopt;
-}
-
-double RolloutTracker::Rollout::progress(base::TimePoint now) const
-{
-    const auto period = std::max<base::Duration>(order.period, std::chrono::seconds(1));
-    return base::toSeconds(now - startedAt) / base::toSeconds(period);
-}
-
-RolloutStep RolloutTracker::Rollout::stepAt(base::TimePoint now) const
-{
-    if (fullAt() && now >= *fullAt()) {
-        return RolloutStep::Full;
-    }
-    return progress(now) >= partialStart ? RolloutStep::Partial : RolloutStep::Trial;
-}
-
-RolloutEvidence RolloutTracker::Rollout::pooled() const
-{
-    auto sum = evidence;
-    for (const auto &[node, other] : peers) {
-        if (other.orderRow == orderRow) {
-            sum.add(other);
-        }
-    }
-    return sum;
-}
-
-bool RolloutTracker::Rollout::isRepeatedBy(const RolloutOrder &other, base::TimePoint now) const
-{
-    const bool same = other.toVersion == order.toVersion && other.period == order.period;
-    return orderRow != 0 && same && progress(now) < 1.0;
-}
-
-void RolloutTracker::Rollout::repeatAs(std::uint64_t newOrderRow)
-{
-    // The row may have been lost with a status that followed it, so what the status said must be written again.
-    if (hasStatus(RolloutState::Reverted)) {
-        stopReason = stopReason.empty() ? "reverted_before" : stopReason;
-        status.reset();
-        statusRow = 0;
-    } else if (hasStatus(RolloutState::Completed)) {
-        statusRow = std::max(statusRow, newOrderRow + 1);
-    }
-    const auto fullTime = fullAt();
-    orderRow = newOrderRow;
-    evidence.orderRow = newOrderRow;
-    sharedRuns = 0;
-    plan = {newOrderRow, startedAt, fullTime};
-}
-
 void RolloutTracker::setOrder(const RolloutOrder &order, std::uint64_t orderRow, base::TimePoint now)
 {
     auto &rollout = m_rollouts[order.service];
@@ -207,13 +135,13 @@
     }
 }
 
-const RolloutTracker::Rollout *RolloutTracker::find(const std::string &service) const
+const Rollout *RolloutTracker::find(const std::string &service) const
 {
     const auto found = m_rollouts.find(service);
     return found == m_rollouts.end() || found->second.orderRow == 0 ? nullptr : &found->second;
 }
 
-RolloutTracker::Rollout *RolloutTracker::find(const std::string &service)
+Rollout *RolloutTracker::find(const std::string &service)
 {
     const auto found = m_rollouts.find(service);
     return found == m_rollouts.end() || found->second.orderRow == 0 ? nullptr : &found->second;
@@ -302,16 +230,31 @@
 
 void RolloutTracker::recordFirstByte(const std::string &service, RunId id, base::TimePoint now)
 {
+    discardAfterStall(now);
     apply(service, m_monitors[service].recordFirstByte(id, now));
 }
 
 void RolloutTracker::recordEnded(const std::string &service, RunId id, RunEnd end, base::TimePoint now)
 {
+    discardAfterStall(now);
     apply(service, m_monitors[service].recordEnded(id, end, now));
 }
 
+void RolloutTracker::discardAfterStall(base::TimePoint now)
+{
+    if (m_updatedAt == base::TimePoint{} || now - m_updatedAt <= maxUpdateGap) {
+        return;
+    }
+    m_updatedAt = now;
+    for (auto &[service, monitor] : m_monitors) {
+        monitor.discardUnjudged();
+    }
+}
+
 void RolloutTracker::update(base::TimePoint now)
 {
+    discardAfterStall(now);
+    m_updatedAt = now;
     for (auto &[service, rollout] : m_rollouts) {
         const auto step = rollout.stepAt(now);
         if (rollout.orderRow != 0 && step > rollout.evidence.step) {
--- a/src/gateway/rollouttracker.h
+++ b/src/gateway/rollouttracker.h
@@ -5,15 +5,14 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include <ibisfork/base/clock.h>
 
 #include "gateway/enginetracker.h"
+#include "gateway/rollout.h"
 #include "gateway/rolloutevidence.h"
 #include "gateway/runmonitor.h"
-#include "gateway/versionalarm.h"
 
 namespace ibisfork::gateway {
 
@@ -33,17 +32,6 @@
     double tolerance = 30;
 };
 
-/// Number of a version's runs at this node, by how far they have come.
-struct RunCounts
-{
-    unsigned sent = 0;
-    unsigned good = 0;
-    unsigned late = 0;
-    unsigned failed = 0;
-
-    void add(const RunVerdict &verdict);
-};
-
 /// Tracks the rollouts that operators have ordered, and the runs of their versions.
 ///
 /// The trial begins with the order: a few requests go to the new version. Sessions stay on the old one, since their
@@ -104,7 +92,8 @@
     /// Records the first byte of a response that is no failure.
     void recordFirstByte(const std::string &service, RunId id, base::TimePoint now);
     void recordEnded(const std::string &service, RunId id, RunEnd end, base::TimePoint now);
-    /// Enters the steps that are due and judges the runs that can be judged by their age. Must be called regularly.
+    /// Enters the steps that are due and judges the runs that can be judged by their age. Must be called several times
+    /// a second: a long time without a call means that this node stood still.
     void update(base::TimePoint now);
 
     /// Status that should be written to the store for @p service now, if it differs from the last one read.
@@ -124,49 +113,6 @@
     std::string runSummary(const std::string &service) const;
 
 private:
-    struct Plan
-    {
-        std::uint64_t orderRow = 0;
-        base::TimePoint startedAt{};
-        std::optional<base::TimePoint> fullAt;
-    };
-
-    struct Rollout
-    {
-        RolloutOrder order;
-        std::uint64_t orderRow = 0;
-        base::TimePoint startedAt{};
-        std::optional<RolloutStatus> status;
-        std::uint64_t statusRow = 0;
-        Plan plan;
-        /// Why this node has stopped the new version; empty if it has not.
-        std::string stopReason;
-        RunCounts newCounts;
-        RunCounts oldCounts;
-        RolloutEvidence evidence;
-        unsigned sharedRuns = 0;
-        /// By route and quality.
-        std::map<std::pair<std::string, RunQuality>, VersionAlarm> alarms;
-        /// Evidence of the other nodes, by node.
-        std::map<std::string, RolloutEvidence> peers;
-
-        /// True if the current order's status, as read from the store, is @p state.
-        bool hasStatus(RolloutState state) const;
-        bool stopped() const { return !stopReason.empty() || hasStatus(RolloutState::Reverted); }
-        /// True while the new version's fate is open.
-        bool isOpen() const { return !stopped() && !hasStatus(RolloutState::Completed); }
-        std::optional<base::TimePoint> fullAt() const;
-        /// Elapsed fraction of the period; above 1 after its end.
-        double progress(base::TimePoint now) const;
-        RolloutStep stepAt(base::TimePoint now) const;
-        RolloutEvidence pooled() const;
-        /// True if @p other says the same as the current order, within its period: the order was written again, and is
-        /// no new one.
-        bool isRepeatedBy(const RolloutOrder &other, base::TimePoint now) const;
-        /// Goes on under the order's new row version.
-        void repeatAs(std::uint64_t newOrderRow);
-    };
-
     const Rollout *find(const std::string &service) const;
     Rollout *find(const std::string &service);
     bool hasAllowance(const Rollout &rollout) const;
@@ -174,10 +120,13 @@
     static void stopIfBad(Rollout &rollout);
     static bool mayComplete(const Rollout &rollout, base::TimePoint now);
     void apply(const std::string &service, const std::optional<RunVerdict> &verdict);
+    /// Discards the runs without a verdict if this node has not been running for a while.
+    void discardAfterStall(base::TimePoint now);
 
     std::string m_node;
     ExposureBound m_bound;
     unsigned m_nodes = 1;
+    base::TimePoint m_updatedAt{};
     std::map<std::string, Rollout> m_rollouts;
     /// Open runs, by service, also of services without an order: what is usual must be known when an order arrives.
     std::map<std::string, RunMonitor> m_monitors;
--- a/src/gateway/runmonitor.cpp
+++ b/src/gateway/runmonitor.cpp
@@ -75,6 +75,11 @@
     return verdicts;
 }
 
+void RunMonitor::discardUnjudged()
+{
+    std::erase_if(m_open, [](const auto &item) { return !item.second.isJudged; });
+}
+
 unsigned RunMonitor::unjudged(const std::string &version) const
 {
     return static_cast<unsigned>(std::count_if(m_open.begin(), m_open.end(), [&](const auto &item) {
--- a/src/gateway/runmonitor.h
+++ b/src/gateway/runmonitor.h
@@ -67,6 +67,9 @@
     /// Judges the runs that can be judged at @p now though nothing has happened to them.
     std::vector<RunVerdict> judgeByAge(base::TimePoint now);
 
+    /// Forgets the runs without a verdict; they say nothing about their versions after this node has stood still.
+    void discardUnjudged();
+
     /// Number of runs of @p version without a verdict.
     unsigned unjudged(const std::string &version) const;
 
--- a/tests/gateway/rollouttracker_test.cpp
+++ b/tests/gateway/rollouttracker_test.cpp
@@ -117,6 +117,23 @@
     EXPECT_EQ(m_tracker.dueStatus("s", at(2s))->state, RolloutState::Reverted);
 }
 
+TEST_F(RolloutTrackerTest, nodeStoodStill_itsOpenRuns_areNoEvidence)
+{
+    runs("v1", 30, 0);
+    m_tracker.update(at(3s));
+    std::vector<RunId> open;
+    for (int i = 0; i < 6; ++i) {
+        open.push_back(m_tracker.recordSent("s", {"v2", "e", {"r"}, 0, 2s}, at(3s)));
+    }
+    for (const auto id : open) {
+        m_tracker.recordFirstByte("s", id, at(9s));
+        m_tracker.recordEnded("s", id, RunEnd::TimedOut, at(9s));
+    }
+    m_tracker.update(at(9s));
+    EXPECT_NE(m_tracker.dueStatus("s", at(9s))->state, RolloutState::Reverted);
+    EXPECT_FALSE(m_tracker.unsharedEvidence("s"));
+}
+
 TEST_F(RolloutTrackerTest, evidenceOfAnEarlierOrder_doesNotCount)
 {
     StoredEvidence peer{"s", "n1", {orderRow - 1}};
