Sum the evidence of all nodes once a verdict, look up row versions in one place

A bad verdict summed the evidence of all nodes twice, for the alarm's rates and for the test; the sum is passed on now. The row versions of statuses and of plans were looked up by two copies of the same lines.

--- a/src/gateway/fleetview.cpp
+++ b/src/gateway/fleetview.cpp
@@ -19,6 +19,13 @@
     EventLog::state("row_unreadable").field("key", row.key).field("version", row.version).field("reason", error.what());
 }
 
+/// Row version known for @p service, 0 if there is none.
+std::uint64_t versionOf(const std::map<std::string, std::uint64_t> &versions, const std::string &service)
+{
+    const auto found = versions.find(service);
+    return found == versions.end() ? 0 : found->second;
+}
+
 } // namespace
 
 void FleetView::applyConfiguration(const Row &row)
@@ -279,14 +286,12 @@
 
 std::uint64_t FleetView::statusVersion(const std::string &service) const
 {
-    const auto found = m_statusVersions.find(service);
-    return found == m_statusVersions.end() ? 0 : found->second;
+    return versionOf(m_statusVersions, service);
 }
 
 std::uint64_t FleetView::planVersion(const std::string &service) const
 {
-    const auto found = m_planVersions.find(service);
-    return found == m_planVersions.end() ? 0 : found->second;
+    return versionOf(m_planVersions, service);
 }
 
 bool FleetView::orderWouldBeKnown(const Engine &engine) const
--- a/src/gateway/rollouttracker.cpp
+++ b/src/gateway/rollouttracker.cpp
@@ -131,7 +131,7 @@
     auto &rollout = m_rollouts[stored.service];
     rollout.peers[stored.node] = stored.evidence;
     if (rollout.orderRow != 0) {
-        stopIfBad(rollout);
+        stopIfBad(rollout, rollout.pooled());
     }
 }
 
@@ -308,13 +308,13 @@
         }
     }
     if (verdict->quality != RunQuality::Good) {
-        stopIfBad(*rollout);
+        stopIfBad(*rollout, pooled);
     }
 }
 
-void RolloutTracker::stopIfBad(Rollout &rollout)
+void RolloutTracker::stopIfBad(Rollout &rollout, const RolloutEvidence &pooled)
 {
-    if (rollout.isOpen() && rollout.pooled().showsBadVersion()) {
+    if (rollout.isOpen() && pooled.showsBadVersion()) {
         rollout.stopReason = "runs_of_all_nodes_are_bad";
     }
 }
--- a/src/gateway/rollouttracker.h
+++ b/src/gateway/rollouttracker.h
@@ -117,7 +117,8 @@
     Rollout *find(const std::string &service);
     bool hasAllowance(const Rollout &rollout) const;
     static void enterStep(Rollout &rollout, RolloutStep step);
-    static void stopIfBad(Rollout &rollout);
+    /// Stops the new version if @p pooled, the evidence of all nodes, shows that it is bad.
+    static void stopIfBad(Rollout &rollout, const RolloutEvidence &pooled);
     static bool mayComplete(const Rollout &rollout, base::TimePoint now);
     void apply(const std::string &service, const std::optional<RunVerdict> &verdict);
     /// Discards the runs without a verdict if this node has not been running for a while.
