--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -253,6 +253,7 @@
     ++m_runs;
     m_sentAt = now;
     m_lastProgress = now;
+    m_runBegan = false;
     m_answer = {};
     m_answerBody.clear();
     m_splitter.reset();
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -98,6 +98,8 @@
     void recordCrash(base::TimePoint now);
     const std::string &fingerprint();
     void handleFailedAttempt(const FailedAttempt &miss);
+    /// Ids of the prompt parts that other requests may share, for the log; "-" if there are none.
+    std::string sharedPartsText() const;
     bool consumeResend(bool mayHaveRun);
     bool mayRetry(bool mayHaveRun) const;
     void failRequest(const char *reason);
@@ -150,6 +152,8 @@
     bool m_mayHaveRun = false;
     bool m_awaitsConfiguration = false;
     bool m_streamBegun = false;
+    /// The current attempt has delivered an event.
+    bool m_runBegan = false;
     bool m_paused = false;
     bool m_promptPending = false;
     std::optional<std::uint64_t> m_lastEvent;
--- a/src/gateway/exchangeanswer.cpp
+++ b/src/gateway/exchangeanswer.cpp
@@ -133,6 +133,7 @@
         m_streamBegun = true;
         m_caller.beginStream(m_answer.status, platform::answerHeaders(m_answerHead), m_context.stopping);
     }
+    m_runBegan = true;
     if (event.id) {
         m_lastEvent = event.id;
     }
--- a/src/gateway/exchangeend.cpp
+++ b/src/gateway/exchangeend.cpp
@@ -55,6 +55,15 @@
     }
 }
 
+std::string Exchange::sharedPartsText() const
+{
+    std::string text;
+    for (std::size_t i = 0; i + 1 < m_call.promptParts.size(); ++i) {
+        text += (text.empty() ? "" : ",") + m_call.promptParts[i].id;
+    }
+    return text.empty() ? "-" : text;
+}
+
 void Exchange::handleFailedAttempt(const FailedAttempt &miss)
 {
     const auto now = base::monotonicNow();
@@ -65,7 +74,9 @@
         .field("may_have_run", miss.mayHaveRun)
         .field("status", m_answer.status)
         .field("after_ms", base::toMilliseconds(now - m_sentAt))
-        .field("last_event", m_lastEvent.value_or(0));
+        .field("last_event", m_lastEvent.value_or(0))
+        .field("began", m_runBegan)
+        .field("parts", sharedPartsText());
     if (m_connection && !m_connection->reusable()) {
         m_connection->abandon();
     }
