Failing test: new requests with a part that crashes engines reach more engines

Three nodes, six engines; each request with one prompt part crashes the engine that runs it, sound ones share its first part, key and route. The fixture of the gateway's tests moves to a header of its own, unchanged; the fake engine can decide on each reply.

--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -1,11 +1,9 @@
-#include "gateway/gateway.h"
+#include "gatewayfixture.h"
 
 #include <gtest/gtest.h>
 
 #include <nlohmann/json.hpp>
 
-#include "standins.h"
-
 namespace ibisfork::gateway {
 
 using namespace std::chrono_literals;
@@ -14,114 +12,7 @@
 using test::FakeCaller;
 using test::FakeEngine;
 using test::FakeStore;
-
-/// Runs a node in this process, with fakes for the store and for engines.
-class GatewayTest : public test::LoopTest
-{
-protected:
-    GatewayTest()
-        : m_store(m_base.get())
-        , m_configuration(configuration())
-    {
-        m_settings.node = {"n1", "d1", "r1"};
-        m_settings.callers = {"127.0.0.1", 0};
-        m_settings.readiness = {"127.0.0.1", 0};
-        m_settings.operators = {"127.0.0.1", 0};
-        m_settings.store = m_store.address();
-        m_settings.bounds.resendRatio = 0.9;
-        m_settings.bounds.resendExtra = 50;
-    }
-
-    static json route(const std::string &name, const std::string &path, const std::string &kind, int attempts)
-    {
-        return {{"name", name},
-                {"hostname", "h.example"},
-                {"pathPrefix", path},
-                {"routeType", kind},
-                {"timeoutMs", 2000},
-                {"goalMs", 300},
-                {"priority", 1},
-                {"service", "s"},
-                {"maxAttempts", attempts},
-                {"public", false},
-                {"resumable", kind == "streaming"},
-                {"itlTargetMs", 300}};
-    }
-
-    static json configuration()
-    {
-        return {
-            {"version", 7},
-            {"routes",
-             {route("read", "/read/", "idempotent", 2),
-              route("book", "/book/", "non_idempotent", 1),
-              route("chat", "/chat/", "streaming", 3)}},
-            {"services", {{{"name", "s"}, {"healthPath", "/healthz"}, {"maxConns", 100}}}},
-            {"limits",
-             {{"maxHeaderBytes", 4096}, {"maxBodyBytes", 10000}, {"headerTimeoutMs", 300}, {"idleTimeoutMs", 15000}}},
-            {"tenants", {{{"name", "w1"}, {"apiKeys", {"key1"}}}}}};
-    }
-
-    FakeEngine &addEngine(const std::string &id, const std::string &domain = "d1", const std::string &version = "v1")
-    {
-        m_engines[id] = std::make_unique<FakeEngine>(m_base.get());
-        list(id, "ready", domain, version);
-        return *m_engines[id];
-    }
-
-    void list(const std::string &id,
-              const std::string &state,
-              const std::string &domain = "d1",
-              const std::string &version = "v1")
-    {
-        m_store.put("servers",
-                    id,
-                    json{{"service", "s"},
-                         {"address", m_engines[id]->address().text()},
-                         {"zone", domain},
-                         {"version", version},
-                         {"slots", 8},
-                         {"state", state},
-                         {"coldLeftMs", 0},
-                         {"seq", 1}}
-                        .dump());
-    }
-
-    void configure() { m_store.put("op", "config", m_configuration.dump()); }
-
-    void start()
-    {
-        configure();
-        m_gateway = std::make_unique<Gateway>(m_base.get(), m_settings, m_metrics);
-        m_gateway->start();
-        ASSERT_TRUE(until([this] { return m_gateway->ready(); }));
-    }
-
-    static std::string request(const std::string &method,
-                               const std::string &path,
-                               const std::string &headers = {},
-                               const std::string &body = {})
-    {
-        return method + " " + path + " HTTP/1.1\r\nHost: h.example\r\nIbisfork-Attempt-Id: a1\r\n"
-            + "Ibisfork-Credential: key1\r\n" + headers
-            + (method == "GET" ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n") + "\r\n" + body;
-    }
-
-    test::Answer ask(const std::string &bytes, base::Duration within = 5s)
-    {
-        FakeCaller caller(m_base.get(), m_gateway->callers());
-        caller.send(bytes);
-        until([&] { return caller.done(); }, within);
-        return caller.answer();
-    }
-
-    FakeStore m_store;
-    json m_configuration;
-    settings::GatewaySettings m_settings;
-    base::MetricsRegistry m_metrics;
-    std::map<std::string, std::unique_ptr<FakeEngine>> m_engines;
-    std::unique_ptr<Gateway> m_gateway;
-};
+using test::GatewayTest;
 
 TEST_F(GatewayTest, request_toItsRoute_isForwardedWithoutKeyAndWithWorkspace)
 {
--- /dev/null
+++ b/tests/gateway/poisonpart_test.cpp
@@ -0,0 +1,139 @@
+#include <gtest/gtest.h>
+
+#include <list>
+
+#include <fmt/format.h>
+
+#include "enginefleet.h"
+#include "gatewayfixture.h"
+
+namespace ibisfork::gateway {
+
+using namespace std::chrono_literals;
+using test::EngineFleet;
+using test::FakeCaller;
+
+/// Several nodes in this process. Requests with one prompt part crash each engine that runs them; sound requests share
+/// their first part, their caller and their route.
+class PoisonPartTest : public test::GatewayTest
+{
+protected:
+    static constexpr std::size_t nodes = 3;
+    static constexpr std::size_t engines = 6;
+    /// Crashes after which the part must be known, and the time that the nodes have to tell each other.
+    static constexpr std::size_t knownAfterCrashes = 5;
+    static constexpr std::chrono::milliseconds contactTime{3000};
+    static constexpr std::chrono::milliseconds soundInterval{25};
+    static constexpr std::chrono::milliseconds badInterval{150};
+    static constexpr const char *badPart = "bad0";
+
+    PoisonPartTest()
+        : m_fleet(m_base.get(), m_store, engines, [](const http::Request &request) { return isBad(request); })
+        , m_sound(m_base.get(), [this] { sendSound(); })
+        , m_bad(m_base.get(), [this] { sendBad(); })
+    { }
+
+    static bool isBad(const http::Request &request)
+    {
+        const auto parts = request.head.headers.find("Ibisfork-Prefix-Hash");
+        return parts && parts->find(badPart) != std::string_view::npos;
+    }
+
+    void startNodes()
+    {
+        configure();
+        for (std::size_t i = 0; i < nodes; ++i) {
+            startNode(i);
+        }
+    }
+
+    /// Starts or restarts node @p index.
+    void startNode(std::size_t index)
+    {
+        m_gateways.resize(std::max(m_gateways.size(), index + 1));
+        auto settings = m_settings;
+        settings.node.name = fmt::format("n{}", index);
+        m_gateways[index].reset();
+        m_gateways[index] = std::make_unique<Gateway>(m_base.get(), settings, m_registries[index]);
+        m_gateways[index]->start();
+        ASSERT_TRUE(until([&] { return m_gateways[index]->ready(); }));
+    }
+
+    struct SentCall
+    {
+        std::unique_ptr<FakeCaller> caller;
+        base::TimePoint sentAt;
+    };
+
+    std::string chat(const std::string &part) const
+    {
+        return fmt::format("POST /chat/x HTTP/1.1\r\nHost: h.example\r\nIbisfork-Attempt-Id: a{0}\r\n"
+                           "Ibisfork-Credential: key1\r\nIbisfork-Prefix-Hash: first:900,{1}:300,own{0}:40\r\n"
+                           "Content-Length: {2}\r\n\r\nb{0}",
+                           m_serial,
+                           part,
+                           std::to_string(m_serial).size() + 1);
+    }
+
+    void send(const std::string &part, std::list<SentCall> &calls)
+    {
+        ++m_serial;
+        const auto &gateway = m_gateways[m_serial % m_gateways.size()];
+        calls.push_back({std::make_unique<FakeCaller>(m_base.get(), gateway->callers()), base::monotonicNow()});
+        calls.back().caller->send(chat(part));
+    }
+
+    void sendSound() { send(fmt::format("sound{}", m_serial % 20), m_soundCalls); }
+    void sendBad() { send(badPart, m_badCalls); }
+
+    /// Share of the sound requests sent from @p from on that were answered with success, from 0 to 1.
+    double servedSince(base::TimePoint from) const
+    {
+        double sent = 0;
+        double served = 0;
+        for (const auto &call : m_soundCalls) {
+            if (call.sentAt >= from) {
+                ++sent;
+                served += call.caller->answer().status == 200 && call.caller->answer().complete ? 1 : 0;
+            }
+        }
+        return sent == 0 ? 0 : served / sent;
+    }
+
+    /// Sends bad requests beside sound ones until the part must be known at all nodes.
+    void playUntilKnown()
+    {
+        m_sound.startEvery(soundInterval);
+        runFor(1s);
+        m_bad.startEvery(badInterval);
+        ASSERT_TRUE(until([this] { return m_fleet.crashes() >= knownAfterCrashes; }, 10s));
+        runFor(contactTime);
+    }
+
+    EngineFleet m_fleet;
+    std::map<std::size_t, base::MetricsRegistry> m_registries;
+    std::vector<std::unique_ptr<Gateway>> m_gateways;
+    std::list<SentCall> m_soundCalls;
+    std::list<SentCall> m_badCalls;
+    unsigned m_serial = 0;
+    net::Timer m_sound;
+    net::Timer m_bad;
+};
+
+TEST_F(PoisonPartTest, newRequestsWithAPartThatCrashesEngines_reachNoMoreEngines_soundOnesAreServed)
+{
+    startNodes();
+    playUntilKnown();
+    const auto before = m_fleet.crashingRequests();
+    const auto knownAt = base::monotonicNow();
+    runFor(contactTime);
+    const auto soundFrom = base::monotonicNow();
+    runFor(2s);
+    m_sound.stop();
+    runFor(500ms);
+    EXPECT_LE(m_fleet.crashingRequests() - before, 3U);
+    EXPECT_GT(base::monotonicNow() - knownAt, 5s);
+    EXPECT_GE(servedSince(soundFrom), 0.9);
+}
+
+} // namespace ibisfork::gateway
--- a/tests/gateway/standins.cpp
+++ b/tests/gateway/standins.cpp
@@ -89,6 +89,7 @@
         , m_socket(socket)
         , m_events(bufferevent_socket_new(engine.m_base, socket, BEV_OPT_CLOSE_ON_FREE))
         , m_parser(http::MessageKind::Request, 65536, [this](std::string_view bytes) { m_body += bytes; })
+        , m_delay(engine.m_base, [this] { write(); })
     {
         bufferevent_setcb(m_events, &onRead, &onWritten, &onEvent, this);
         bufferevent_enable(m_events, EV_READ | EV_WRITE);
@@ -136,6 +137,15 @@
         m_body.clear();
         m_parser.reset();
         m_reply = m_engine.nextReply(request);
+        if (m_reply.delay.count() > 0) {
+            m_delay.startOnce(m_reply.delay);
+        } else {
+            write();
+        }
+    }
+
+    void write()
+    {
         if (!m_reply.bytes.empty()) {
             bufferevent_write(m_events, m_reply.bytes.data(), m_reply.bytes.size());
         } else if (m_reply.close || m_reply.reset) {
@@ -167,6 +177,7 @@
     http::MessageParser m_parser;
     std::string m_body;
     EngineReply m_reply;
+    net::Timer m_delay;
 };
 
 FakeEngine::FakeEngine(event_base *base)
@@ -186,7 +197,9 @@
 {
     m_requests.push_back(request);
     EngineReply reply;
-    if (m_resumeReply && request.head.headers.find("Last-Event-Id")) {
+    if (m_decide) {
+        reply = m_decide(request);
+    } else if (m_resumeReply && request.head.headers.find("Last-Event-Id")) {
         reply = *m_resumeReply;
     } else if (!m_replies.empty()) {
         reply = m_replies.front();
--- a/tests/gateway/standins.h
+++ b/tests/gateway/standins.h
@@ -41,6 +41,8 @@
     bool close = false;
     /// Resets the connection after the bytes are sent.
     bool reset = false;
+    /// Time from the request to the response.
+    std::chrono::milliseconds delay{0};
 };
 
 /// A response with a body of known length, signed unless @p moreHeaders says otherwise.
@@ -66,6 +68,8 @@
     void willReply(std::deque<EngineReply> replies) { m_replies = std::move(replies); }
     /// Sets the reply to requests that resume a stream after an event.
     void willResumeWith(EngineReply reply) { m_resumeReply = std::move(reply); }
+    /// Chooses the reply to each request; goes before the replies set otherwise.
+    void willDecide(std::function<EngineReply(const http::Request &)> decide) { m_decide = std::move(decide); }
     /// All requests received so far.
     const std::vector<http::Request> &requests() const { return m_requests; }
     /// Number of open connections.
@@ -80,6 +84,7 @@
     event_base *m_base;
     std::deque<EngineReply> m_replies;
     std::optional<EngineReply> m_resumeReply;
+    std::function<EngineReply(const http::Request &)> m_decide;
     std::vector<http::Request> m_requests;
     std::map<Connection *, std::unique_ptr<Connection>> m_connections;
     ListeningPort m_port;
