--- a/src/gateway/callerport.cpp
+++ b/src/gateway/callerport.cpp
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr int listenBacklog = 512;
+/// Room for the headers that a node adds to a request that it forwards.
+constexpr std::size_t forwardHeaderBytes = 512;
 
 } // namespace
 
@@ -53,8 +55,9 @@
     static_cast<ListeningPort *>(self)->m_acceptCallback(socket);
 }
 
-CallerPort::CallerPort(Context &context, const net::Address &address)
+CallerPort::CallerPort(Context &context, const net::Address &address, RequestOrigin origin)
     : m_context(context)
+    , m_origin(origin)
     , m_port(context.base, address, [this](evutil_socket_t socket) { accept(socket); })
 { }
 
@@ -82,7 +85,10 @@
         removeConnection(connection);
     };
     const auto &configuration = m_context.view.configuration();
-    const auto bounds = configuration ? configuration->callerBounds : http::CallerBounds{};
+    auto bounds = configuration ? configuration->callerBounds : http::CallerBounds{};
+    if (m_origin == RequestOrigin::Peer) {
+        bounds.maxHeadBytes += forwardHeaderBytes;
+    }
     auto connection = std::make_unique<http::CallerConnection>(m_context.base, socket, bounds, std::move(handlers));
     m_connections.emplace(connection.get(), std::move(connection));
 }
@@ -90,7 +96,7 @@
 void CallerPort::begin(http::CallerConnection &connection, http::Request request)
 {
     auto exchange = std::make_unique<Exchange>(
-        m_context, connection, std::move(request), [this, &connection] { end(connection); });
+        m_context, connection, std::move(request), m_origin, [this, &connection] { end(connection); });
     auto *started = exchange.get();
     m_exchanges.emplace(&connection, std::move(exchange));
     started->begin();
--- a/src/gateway/callerport.h
+++ b/src/gateway/callerport.h
@@ -46,7 +46,8 @@
 class CallerPort
 {
 public:
-    CallerPort(Context &context, const net::Address &address);
+    /// @p origin: who sends requests to @p address.
+    CallerPort(Context &context, const net::Address &address, RequestOrigin origin);
     ~CallerPort();
 
     net::Address address() const { return m_port.address(); }
@@ -70,6 +71,7 @@
     std::vector<Exchange *> allExchanges() const;
 
     Context &m_context;
+    RequestOrigin m_origin;
     std::map<http::CallerConnection *, std::unique_ptr<http::CallerConnection>> m_connections;
     std::map<http::CallerConnection *, std::unique_ptr<Exchange>> m_exchanges;
     ListeningPort m_port;
--- a/src/gateway/configuration.h
+++ b/src/gateway/configuration.h
@@ -60,6 +60,8 @@
 {
     std::string name;
     std::uint32_t maxConnections = 100;
+    /// Path of the engines' health check.
+    std::string healthPath = "/";
     std::chrono::milliseconds coldPeriod{0};
     /// Requests per second that a cold engine can handle; 0 for no limit.
     double coldRate = 0;
--- a/src/gateway/context.cpp
+++ b/src/gateway/context.cpp
@@ -1,5 +1,9 @@
 #include "gateway/context.h"
 
+#include <algorithm>
+
+#include "gateway/eventlog.h"
+
 namespace ibisfork::gateway {
 
 namespace {
@@ -30,8 +34,35 @@
     , pool(eventBase, registry)
     , placement(random())
     , resends(resendBound(gatewaySettings.bounds))
+    , peerPool(eventBase, registry)
+    , peers(random())
 { }
 
+void Context::recordEngineUnreachable(const std::string &service, const std::string &engine)
+{
+    if (reach.recordUnreachable(service, engine, view.engines().ofService(service).size())) {
+        EventLog::state("cut_off").field("service", service).field("engine", engine);
+        // A connection from before the cut may hang, and a request on it that can't be repeated would be lost.
+        for (const auto *known : view.engines().ofService(service)) {
+            pool.drop(known->entry.id);
+        }
+    }
+}
+
+void Context::recordEngineAnswered(const std::string &service, const std::string &engine)
+{
+    if (reach.recordAnswered(service)) {
+        EventLog::state("cut_off_ended").field("service", service).field("engine", engine);
+        view.engines().forgetFaults(service);
+    }
+}
+
+bool Context::knowsForwardingPeers() const
+{
+    const auto known = view.peersOf(settings.node.name);
+    return std::any_of(known.begin(), known.end(), [](const PeerNode &peer) { return peer.forwarding.has_value(); });
+}
+
 MovingAverage &Context::firstByteTime(const std::string &route)
 {
     return firstByteTimes.try_emplace(route, initialFirstByteSeconds).first->second;
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -10,8 +10,10 @@
 
 #include "gateway/connectionpool.h"
 #include "gateway/crashtracker.h"
+#include "gateway/enginereach.h"
 #include "gateway/fleetview.h"
 #include "gateway/modelpolicy.h"
+#include "gateway/peerselector.h"
 #include "gateway/placement.h"
 #include "gateway/resendbudget.h"
 #include "settings/gatewaysettings.h"
@@ -58,6 +60,10 @@
     ResendBudget resends;
     ModelPolicy models;
     CrashTracker crashes;
+    EngineReach reach;
+    /// Idle connections to other nodes, by their names.
+    ConnectionPool peerPool;
+    PeerSelector peers;
     /// Called with each run that was lost before it had begun to be answered.
     std::function<void(const LostRun &)> reportLostRun;
     /// The store's steady clock, as far as it is known.
@@ -71,6 +77,15 @@
     /// So late in the shutdown that a stream started now may not end in time.
     bool rejectsNewStreams = false;
 
+    /// Records that an attempt at an engine found it unreachable or silent.
+    void recordEngineUnreachable(const std::string &service, const std::string &engine);
+    /// Records that an engine has answered. If the node was cut off from the service until now, the faults that it saw
+    /// meanwhile say nothing about the engines.
+    void recordEngineAnswered(const std::string &service, const std::string &engine);
+
+    /// True if there are other nodes that accept forwarded requests.
+    bool knowsForwardingPeers() const;
+
     MovingAverage &firstByteTime(const std::string &route);
     MovingAverage &latencyRatio(const std::string &route);
 };
--- a/src/gateway/crashreporter.cpp
+++ b/src/gateway/crashreporter.cpp
@@ -36,6 +36,7 @@
         return;
     }
     m_probes.push_back({run.engine.id,
+                        run.engine.service,
                         process,
                         std::make_unique<http::UpstreamConnection>(m_context.base, run.engine.address),
                         nullptr});
@@ -46,7 +47,8 @@
 
 void CrashReporter::finishProbe(std::list<Probe>::iterator probe)
 {
-    const bool hasEnded = !probe->connection->reusable();
+    // A node without a path to the engines can't tell whether they have ended.
+    const bool hasEnded = !probe->connection->reusable() && !m_context.reach.isCutOff(probe->service);
     EventLog::state("engine_probed").field("engine", probe->engineId).field("ended", hasEnded);
     m_context.crashes.confirmLoss(probe->process, hasEnded, m_context.storeNow());
     net::deleteLater(m_context.base, std::move(probe->connection));
--- a/src/gateway/crashreporter.h
+++ b/src/gateway/crashreporter.h
@@ -35,6 +35,7 @@
     struct Probe
     {
         std::string engineId;
+        std::string service;
         std::string process;
         std::unique_ptr<http::UpstreamConnection> connection;
         std::unique_ptr<net::Timer> timer;
--- a/src/gateway/enginetracker.cpp
+++ b/src/gateway/enginetracker.cpp
@@ -213,7 +213,19 @@
     ++engine->faultsInRow;
     engine->backoffUntil = now + backoff;
     // The engine may have restarted without its entry showing it yet.
-    engine->coldUntil = std::max<base::TimePoint>(engine->coldUntil, now + backoff + coldPeriod);
+    engine->suspectedColdUntil = std::max<base::TimePoint>(engine->suspectedColdUntil, now + backoff + coldPeriod);
+}
+
+void EngineTracker::forgetFaults(const std::string &service)
+{
+    for (auto &[id, engine] : m_engines) {
+        if (engine.entry.service == service) {
+            engine.backoffUntil = {};
+            engine.suspectedColdUntil = {};
+            engine.faultsInRow = 0;
+            engine.faultShare = 0;
+        }
+    }
 }
 
 } // namespace ibisfork::gateway
--- a/src/gateway/enginetracker.h
+++ b/src/gateway/enginetracker.h
@@ -55,8 +55,10 @@
 struct Engine
 {
     EngineEntry entry;
-    /// Until this time the engine accepts only its service's cold rate.
+    /// Until this time the engine accepts only its service's cold rate, by its own entry.
     base::TimePoint coldUntil{};
+    /// As coldUntil, because of faults after which it may have restarted.
+    base::TimePoint suspectedColdUntil{};
     /// Until this time the engine is backed off: chosen only if there is no other.
     base::TimePoint backoffUntil{};
     /// Set if the entry disappeared while the store was unreliable: the time at which the engine is removed.
@@ -85,7 +87,7 @@
 
     /// Estimated number of requests, running and waiting, at the engine now. @p nodes: number of nodes that send to it.
     double expectedLoad(base::TimePoint now, unsigned nodes) const;
-    bool isCold(base::TimePoint now) const { return now < coldUntil; }
+    bool isCold(base::TimePoint now) const { return now < coldUntil || now < suspectedColdUntil; }
 };
 
 /// The engines listed by the platform, with the load and faults that this node has observed.
@@ -123,6 +125,8 @@
     void recordSuccess(const std::string &id);
     /// Records a failed attempt. @p coldPeriod: how long an engine of the service stays cold after a start.
     void recordFault(const std::string &id, EngineFault fault, base::Duration coldPeriod, base::TimePoint now);
+    /// Forgets the faults of all engines of @p service, since the path to them was at fault.
+    void forgetFaults(const std::string &service);
 
 private:
     std::map<std::string, Engine> m_engines;
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -39,6 +39,7 @@
 constexpr std::uint32_t minSharedTokens = 300;
 /// Priorities run from 0 (highest) to this value.
 constexpr int lowestPriority = 9;
+constexpr std::size_t maxIdlePeerConnections = 8;
 /// Of the connections that an engine accepts from all nodes, at most one in this many may be idle.
 constexpr unsigned idleConnectionsDivisor = 2;
 
@@ -63,10 +64,15 @@
 
 } // namespace
 
-Exchange::Exchange(Context &context, http::CallerConnection &caller, http::Request request, std::function<void()> done)
+Exchange::Exchange(Context &context,
+                   http::CallerConnection &caller,
+                   http::Request request,
+                   RequestOrigin origin,
+                   std::function<void()> done)
     : m_context(context)
     , m_caller(caller)
     , m_request(std::move(request))
+    , m_origin(origin)
     , m_done(std::move(done))
     , m_configuration(context.view.configuration())
     , m_call(platform::decodeCall(m_request.head))
@@ -74,7 +80,13 @@
     , m_start(base::monotonicNow())
     , m_deadline(m_start + m_call.timeout.value_or(defaultTimeout))
     , m_timer(context.base, [this] { onTimer(); })
-{ }
+{
+    if (m_origin == RequestOrigin::Peer) {
+        m_forwardState = readForwardState(m_request.head.headers);
+        m_request.head.headers = withoutForwardHeaders(m_request.head.headers);
+        m_isCounted = m_forwardState && m_forwardState->isCounted;
+    }
+}
 
 Exchange::~Exchange() = default;
 
@@ -90,7 +102,7 @@
         return;
     }
     if (m_context.rejectsNewStreams && m_route->repeatability == Repeatability::Stream) {
-        refuse(http::status::unavailable, "node_stops", retryAfterFull);
+        refuseNotRun("node_stops", retryAfterFull);
         return;
     }
     m_deadline = std::min<base::TimePoint>(m_deadline, m_start + m_route->timeout);
@@ -110,7 +122,6 @@
     const bool isSession = !m_call.session.empty();
     m_subject = isSession ? m_workspace + '/' + m_call.session : m_call.id;
     m_preference = m_context.view.rollouts().preferredVersion(m_service, m_subject, isSession, m_start);
-    m_context.resends.countRequest(m_service, m_start);
     dispatch();
 }
 
@@ -119,7 +130,7 @@
     const auto now = base::monotonicNow();
     const auto latest = std::min<base::TimePoint>(m_start + configurationTimeout, m_deadline - minAttemptTime);
     if (now >= latest) {
-        refuse(http::status::unavailable, "no_configuration", retryAfterNoEngine);
+        refuseNotRun("no_configuration", retryAfterNoEngine);
         return;
     }
     m_retryAt = now + configurationPollInterval;
@@ -153,6 +164,11 @@
         || (m_route->repeatability == Repeatability::Stream && m_route->resumable);
 }
 
+unsigned Exchange::maxRuns() const
+{
+    return m_forwardState ? std::min(m_forwardState->runsLeft, m_route->maxUpstreams) : m_route->maxUpstreams;
+}
+
 base::Duration Exchange::coldPeriod() const
 {
     const auto *service = m_configuration->findService(m_service);
@@ -174,6 +190,14 @@
         // A rollout may have started since the first attempt; a retried request stays on its version.
         m_preference = m_context.view.rollouts().preferredRetryVersion(m_service, m_engineVersion);
     }
+    if (seemsCutOff() && tryForward()) {
+        return;
+    }
+    if (m_context.reach.isCutOff(m_service) && m_context.knowsForwardingPeers()) {
+        // No other node reaches the engines either.
+        failRequest("no_path");
+        return;
+    }
     const auto placement = place(now);
     if (placement.engine == nullptr) {
         noEngine(placement);
@@ -215,6 +239,9 @@
         arm();
         return;
     }
+    if (m_unreachableEngines > 0 && tryForward()) {
+        return;
+    }
     if (placement.limitedEngine != nullptr && m_tried.empty()) {
         refuseForLimit(placement);
         return;
@@ -263,8 +290,23 @@
     m_engineEntry = engine.entry;
     m_engineVersion = engine.entry.softwareVersion;
     m_tried.push_back(m_engineId);
-    ++m_sends;
     ++m_runs;
+    if (!std::exchange(m_isCounted, true)) {
+        m_context.resends.countRequest(m_service, now);
+    }
+    m_context.view.engines().recordSent(m_engineId, m_call.promptTokens);
+    m_promptPending = true;
+    const MonitoredRun run{
+        m_engineVersion, m_engineId, {m_route->name, m_model}, m_call.promptTokens, m_route->objective};
+    m_runId = m_context.view.rollouts().recordSent(m_service, run, now);
+    startAttempt(m_context.pool.acquire(m_engineId, engine.entry.address, !repeatable(), now),
+                 platform::encodeDispatch(m_request.head, dispatchTo(engine, now)));
+}
+
+void Exchange::startAttempt(std::unique_ptr<http::UpstreamConnection> connection, const http::RequestHead &head)
+{
+    const auto now = base::monotonicNow();
+    ++m_sends;
     m_sentAt = now;
     m_lastProgress = now;
     m_runBeganAt.reset();
@@ -272,14 +314,8 @@
     m_answer = {};
     m_answerBody.clear();
     m_splitter.reset();
-    m_context.view.engines().recordSent(m_engineId, m_call.promptTokens);
-    m_promptPending = true;
-    const MonitoredRun run{
-        m_engineVersion, m_engineId, {m_route->name, m_model}, m_call.promptTokens, m_route->objective};
-    m_runId = m_context.view.rollouts().recordSent(m_service, run, now);
-    m_connection = m_context.pool.acquire(m_engineId, engine.entry.address, !repeatable(), now);
+    m_connection = std::move(connection);
     m_phase = m_connection->connected() ? Phase::AwaitingHead : Phase::Connecting;
-    const auto head = platform::encodeDispatch(m_request.head, dispatchTo(engine, now));
     http::UpstreamConnection::Handlers handlers;
     handlers.onHead = [this](const http::ResponseHead &answerHead) {
         onHead(answerHead);
@@ -367,10 +403,14 @@
     if (!m_connection) {
         return;
     }
+    m_paused = false;
+    if (const auto peer = std::exchange(m_peer, std::nullopt)) {
+        m_context.peerPool.release(peer->name, std::move(m_connection), maxIdlePeerConnections, base::monotonicNow());
+        return;
+    }
     promptRead();
     endRun(RunEnd::Withdrawn);
     m_context.view.engines().recordEnded(m_engineId);
-    m_paused = false;
     m_context.pool.release(m_engineId, std::move(m_connection), maxIdleConnections(), base::monotonicNow());
 }
 
@@ -387,13 +427,15 @@
     if (m_phase == Phase::Connecting) {
         return connectTimeout;
     }
-    if (!repeatable()) {
-        return base::Duration::max();
-    }
+    return m_peer ? peerSilenceBound(engineSilenceBound()) : engineSilenceBound();
+}
+
+base::Duration Exchange::engineSilenceBound() const
+{
     if (m_phase == Phase::Reading) {
-        return m_route->pauseObjective;
+        return repeatable() ? base::Duration(m_route->pauseObjective) : base::Duration::max();
     }
-    if (m_route->repeatability == Repeatability::Idempotent) {
+    if (m_route->repeatability != Repeatability::Stream) {
         const auto bound = std::chrono::duration<double>(m_route->objective) * idempotentBoundFactor;
         return std::max<base::Duration>(std::chrono::duration_cast<base::Duration>(bound), minIdempotentBound);
     }
@@ -451,6 +493,9 @@
         handleFailedAttempt({EngineFault::Silent, true, "engine_silent", true});
     } else {
         // No other engine may be tried, so keep waiting: the current one may still answer.
+        if (!m_peer && m_phase == Phase::AwaitingHead) {
+            m_context.recordEngineUnreachable(m_service, m_engineId);
+        }
         m_lastProgress = now;
         arm();
     }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -11,18 +11,29 @@
 #include "gateway/call.h"
 #include "gateway/context.h"
 #include "gateway/eventsplitter.h"
+#include "gateway/forwardheaders.h"
 #include "http/callerconnection.h"
 #include "http/upstreamconnection.h"
 #include "net/timer.h"
 
 namespace ibisfork::gateway {
 
+/// Who sent a request to this node.
+enum class RequestOrigin {
+    Caller,
+    Peer, ///< Another node, which can't serve it.
+};
+
 /// Handles one caller request: admission, placement, attempts at upstreams and forwarding of the response.
 class Exchange
 {
 public:
     /// @p done is called once, after the request has ended; the exchange must not be destroyed within that call.
-    Exchange(Context &context, http::CallerConnection &caller, http::Request request, std::function<void()> done);
+    Exchange(Context &context,
+             http::CallerConnection &caller,
+             http::Request request,
+             RequestOrigin origin,
+             std::function<void()> done);
     ~Exchange();
     Exchange(const Exchange &) = delete;
     Exchange &operator=(const Exchange &) = delete;
@@ -70,9 +81,28 @@
     void refuseForLimit(const Placement &placement);
     /// Sends the request to the engine of @p placement, which must not be null.
     void send(const Placement &placement);
+    /// Sends the request with @p head on @p connection and begins to wait for the answer.
+    void startAttempt(std::unique_ptr<http::UpstreamConnection> connection, const http::RequestHead &head);
     std::string chooseModel();
     Dispatch dispatchTo(const Engine &engine, base::TimePoint now) const;
 
+    /// True if this node seems to have no path to the engines of the service.
+    bool seemsCutOff() const;
+    /// Hands the request to another node that may reach the engines. Returns false if there is none, or if the request
+    /// must not be forwarded: it came from another node, or may have run and can't be repeated.
+    bool tryForward();
+    void forwardTo(const PeerNode &peer);
+    void onPeerHead();
+    void onPeerComplete();
+    void handleFailedPeer(const FailedAttempt &miss);
+    /// Ends the attempt at another node.
+    void leavePeer(const char *outcome);
+    /// Tries the next node after one where the request did not run.
+    void forwardAgain(const char *reason);
+    /// Tells the node that forwarded the request to try another one.
+    void refuseForwarded(const char *reason);
+    base::Duration peerSilenceBound(base::Duration engineBound) const;
+
     void onHead(const http::ResponseHead &head);
     void onBody(std::string_view bytes);
     void onComplete();
@@ -88,6 +118,8 @@
     void recordEventTime();
     void forwardEvent(const StreamEvent &event);
     void completeStream();
+    /// Ends the stream to the caller as complete.
+    void endStreamOfCaller();
     void completeBuffered();
 
     /// Reports the end of the current run, if it has not been reported yet.
@@ -116,18 +148,27 @@
     bool mayRetry(bool mayHaveRun) const;
     void failRequest(const char *reason);
     void refuse(int status, const char *reason, std::chrono::milliseconds retryAfter);
+    /// Refuses a request that has not run here.
+    void refuseNotRun(const char *reason, std::chrono::milliseconds retryAfter);
     void answerFailure(int status, const char *reason);
     void finish(const char *outcome, int status);
 
     void arm();
     base::Duration silenceBound() const;
+    /// As silenceBound(), once connected to an engine.
+    base::Duration engineSilenceBound() const;
     bool repeatable() const;
+    /// Attempts that the engine may have executed, at most.
+    unsigned maxRuns() const;
     base::Duration coldPeriod() const;
 
     Context &m_context;
     http::CallerConnection &m_caller;
     http::Request m_request;
+    RequestOrigin m_origin;
     std::function<void()> m_done;
+    /// Set if another node forwarded the request.
+    std::optional<ForwardState> m_forwardState;
     ConfigurationPtr m_configuration;
     const Route *m_route = nullptr;
     Call m_call;
@@ -150,6 +191,8 @@
     std::unique_ptr<http::UpstreamConnection> m_connection;
     std::string m_engineId;
     EngineEntry m_engineEntry;
+    /// The node that the current attempt was forwarded to, if any.
+    std::optional<PeerNode> m_peer;
     std::string m_engineVersion;
     RunId m_runId = 0;
     PlacementDetails m_placementDetails;
@@ -162,6 +205,11 @@
     EventSplitter m_splitter;
 
     std::vector<std::string> m_tried;
+    std::vector<std::string> m_triedPeers;
+    /// Attempts of this request at engines that could not be reached or stayed silent.
+    unsigned m_unreachableEngines = 0;
+    /// The request is counted in the resend budget, here or at the node that forwarded it.
+    bool m_isCounted = false;
     unsigned m_sends = 0;
     /// Attempts that the engine may have executed.
     unsigned m_runs = 0;
--- a/src/gateway/exchangeanswer.cpp
+++ b/src/gateway/exchangeanswer.cpp
@@ -24,6 +24,11 @@
     m_lastProgress = now;
     m_answerHead = head;
     m_answer = platform::decodeAnswer(head);
+    if (m_peer) {
+        onPeerHead();
+        return;
+    }
+    m_context.recordEngineAnswered(m_service, m_engineId);
     if (m_answer.load) {
         m_context.view.engines().recordLoad(m_engineId, *m_answer.load, now);
     }
@@ -101,7 +106,7 @@
 
 bool Exchange::wantsSecondRun() const
 {
-    if (m_streamBegun || !m_call.autoSelectModel || !m_answer.confidence || m_runs >= m_route->maxUpstreams) {
+    if (m_streamBegun || !m_call.autoSelectModel || !m_answer.confidence || m_runs >= maxRuns()) {
         return false;
     }
     const auto pressure = m_context.latencyRatio(m_route->name).value();
@@ -163,6 +168,10 @@
 
 void Exchange::onComplete()
 {
+    if (m_peer && !(answerIsStream() && m_splitter.midEvent())) {
+        onPeerComplete();
+        return;
+    }
     if (m_answer.notRun) {
         handleFailedAttempt({EngineFault::Full, false, "engine_refused"});
         return;
@@ -189,6 +198,11 @@
     recordSoundRun();
     endRun(RunEnd::Answered);
     releaseConnection();
+    endStreamOfCaller();
+}
+
+void Exchange::endStreamOfCaller()
+{
     if (!m_streamBegun) {
         m_caller.beginStream(m_answer.status, platform::answerHeaders(m_answerHead), m_context.stopping);
     }
--- a/src/gateway/exchangeend.cpp
+++ b/src/gateway/exchangeend.cpp
@@ -66,6 +66,10 @@
 
 void Exchange::handleFailedAttempt(const FailedAttempt &miss)
 {
+    if (m_peer) {
+        handleFailedPeer(miss);
+        return;
+    }
     const auto now = base::monotonicNow();
     EventLog::failure("attempt_failed")
         .field("id", m_call.id)
@@ -84,6 +88,10 @@
     endRun(runEndOf(miss.fault));
     m_context.view.engines().recordFault(m_engineId, miss.fault, coldPeriod(), now);
     m_lastReason = miss.reason;
+    if (miss.fault == EngineFault::Unreachable || miss.fault == EngineFault::Silent) {
+        ++m_unreachableEngines;
+        m_context.recordEngineUnreachable(m_service, m_engineId);
+    }
     if (miss.wasCutOff) {
         recordCutOff();
     }
@@ -110,7 +118,10 @@
     if (mayHaveRun && !repeatable()) {
         return false;
     }
-    const bool runsLeft = m_runs < m_route->maxUpstreams && !maySuspectItself();
+    // Runs at engines that this node has lost the path to don't count.
+    const bool mayForward
+        = m_origin == RequestOrigin::Caller && m_context.reach.isCutOff(m_service) && m_context.knowsForwardingPeers();
+    const bool runsLeft = (m_runs < maxRuns() || mayForward) && !maySuspectItself();
     return runsLeft && m_deadline - base::monotonicNow() > minAttemptTime;
 }
 
@@ -126,7 +137,21 @@
         answerFailure(late ? http::status::gatewayTimeout : http::status::badGateway, reason);
         return;
     }
-    refuse(http::status::unavailable, reason, m_tried.empty() ? retryAfterNoEngine : retryAfterFull);
+    const auto retryAfter = m_tried.empty() ? retryAfterNoEngine : retryAfterFull;
+    if (m_context.reach.isCutOff(m_service)) {
+        refuseNotRun(reason, retryAfter);
+    } else {
+        refuse(http::status::unavailable, reason, retryAfter);
+    }
+}
+
+void Exchange::refuseNotRun(const char *reason, std::chrono::milliseconds retryAfter)
+{
+    if (m_origin == RequestOrigin::Peer) {
+        refuseForwarded(reason);
+    } else {
+        refuse(http::status::unavailable, reason, retryAfter);
+    }
 }
 
 void Exchange::refuse(int status, const char *reason, std::chrono::milliseconds retryAfter)
@@ -187,6 +212,8 @@
         .field("configuration", m_configuration ? m_configuration->version : 0)
         .field("workspace", m_workspace.empty() ? "-" : m_workspace)
         .field("engine", m_engineId.empty() ? "-" : m_engineId)
+        .field("peer", m_triedPeers.empty() ? "-" : m_triedPeers.back())
+        .field("forwarded", m_origin == RequestOrigin::Peer)
         .field("model", m_model.empty() ? "-" : m_model)
         .field("confidence", m_answer.confidence.value_or(-1))
         .field("sends", m_sends)
--- /dev/null
+++ b/src/gateway/exchangeforward.cpp
@@ -0,0 +1,165 @@
+#include "gateway/exchange.h"
+
+#include <algorithm>
+
+#include "gateway/eventlog.h"
+#include "gateway/exchangelimits.h"
+#include "gateway/forwardheaders.h"
+#include "http/status.h"
+#include "platform/callcodec.h"
+
+namespace ibisfork::gateway {
+
+namespace {
+
+/// A request that met this many unreachable engines is forwarded, whatever other requests have met.
+constexpr unsigned unreachableEnginesToForward = 2;
+/// Nodes that one request is forwarded to at most, one after the other. Most refuse within a millisecond.
+constexpr std::size_t maxPeers = 5;
+/// A node answers for its engines, which it gives up by itself, so it gets this multiple of an engine's time.
+constexpr int peerSilenceFactor = 2;
+
+} // namespace
+
+bool Exchange::seemsCutOff() const
+{
+    return m_unreachableEngines >= unreachableEnginesToForward || m_context.reach.isCutOff(m_service);
+}
+
+bool Exchange::tryForward()
+{
+    const auto now = base::monotonicNow();
+    const bool mayRunElsewhere = !m_mayHaveRun || repeatable();
+    if (m_origin == RequestOrigin::Peer || !mayRunElsewhere || m_triedPeers.size() >= maxPeers) {
+        return false;
+    }
+    const auto &node = m_context.settings.node;
+    const PeerNode self{node.name, node.region, node.failureDomain, {}};
+    const auto peer = m_context.peers.choose(m_context.view.peersOf(node.name), self, m_triedPeers, now);
+    if (!peer) {
+        return false;
+    }
+    forwardTo(*peer);
+    return true;
+}
+
+void Exchange::forwardTo(const PeerNode &peer)
+{
+    const auto now = base::monotonicNow();
+    EventLog::routine("forward")
+        .field("id", m_call.id)
+        .field("peer", peer.name)
+        .field("service", m_service)
+        .field("unreachable_engines", m_unreachableEngines)
+        .field("last_event", m_lastEvent.value_or(0));
+    m_peer = peer;
+    m_triedPeers.push_back(peer.name);
+    m_engineId.clear();
+    auto head = platform::encodeForward(
+        m_request.head, std::chrono::duration_cast<std::chrono::milliseconds>(m_deadline - now), m_lastEvent);
+    const auto runsLeft = m_route->maxUpstreams - std::min(m_route->maxUpstreams - 1, m_runs);
+    addForwardState(head.headers, {runsLeft, m_isCounted});
+    ++m_runs;
+    startAttempt(m_context.peerPool.acquire(peer.name, *peer.forwarding, !repeatable(), now), head);
+}
+
+void Exchange::onPeerHead()
+{
+    if (isForwardRefusal(m_answerHead.headers)) {
+        return;
+    }
+    if (!headIsUsable()) {
+        handleFailedAttempt({EngineFault::Failed, true, "foreign_answer"});
+        return;
+    }
+    m_firstByteAfter = base::monotonicNow() - m_sentAt;
+}
+
+void Exchange::onPeerComplete()
+{
+    const auto status = m_answer.status;
+    // This node has admitted the request, so a node that does not know its route or key has an older configuration.
+    const bool hasOlderConfiguration
+        = !m_answer.isSigned && (status == http::status::unauthorized || status == http::status::notFound);
+    if (isForwardRefusal(m_answerHead.headers) || hasOlderConfiguration) {
+        m_context.peers.recordRefused(m_peer->name, base::monotonicNow());
+        leavePeer("refused");
+        forwardAgain("no_path");
+        return;
+    }
+    if (answerIsStream()) {
+        leavePeer("answered");
+        endStreamOfCaller();
+        return;
+    }
+    leavePeer(m_answer.isSigned ? "answered" : "peer_failed");
+    const bool saysNotRun = status == http::status::unavailable || status == http::status::tooManyRequests;
+    if (m_streamBegun) {
+        failRequest("peer_failed");
+    } else if (!m_answer.isSigned && saysNotRun && m_mayHaveRun) {
+        answerFailure(http::status::badGateway, "peer_failed");
+    } else {
+        const auto headers = withoutForwardHeaders(platform::answerHeaders(m_answerHead));
+        m_caller.sendAnswer(status, headers, m_answerBody, m_context.stopping);
+        finish(m_answer.isSigned ? "answered" : "peer_failed", status);
+    }
+}
+
+void Exchange::handleFailedPeer(const FailedAttempt &miss)
+{
+    EventLog::failure("forward_failed")
+        .field("id", m_call.id)
+        .field("peer", m_peer->name)
+        .field("reason", miss.reason)
+        .field("may_have_run", miss.mayHaveRun)
+        .field("after_ms", base::toMilliseconds(base::monotonicNow() - m_sentAt));
+    m_context.peers.recordFailed(m_peer->name, base::monotonicNow());
+    if (m_connection && !m_connection->reusable()) {
+        m_connection->abandon();
+    }
+    m_phase = Phase::Waiting;
+    m_mayHaveRun = m_mayHaveRun || miss.mayHaveRun;
+    m_firstByteAfter.reset();
+    if (!miss.mayHaveRun) {
+        leavePeer(miss.reason);
+        forwardAgain(miss.reason);
+        return;
+    }
+    releaseConnection();
+    if (miss.resendCharged || consumeResend(true)) {
+        dispatch();
+    } else {
+        failRequest(miss.reason);
+    }
+}
+
+void Exchange::leavePeer(const char *outcome)
+{
+    m_context.metrics.counter("ibisfork_forwarded_requests_total", {{"outcome", outcome}}).add();
+    releaseConnection();
+    m_phase = Phase::Waiting;
+}
+
+void Exchange::forwardAgain(const char *reason)
+{
+    // The request did not run at the last node.
+    --m_runs;
+    if (!tryForward()) {
+        failRequest(reason);
+    }
+}
+
+void Exchange::refuseForwarded(const char *reason)
+{
+    http::HeaderList headers;
+    addForwardRefusal(headers);
+    m_caller.sendAnswer(http::status::unavailable, headers, {}, m_context.stopping);
+    finish(reason, http::status::unavailable);
+}
+
+base::Duration Exchange::peerSilenceBound(base::Duration engineBound) const
+{
+    return engineBound == base::Duration::max() ? engineBound : engineBound * peerSilenceFactor;
+}
+
+} // namespace ibisfork::gateway
--- /dev/null
+++ b/src/gateway/forwardheaders.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <optional>
+
+#include "http/message.h"
+
+namespace ibisfork::gateway {
+
+/// What a node tells another one along with a request that it forwards.
+struct ForwardState
+{
+    /// Runs that are left to the request; at least 1.
+    unsigned runsLeft = 1;
+    /// The forwarding node has counted the request in its resend budget.
+    bool isCounted = false;
+};
+
+void addForwardState(http::HeaderList &headers, const ForwardState &state);
+/// Returns nullopt if the headers are missing or invalid.
+std::optional<ForwardState> readForwardState(const http::HeaderList &headers);
+
+/// Marks an answer that tells the forwarding node to try another one: the request has not run here and will not.
+void addForwardRefusal(http::HeaderList &headers);
+bool isForwardRefusal(const http::HeaderList &headers);
+
+/// Removes all of the above, which concern two nodes only.
+http::HeaderList withoutForwardHeaders(const http::HeaderList &headers);
+
+} // namespace ibisfork::gateway
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -44,6 +44,12 @@
     return {settings.node.name, settings.node.region, settings.node.failureDomain, settings.operators};
 }
 
+/// By default a free port of the operators' address.
+net::Address forwardingAddress(const settings::GatewaySettings &settings)
+{
+    return settings.forwarding.ip.empty() ? net::Address{settings.operators.ip, 0} : settings.forwarding;
+}
+
 } // namespace
 
 Gateway::Gateway(event_base *base, const settings::GatewaySettings &settings, base::MetricsRegistry &metrics)
@@ -87,10 +93,18 @@
                      m_crashes.applyRows(change);
                      m_tableServer.update(ownTable, change);
                  })
-    , m_crashes(m_context, m_store, m_ownTable, [this] { m_callers.endPoison(); })
+    , m_crashes(m_context,
+                m_store,
+                m_ownTable,
+                [this] {
+                    m_callers.endPoison();
+                    m_forwarded.endPoison();
+                })
     , m_rollouts(m_context, m_store, m_source, m_operatorTable, m_statusTable)
     , m_tableServer(base)
-    , m_callers(m_context, settings.callers)
+    , m_callers(m_context, settings.callers, RequestOrigin::Caller)
+    , m_forwarded(m_context, forwardingAddress(settings), RequestOrigin::Peer)
+    , m_reachProbe(m_context)
     , m_readiness(
           base,
           settings.readiness,
@@ -130,7 +144,7 @@
     metrics.gauge("ibisfork_configuration_version")
         .set(configuration ? static_cast<std::int64_t>(configuration->version) : 0);
     metrics.gauge("ibisfork_nodes").set(m_context.view.nodes());
-    metrics.gauge("ibisfork_exchanges").set(static_cast<std::int64_t>(m_callers.exchanges()));
+    metrics.gauge("ibisfork_exchanges").set(static_cast<std::int64_t>(exchanges()));
     metrics.gauge("ibisfork_caller_connections").set(static_cast<std::int64_t>(m_callers.connections()));
 }
 
@@ -153,13 +167,20 @@
     return !m_context.stopping && m_context.view.configuration() != nullptr && m_context.view.enginesLoaded();
 }
 
+PeerNode Gateway::selfWithPorts() const
+{
+    auto self = selfOf(m_context.settings);
+    self.address = m_operators.address();
+    self.forwarding = m_forwarded.address();
+    return self;
+}
+
 void Gateway::registerNode()
 {
     if (m_registered || m_registering || !m_ownTable.loaded()) {
         return;
     }
-    auto self = selfOf(m_context.settings);
-    self.address = m_operators.address();
+    const auto self = selfWithPorts();
     if (m_context.view.hasRowOf(self)) {
         // After a restart the row is still valid. Skipping the write spares the store when all nodes restart at once.
         m_registered = true;
@@ -182,6 +203,7 @@
     m_context.view.dropExpiredEngines(now);
     m_context.view.recordOperatorVersion(m_operatorTable.version());
     m_context.pool.dropStale(now);
+    m_context.peerPool.dropStale(now);
     registerNode();
     m_rollouts.tick(now);
     if (ready() != m_wasReady) {
@@ -198,7 +220,7 @@
     m_stopped = std::move(stopped);
     m_stopBegan = base::monotonicNow();
     m_context.stopping = true;
-    EventLog::state("stopping").field("exchanges", m_callers.exchanges()).field("connections", m_callers.connections());
+    EventLog::state("stopping").field("exchanges", exchanges()).field("connections", m_callers.connections());
     m_stopTick.startEvery(stopTickInterval);
 }
 
@@ -206,15 +228,17 @@
 {
     const auto elapsed = base::monotonicNow() - *m_stopBegan;
     const auto cutOffAt = m_context.settings.bounds.shutdownGrace - cutOffMargin;
-    if (elapsed >= cutOffAt && m_callers.exchanges() > 0) {
-        EventLog::state("stop_cuts_off").field("exchanges", m_callers.exchanges());
+    if (elapsed >= cutOffAt && exchanges() > 0) {
+        EventLog::state("stop_cuts_off").field("exchanges", exchanges());
         m_callers.abortAll();
+        m_forwarded.abortAll();
     }
     if (elapsed >= balancerDelay) {
         m_context.rejectsNewStreams = true;
         m_callers.closeIdle();
+        m_forwarded.closeIdle();
     }
-    const bool idle = m_callers.exchanges() == 0 && m_callers.connections() == 0;
+    const bool idle = exchanges() == 0 && m_callers.connections() == 0;
     if ((idle && elapsed >= minShutdownTime) || elapsed >= cutOffAt + cutOffMargin / 2) {
         m_stopTick.stop();
         EventLog::state("stopped").field("after_ms", base::toMilliseconds(elapsed));
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -9,6 +9,7 @@
 #include "gateway/context.h"
 #include "gateway/crashreporter.h"
 #include "gateway/infoport.h"
+#include "gateway/reachprobe.h"
 #include "gateway/rolloutdriver.h"
 #include "gateway/storeclient.h"
 #include "gateway/tableserver.h"
@@ -36,11 +37,16 @@
     void reload(const settings::GatewaySettings &settings);
 
     bool ready() const;
+    /// Number of requests in progress, of callers and of other nodes.
+    std::size_t exchanges() const { return m_callers.exchanges() + m_forwarded.exchanges(); }
     net::Address callers() const { return m_callers.address(); }
     net::Address readiness() const { return m_readiness.address(); }
     net::Address operators() const { return m_operators.address(); }
+    net::Address forwarding() const { return m_forwarded.address(); }
 
 private:
+    /// Row by which this node announces itself to others.
+    PeerNode selfWithPorts() const;
     void tick();
     void stopTick();
     void registerNode();
@@ -59,6 +65,8 @@
     RolloutDriver m_rollouts;
     TableServer m_tableServer;
     CallerPort m_callers;
+    CallerPort m_forwarded;
+    ReachProbe m_reachProbe;
     InfoPort m_readiness;
     InfoPort m_operators;
     net::Timer m_tick;
--- a/src/gateway/noderow.cpp
+++ b/src/gateway/noderow.cpp
@@ -9,19 +9,26 @@
 
 std::string encodeNodeRow(const PeerNode &node)
 {
-    return nlohmann::json{
-        {"region", node.region}, {"failure_domain", node.failureDomain}, {"address", node.address.text()}}
-        .dump();
+    nlohmann::json row{
+        {"region", node.region}, {"failure_domain", node.failureDomain}, {"address", node.address.text()}};
+    if (node.forwarding) {
+        row["forwarding"] = node.forwarding->text();
+    }
+    return row.dump();
 }
 
 std::optional<PeerNode> decodeNodeRow(const std::string &name, const std::string &text)
 {
     try {
         const auto document = nlohmann::json::parse(text);
-        return PeerNode{name,
-                        document.at("region").get<std::string>(),
-                        document.at("failure_domain").get<std::string>(),
-                        net::Address::parse(document.at("address").get<std::string>())};
+        PeerNode node{name,
+                      document.at("region").get<std::string>(),
+                      document.at("failure_domain").get<std::string>(),
+                      net::Address::parse(document.at("address").get<std::string>())};
+        if (document.contains("forwarding")) {
+            node.forwarding = net::Address::parse(document["forwarding"].get<std::string>());
+        }
+        return node;
     } catch (const nlohmann::json::exception &error) {
         EventLog::state("node_row_unreadable").field("name", name).field("reason", error.what());
     } catch (const net::NetError &error) {
--- /dev/null
+++ b/src/gateway/reachprobe.cpp
@@ -0,0 +1,55 @@
+#include "gateway/reachprobe.h"
+
+#include "gateway/eventlog.h"
+
+namespace ibisfork::gateway {
+
+namespace {
+
+constexpr std::chrono::milliseconds probeInterval{250};
+constexpr std::chrono::milliseconds probeTimeout{400};
+
+} // namespace
+
+ReachProbe::ReachProbe(Context &context)
+    : m_context(context)
+    , m_client(context.base)
+    , m_timer(context.base, [this] { probeAll(); })
+{
+    m_timer.startEvery(probeInterval);
+}
+
+void ReachProbe::probeAll()
+{
+    if (!m_context.knowsForwardingPeers()) {
+        // Requests go on to try the engines themselves.
+        return;
+    }
+    for (const auto &service : m_context.reach.cutOffServices()) {
+        probe(service);
+    }
+}
+
+void ReachProbe::probe(const std::string &service)
+{
+    const auto engines = m_context.view.usableEngines(service, VersionPreference::Any);
+    if (engines.empty()) {
+        return;
+    }
+    const auto &engine = *engines[m_probes[service]++ % engines.size()];
+    const auto *known = m_context.view.configuration()->findService(service);
+    http::RequestHead head{"GET", known == nullptr ? "/" : known->healthPath, {}};
+    head.headers.add("Host", engine.entry.address.text());
+    // A connection from before the cut may live on while new ones are refused.
+    head.headers.add("Connection", "close");
+    m_client.send(engine.entry.address,
+                  http::serializeRequest(head, {}),
+                  probeTimeout,
+                  [this, service, id = engine.entry.id](int status, const std::string &) {
+                      if (status != http::CallClient::noAnswer) {
+                          m_context.recordEngineAnswered(service, id);
+                      }
+                  });
+}
+
+} // namespace ibisfork::gateway
--- /dev/null
+++ b/src/gateway/reachprobe.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "gateway/context.h"
+#include "http/callclient.h"
+#include "net/timer.h"
+
+namespace ibisfork::gateway {
+
+/// Checks whether a node that is cut off from the engines of a service reaches them again, by their health checks.
+class ReachProbe
+{
+public:
+    explicit ReachProbe(Context &context);
+
+private:
+    void probeAll();
+    void probe(const std::string &service);
+
+    Context &m_context;
+    http::CallClient m_client;
+    net::Timer m_timer;
+    /// Probes so far, by service; successive ones go to different engines.
+    std::map<std::string, std::size_t> m_probes;
+};
+
+} // namespace ibisfork::gateway
--- a/src/gateway/tablesource.h
+++ b/src/gateway/tablesource.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -21,6 +22,8 @@
     std::string region;
     std::string failureDomain;
     net::Address address;
+    /// Where the node accepts forwarded requests; nodes of earlier versions don't.
+    std::optional<net::Address> forwarding{};
 };
 
 /// Selects where this node reads the store's tables: from the store itself or from another node.
--- a/src/http/status.h
+++ b/src/http/status.h
@@ -14,6 +14,7 @@
 inline constexpr int conditionFailed = 412;
 inline constexpr int bodyTooLarge = 413;
 inline constexpr int misdirected = 421;
+inline constexpr int tooManyRequests = 429;
 inline constexpr int headTooLarge = 431;
 inline constexpr int firstServerError = 500;
 inline constexpr int badGateway = 502;
--- a/src/settings/gatewaysettings.cpp
+++ b/src/settings/gatewaysettings.cpp
@@ -42,6 +42,9 @@
     settings.callers = readAddress(listen, "callers");
     settings.readiness = readAddress(listen, "readiness");
     settings.operators = readAddress(listen, "operators");
+    const auto anyPort = net::Address{settings.operators.ip, 0}.text();
+    settings.forwarding
+        = net::Address::parse(listen.optional<std::string>("forwarding", anyPort, "an address of the form IP:PORT"));
     listen.refuseUnknown();
     YamlFields store(document.map(storeField), storeField);
     settings.store = readAddress(store, "address");
--- a/src/settings/gatewaysettings.h
+++ b/src/settings/gatewaysettings.h
@@ -32,6 +32,8 @@
     net::Address callers;
     net::Address readiness;
     net::Address operators;
+    /// Where other nodes forward requests to that they can't serve; a free port of the operators' address by default.
+    net::Address forwarding;
     net::Address store;
     /// Operators' addresses of nodes that can be asked while the store is away; some may be gone.
     std::vector<net::Address> seeds;
--- /dev/null
+++ b/tests/gateway/forwardheaders_test.cpp
@@ -0,0 +1,52 @@
+#include "gateway/forwardheaders.h"
+
+#include <gtest/gtest.h>
+
+#include "gateway/noderow.h"
+
+namespace ibisfork::gateway {
+
+TEST(ForwardHeadersTest, state_isReadBack)
+{
+    http::HeaderList headers;
+    addForwardState(headers, {3, true});
+    const auto state = readForwardState(headers);
+    ASSERT_TRUE(state);
+    EXPECT_EQ(state->runsLeft, 3U);
+    EXPECT_TRUE(state->isCounted);
+}
+
+TEST(ForwardHeadersTest, state_missingOrWithoutRuns_isNotRead)
+{
+    http::HeaderList headers;
+    EXPECT_FALSE(readForwardState(headers));
+    addForwardState(headers, {0, false});
+    EXPECT_FALSE(readForwardState(headers));
+}
+
+TEST(ForwardHeadersTest, headersOfNodes_areRemoved_othersStay)
+{
+    http::HeaderList headers;
+    headers.add("X-Own", "1");
+    addForwardState(headers, {1, false});
+    addForwardRefusal(headers);
+    EXPECT_TRUE(isForwardRefusal(headers));
+    const auto left = withoutForwardHeaders(headers);
+    EXPECT_FALSE(isForwardRefusal(left));
+    EXPECT_FALSE(readForwardState(left));
+    EXPECT_EQ(left.find("X-Own"), "1");
+}
+
+TEST(NodeRowTest, forwardingAddress_isReadBack_andMayBeMissing)
+{
+    PeerNode node{"n1", "r1", "d1", {"10.0.0.1", 1}, net::Address{"10.0.0.1", 2}};
+    const auto read = decodeNodeRow("n1", encodeNodeRow(node));
+    ASSERT_TRUE(read && read->forwarding);
+    EXPECT_EQ(read->forwarding->text(), "10.0.0.1:2");
+    node.forwarding.reset();
+    const auto older = decodeNodeRow("n1", encodeNodeRow(node));
+    ASSERT_TRUE(older);
+    EXPECT_FALSE(older->forwarding);
+}
+
+} // namespace ibisfork::gateway
--- a/tests/gateway/forwarding_test.cpp
+++ b/tests/gateway/forwarding_test.cpp
@@ -62,20 +62,25 @@
         return {"127.0.0.1", unusedPort};
     }
 
+    void listEngine(FakeStore &store, std::size_t index, Cut cut)
+    {
+        store.put("servers",
+                  "e" + std::to_string(index),
+                  nlohmann::json{{"service", "s"},
+                                 {"address", engineAddress(index, cut).text()},
+                                 {"zone", "d1"},
+                                 {"version", "v1"},
+                                 {"slots", 8},
+                                 {"state", "ready"},
+                                 {"coldLeftMs", 0},
+                                 {"seq", 1}}
+                      .dump());
+    }
+
     void listEngines(FakeStore &store, Cut cut)
     {
         for (std::size_t i = 0; i < engines; ++i) {
-            store.put("servers",
-                      "e" + std::to_string(i),
-                      nlohmann::json{{"service", "s"},
-                                     {"address", engineAddress(i, cut).text()},
-                                     {"zone", "d1"},
-                                     {"version", "v1"},
-                                     {"slots", 8},
-                                     {"state", "ready"},
-                                     {"coldLeftMs", 0},
-                                     {"seq", 1}}
-                          .dump());
+            listEngine(store, i, cut);
         }
     }
 
@@ -89,6 +94,8 @@
             listEngines(*node->store, cuts[i]);
             auto settings = m_settings;
             settings.node.name = nameOf(i);
+            // Nodes of one domain would read the table of engines from each other.
+            settings.node.failureDomain = "d" + std::to_string(i);
             settings.store = node->store->address();
             node->gateway = std::make_unique<Gateway>(m_base.get(), settings, node->metrics);
             node->gateway->start();
@@ -120,6 +127,19 @@
         return caller.answer();
     }
 
+    /// Makes the engines of node @p index reachable or not from now on.
+    void setCut(std::size_t index, Cut cut)
+    {
+        listEngines(*m_nodes[index]->store, cut);
+        runFor(800ms);
+    }
+
+    /// Requests that the node has forwarded, by what came of them.
+    std::uint64_t forwarded(std::size_t index, const char *outcome)
+    {
+        return m_nodes[index]->metrics.counter("ibisfork_forwarded_requests_total", {{"outcome", outcome}}).value();
+    }
+
     /// Requests that reached the engines.
     std::size_t arrived() const
     {
@@ -146,4 +166,164 @@
     EXPECT_EQ(arrived(), 20U);
 }
 
+TEST_F(ForwardingTest, engineConnectionsHang_onceThatIsKnown_requestsAreServedByAnotherNode)
+{
+    startNodes({Cut::Hanging, Cut::None});
+    // Two engines a request stay silent before the node knows that none answers.
+    askCut(request("GET", "/read/x"));
+    askCut(request("GET", "/read/x"));
+    for (int i = 0; i < 6; ++i) {
+        EXPECT_EQ(askCut(request("GET", "/read/x")).status, 200);
+        EXPECT_EQ(askCut(request("POST", "/book/x", {}, "abc")).status, 200);
+    }
+}
+
+TEST_F(ForwardingTest, stream_isForwardedEventByEvent)
+{
+    answerWith(test::streamReply(1, 3));
+    startNodes({Cut::Refused, Cut::None});
+    const auto answer = askCut(request("POST", "/chat/x", {}, "abc"));
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_TRUE(answer.complete);
+    EXPECT_EQ(answer.headers.find("Ibisfork-Response-Seal"), "s");
+    EXPECT_EQ(answer.body, "id: 1\ndata: t1\n\nid: 2\ndata: t2\n\nid: 3\ndata: t3\n\n");
+}
+
+TEST_F(ForwardingTest, streamBreaksAndNoOtherEngineIsReachable_goesOnThroughAnotherNodeWithoutGapOrRepeat)
+{
+    startNodes({Cut::None, Cut::None});
+    for (std::size_t i = 1; i < engines; ++i) {
+        listEngine(*m_nodes.front()->store, i, Cut::Refused);
+    }
+    runFor(800ms);
+    for (auto &item : m_engines) {
+        item.second->willReply({test::brokenStream(1, 2)});
+        item.second->willResumeWith(test::streamReply(3, 4));
+    }
+    for (int i = 0; i < 6; ++i) {
+        const auto answer = askCut(request("POST", "/chat/x", {}, "abc"));
+        EXPECT_TRUE(answer.complete);
+        EXPECT_EQ(answer.body, "id: 1\ndata: t1\n\nid: 2\ndata: t2\n\nid: 3\ndata: t3\n\nid: 4\ndata: t4\n\n");
+    }
+    EXPECT_GT(forwarded(0, "answered"), 0U);
+}
+
+TEST_F(ForwardingTest, firstPeerIsCutOffToo_theNextOneServes)
+{
+    startNodes({Cut::Refused, Cut::Refused, Cut::Refused, Cut::None});
+    int served = 0;
+    for (int i = 0; i < 12; ++i) {
+        served += askCut(request("POST", "/book/x", {}, "abc")).status == 200 ? 1 : 0;
+    }
+    EXPECT_EQ(served, 12);
+    EXPECT_EQ(arrived(), 12U);
+}
+
+TEST_F(ForwardingTest, allNodesAreCutOff_callersAreRefusedAtOnce_noNodeForwardsWhatWasForwarded)
+{
+    startNodes({Cut::Refused, Cut::Refused, Cut::Refused});
+    askCut(request("GET", "/read/x"));
+    const auto began = base::monotonicNow();
+    const auto answer = askCut(request("GET", "/read/x"));
+    EXPECT_LT(base::monotonicNow() - began, 200ms);
+    EXPECT_EQ(answer.status, 503);
+    EXPECT_TRUE(answer.headers.find("Retry-After"));
+    EXPECT_FALSE(answer.headers.find("Forward-Refused"));
+    EXPECT_EQ(forwarded(1, "refused") + forwarded(2, "refused"), 0U);
+}
+
+TEST_F(ForwardingTest, peerEndsWhileItServes_requestThatMayRunOnce_runsOnceAndIsNotCalledNotRun)
+{
+    auto slow = test::plainReply(200, "good");
+    slow.delay = 400ms;
+    answerWith(slow);
+    startNodes({Cut::Refused, Cut::None});
+    FakeCaller caller(m_base.get(), m_nodes.front()->gateway->callers());
+    caller.send(request("POST", "/book/x", {}, "abc"));
+    ASSERT_TRUE(until([this] { return arrived() == 1; }));
+    m_nodes.back()->gateway.reset();
+    ASSERT_TRUE(until([&] { return caller.done(); }));
+    EXPECT_EQ(caller.answer().status, 502);
+    EXPECT_EQ(arrived(), 1U);
+}
+
+TEST_F(ForwardingTest, peerEndsWhileItServes_requestThatMayBeRepeated_isServedByTheNext)
+{
+    auto slow = test::plainReply(200, "good");
+    slow.delay = 100ms;
+    answerWith(slow);
+    startNodes({Cut::Refused, Cut::None, Cut::None});
+    FakeCaller caller(m_base.get(), m_nodes.front()->gateway->callers());
+    caller.send(request("GET", "/read/x"));
+    ASSERT_TRUE(until([this] { return arrived() == 1; }));
+    const auto busy = forwarded(1, "answered") == 0 && m_nodes[1]->gateway->exchanges() > 0 ? 1U : 2U;
+    m_nodes[busy]->gateway.reset();
+    ASSERT_TRUE(until([&] { return caller.done(); }));
+    EXPECT_EQ(caller.answer().status, 200);
+}
+
+TEST_F(ForwardingTest, callerLeaves_runAtTheEngineOfTheOtherNodeIsEnded)
+{
+    answerWith({""});
+    startNodes({Cut::Refused, Cut::None});
+    auto caller = std::make_unique<FakeCaller>(m_base.get(), m_nodes.front()->gateway->callers());
+    caller->send(request("POST", "/book/x", {}, "abc"));
+    ASSERT_TRUE(until([this] { return arrived() == 1; }));
+    caller->leave();
+    const auto open = [this] {
+        std::size_t count = 0;
+        for (const auto &item : m_engines) {
+            count += item.second->open();
+        }
+        return count;
+    };
+    EXPECT_TRUE(until([&] { return open() == 0; }, 500ms));
+}
+
+TEST_F(ForwardingTest, deadlineOfTheCaller_reachesTheEngineAsTimeLeft)
+{
+    startNodes({Cut::Refused, Cut::None});
+    askCut(request("GET", "/read/x", "Ibisfork-Deadline-Ms: 700\r\n"));
+    ASSERT_EQ(arrived(), 1U);
+    for (const auto &item : m_engines) {
+        for (const auto &seen : item.second->requests()) {
+            const std::string left(seen.head.headers.find("Ibisfork-Deadline-Ms").value_or("9999"));
+            EXPECT_LE(std::stoi(left), 700);
+            EXPECT_EQ(seen.head.headers.count("Ibisfork-Deadline-Ms"), 1U);
+            EXPECT_FALSE(seen.head.headers.find("Forward-Runs-Left"));
+        }
+    }
+}
+
+TEST_F(ForwardingTest, pathIsBack_nodeServesByItselfAgain)
+{
+    startNodes({Cut::Refused, Cut::None});
+    askCut(request("GET", "/read/x"));
+    setCut(0, Cut::None);
+    const auto before = forwarded(0, "answered");
+    for (int i = 0; i < 5; ++i) {
+        EXPECT_EQ(askCut(request("GET", "/read/x")).status, 200);
+    }
+    EXPECT_EQ(forwarded(0, "answered"), before);
+}
+
+TEST_F(ForwardingTest, peerWithAnOlderConfiguration_doesNotKnowTheRoute_theRequestIsNotAnswered404)
+{
+    startNodes({Cut::Refused, Cut::None, Cut::None});
+    m_configuration["version"] = 8;
+    m_configuration["routes"].push_back(route("more", "/more/", "idempotent", 2));
+    m_nodes[0]->store->put("op", "config", m_configuration.dump());
+    m_nodes[2]->store->put("op", "config", m_configuration.dump());
+    runFor(300ms);
+    for (int i = 0; i < 6; ++i) {
+        EXPECT_EQ(askCut(request("GET", "/more/x")).status, 200);
+    }
+}
+
+TEST_F(ForwardingTest, requestOfACaller_withHeadersOfNodes_isTakenAsACallers)
+{
+    startNodes({Cut::Refused, Cut::None});
+    EXPECT_EQ(askCut(request("GET", "/read/x", "Forward-Runs-Left: 1\r\nForward-Counted: 1\r\n")).status, 200);
+}
+
 } // namespace ibisfork::gateway
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -361,10 +361,11 @@
 
 TEST_F(GatewayTest, node_startsAgain_itsRowThatStandsIsNotWrittenAgain)
 {
-    // The operators' port stays the same over the restart, as it does on real machines.
+    // The ports stay the same over the restart, as they do on real machines.
     start();
     ASSERT_TRUE(until([&] { return m_store.find("ibisfork", "node/n1").has_value(); }));
     m_settings.operators = m_gateway->operators();
+    m_settings.forwarding = m_gateway->forwarding();
     m_gateway.reset();
     const auto writes = m_store.writes();
     start();
--- a/tests/platformcodec/callcodec_test.cpp
+++ b/tests/platformcodec/callcodec_test.cpp
@@ -159,4 +159,22 @@
                                          LimitCase{"1e9", {}},
                                          LimitCase{"2 a second", {}}));
 
+TEST_F(CallCodecTest, forwardedRequest_keepsTheCallersHeaders_andTellsTheTimeLeft)
+{
+    http::RequestHead head{"POST", "/a", {}};
+    head.headers.add("Ibisfork-Credential", "key1");
+    head.headers.add("Ibisfork-Deadline-Ms", "900");
+    head.headers.add("Last-Event-Id", "3");
+    head.headers.add("Connection", "close");
+    const auto fresh = encodeForward(head, std::chrono::milliseconds(400), std::nullopt);
+    EXPECT_EQ(fresh.headers.find("Ibisfork-Credential"), "key1");
+    EXPECT_EQ(fresh.headers.find("Ibisfork-Deadline-Ms"), "400");
+    EXPECT_EQ(fresh.headers.count("Ibisfork-Deadline-Ms"), 1U);
+    EXPECT_EQ(fresh.headers.find("Last-Event-Id"), "3");
+    EXPECT_FALSE(fresh.headers.find("Connection"));
+    const auto resumed = encodeForward(head, std::chrono::milliseconds(400), 7);
+    EXPECT_EQ(resumed.headers.find("Last-Event-Id"), "7");
+    EXPECT_EQ(resumed.headers.count("Last-Event-Id"), 1U);
+}
+
 } // namespace ibisfork::platform
--- a/tests/settings/gatewaysettings_test.cpp
+++ b/tests/settings/gatewaysettings_test.cpp
@@ -40,6 +40,14 @@
     EXPECT_EQ(settings.bounds.resendWindow, 10s);
 }
 
+TEST_F(GatewaySettingsTest, forwarding_notSet_isAnyPortOfTheOperatorsAddress)
+{
+    EXPECT_EQ(parseGatewaySettings(text(), "file.yaml").forwarding.text(), "10.0.0.1:0");
+    auto withPort = text();
+    withPort.replace(withPort.find("operators"), 9, "forwarding: '10.0.0.2:7', operators");
+    EXPECT_EQ(parseGatewaySettings(withPort, "file.yaml").forwarding.text(), "10.0.0.2:7");
+}
+
 TEST_F(GatewaySettingsTest, duration_withFraction_isRead)
 {
     EXPECT_EQ(parseGatewaySettings(text("shutdown_grace: 6.5s"), "file.yaml").bounds.shutdownGrace, 6500ms);
