Keep within the slots of brittle engines, and within their refusals

Engines that say so in all their answers fail after a few refusals in a second; nothing read that. Class: a bound that the other side sets for all nodes together, kept by none of them (as the limit of requests a second). Change: each node keeps an equal part of the slots of a brittle engine and leaves it alone for its share of the refusals after one. Shares fill the slots exactly at 1 to 380 nodes.

--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -74,6 +74,10 @@
     std::optional<double> startLimit;
     /// The response names a limit that cannot be read.
     bool hasUnreadableLimit = false;
+    /// Requests that the engine may refuse in a second for want of room before it fails, while it says so.
+    std::optional<std::uint32_t> refusalLimit;
+    /// The response names a refusal limit that cannot be read.
+    bool hasUnreadableRefusalLimit = false;
 };
 
 } // namespace ibisfork::gateway
--- a/src/gateway/enginetracker.cpp
+++ b/src/gateway/enginetracker.cpp
@@ -183,6 +183,37 @@
     return std::exchange(engine->startLimit, perSecond) != perSecond;
 }
 
+bool EngineTracker::recordRefusalLimit(const std::string &id, std::optional<std::uint32_t> perSecond)
+{
+    auto *engine = find(id);
+    if (engine == nullptr) {
+        return false;
+    }
+    const bool isChange = engine->refusalLimit != perSecond;
+    if (!perSecond) {
+        engine->refusalLimit.reset();
+        return isChange;
+    }
+    for (auto &item : m_engines) {
+        if (item.second.entry.service == engine->entry.service) {
+            item.second.refusalLimit = perSecond;
+        }
+    }
+    return isChange;
+}
+
+void EngineTracker::recordRefusal(const std::string &id, unsigned nodes, base::TimePoint now)
+{
+    auto *engine = find(id);
+    if (engine == nullptr || !engine->refusalLimit) {
+        return;
+    }
+    // Each node may cause an equal share of the refusals.
+    const double ownPerSecond = std::max(1.0, static_cast<double>(*engine->refusalLimit)) / std::max(1U, nodes);
+    const std::chrono::duration<double> pause(1.0 / ownPerSecond);
+    engine->refusalPauseUntil = now + std::chrono::duration_cast<base::Duration>(pause);
+}
+
 void EngineTracker::recordSuccess(const std::string &id)
 {
     if (auto *engine = find(id)) {
--- a/src/gateway/enginetracker.h
+++ b/src/gateway/enginetracker.h
@@ -74,6 +74,15 @@
     unsigned inFlight = 0;
     /// Requests a second that the engine takes from all nodes together, by its last response to this node.
     std::optional<double> startLimit;
+    /// Requests that the engine may refuse in a second before it fails, by the last response of an engine of its
+    /// service; set while engines are brittle.
+    std::optional<std::uint32_t> refusalLimit;
+    /// Until this time a brittle engine gets nothing from this node, whose share of the refusals is used up.
+    base::TimePoint refusalPauseUntil{};
+    /// Requests that this node may have in flight at the engine while it is brittle, and the number of nodes for which
+    /// that was computed.
+    unsigned slotShare = 0;
+    unsigned slotShareNodes = 0;
     /// Consecutive faults of the kinds Unreachable, Lost and Silent; each one doubles the back-off.
     unsigned faultsInRow = 0;
     /// Moving average of the share of runs that failed, from 0 to 1.
@@ -121,6 +130,11 @@
     void recordLoad(const std::string &id, const EngineLoad &load, base::TimePoint now);
     /// Records the limit that a response of the engine names, or that it names none. True if that is a change.
     bool recordStartLimit(const std::string &id, std::optional<double> perSecond);
+    /// Records the refusal limit that a response of the engine names, or that it names none. The engines of a service
+    /// are brittle together, so a limit holds for all of them until they say otherwise. True if that is a change.
+    bool recordRefusalLimit(const std::string &id, std::optional<std::uint32_t> perSecond);
+    /// Records that the engine refused a request of this node for want of room; @p nodes send to it.
+    void recordRefusal(const std::string &id, unsigned nodes, base::TimePoint now);
     /// Records a successful run: ends the series of consecutive faults and lowers the fault share.
     void recordSuccess(const std::string &id);
     /// Records a failed attempt. @p coldPeriod: how long an engine of the service stays cold after a start.
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -222,6 +222,8 @@
     PlacementRequest request;
     request.sharedPart = sharedPartOf(m_call.promptParts);
     request.failureDomain = m_context.settings.node.failureDomain;
+    request.node = m_context.settings.node.name;
+    request.nodeNames = &m_context.view.nodeNames();
     request.tried = m_tried;
     request.nodes = m_context.view.nodes();
     request.nodesKnown = m_context.view.nodesKnown();
@@ -246,7 +248,8 @@
         refuseForLimit(placement);
         return;
     }
-    failRequest(m_tried.empty() ? "no_engine" : m_lastReason);
+    const auto *reason = placement.retryAt ? "engines_full" : "no_engine";
+    failRequest(m_tried.empty() ? reason : m_lastReason);
 }
 
 void Exchange::refuseForLimit(const Placement &placement)
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -112,6 +112,7 @@
     bool headIsUsable() const;
     bool headIsForeign() const;
     void recordStartLimit();
+    void recordRefusalLimit();
     bool answerIsStream() const;
     bool wantsSecondRun() const;
     void beginSecondRun();
--- a/src/gateway/exchangeanswer.cpp
+++ b/src/gateway/exchangeanswer.cpp
@@ -33,6 +33,7 @@
         m_context.view.engines().recordLoad(m_engineId, *m_answer.load, now);
     }
     recordStartLimit();
+    recordRefusalLimit();
     if (!headIsUsable()) {
         handleFailedAttempt({EngineFault::Failed, true, "foreign_answer"});
         return;
@@ -88,6 +89,24 @@
     }
 }
 
+void Exchange::recordRefusalLimit()
+{
+    // An unreadable limit is still a limit: the last one read stays in force.
+    if (headIsForeign() || m_answer.hasUnreadableRefusalLimit) {
+        return;
+    }
+    auto &engines = m_context.view.engines();
+    if (engines.recordRefusalLimit(m_engineId, m_answer.refusalLimit)) {
+        EventLog::state("engine_brittle")
+            .field("engine", m_engineId)
+            .field("refusals_per_second", m_answer.refusalLimit ? fmt::format("{}", *m_answer.refusalLimit) : "none")
+            .field("id", m_call.id);
+    }
+    if (m_answer.notRun && m_answer.status == http::status::unavailable) {
+        engines.recordRefusal(m_engineId, m_context.view.nodes(), base::monotonicNow());
+    }
+}
+
 bool Exchange::headIsForeign() const
 {
     return !m_answer.callId.empty() && m_answer.callId != m_call.id;
--- a/src/gateway/fleetview.h
+++ b/src/gateway/fleetview.h
@@ -44,6 +44,7 @@
     const std::set<std::string> &evacuatedDomains() const { return m_evacuated; }
     /// Number of nodes that may be sending requests to the engines; at least 1.
     unsigned nodes() const;
+    const std::set<std::string> &nodeNames() const { return m_nodes; }
     /// True once the rows of all nodes have been read.
     bool nodesKnown() const { return m_nodesKnown; }
     /// Nodes that can be queried for table rows, except @p self.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -288,6 +288,7 @@
              {"software", engine.entry.softwareVersion},
              {"leaving", engine.entry.draining},
              {"cold", engine.isCold(now)},
+             {"refusal_limit", engine.refusalLimit ? nlohmann::json(*engine.refusalLimit) : nlohmann::json()},
              {"start_limit", engine.startLimit ? nlohmann::json(*engine.startLimit) : nlohmann::json()},
              {"in_flight", engine.inFlight},
              {"fault_share", engine.faultShare}});
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -27,6 +27,24 @@
 /// Time after which an engine with a limit is tried again while the number of nodes is not known.
 constexpr std::chrono::milliseconds nodesUnknownDelay{1000};
 
+/// A request waits this long at a time for a place at a brittle engine; runs end meanwhile.
+constexpr std::chrono::milliseconds brittleRetryInterval{15};
+
+/// This node's part of the engine's slots: an equal share, and one of those that are left over if rendezvous hashing of
+/// the engine names this node for it. The shares of all nodes together fill the slots and leave the queue empty.
+unsigned slotShareOf(const Engine &engine, const PlacementRequest &request)
+{
+    const auto nodes = std::max(1U, request.nodes);
+    const auto equal = engine.entry.slots / nodes;
+    const auto leftOver = engine.entry.slots % nodes;
+    if (request.nodeNames == nullptr || leftOver == 0) {
+        return std::max(1U, equal);
+    }
+    const std::vector<std::string> names(request.nodeNames->begin(), request.nodeNames->end());
+    const auto named = coord::rendezvousChoose("slots/" + engine.entry.id, names, leftOver);
+    return equal + (contains(named, request.node) ? 1 : 0);
+}
+
 bool isColdLimited(const Engine &engine, const PlacementRequest &request, base::TimePoint now)
 {
     return request.coldRate > 0 && engine.isCold(now);
@@ -102,6 +120,21 @@
     }
 }
 
+bool EnginePlacement::isHeldAsBrittle(Engine &engine, const PlacementRequest &request, base::TimePoint now)
+{
+    if (!engine.refusalLimit) {
+        return false;
+    }
+    if (now < engine.refusalPauseUntil || !request.nodesKnown) {
+        return true;
+    }
+    if (engine.slotShareNodes != request.nodes) {
+        engine.slotShareNodes = request.nodes;
+        engine.slotShare = slotShareOf(engine, request);
+    }
+    return engine.inFlight >= engine.slotShare;
+}
+
 bool EnginePlacement::isHeldBack(Engine &engine,
                                  const PlacementRequest &request,
                                  base::TimePoint now,
@@ -112,6 +145,14 @@
     if (coldLimited && !engine.coldStartsSpread) {
         spreadColdStarts(engine, request, now);
     }
+    if (isHeldAsBrittle(engine, request, now)) {
+        const auto until = std::max<base::TimePoint>(engine.refusalPauseUntil, now + brittleRetryInterval);
+        if (!placement.retryAt || until < *placement.retryAt) {
+            placement.retryAt = until;
+            placement.limitedEngine = nullptr;
+        }
+        return true;
+    }
     if (coldLimited && !engine.coldStarts.ready(now)) {
         waitFor(placement, engine, engine.coldStarts.next(), StartRate::shareOf(request.coldRate, request.nodes));
         return true;
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,9 @@
     std::string sharedPart;
     /// Failure domain of this node.
     std::string failureDomain;
+    /// Name of this node, and those of all nodes, for the shares of brittle engines.
+    std::string node;
+    const std::set<std::string> *nodeNames = nullptr;
     /// Ids of the engines that this request was already sent to.
     std::vector<std::string> tried;
     /// Number of nodes that send to the same engines.
@@ -46,9 +50,10 @@
 struct Placement
 {
     Engine *engine = nullptr;
-    /// Set if there are engines but all of them are rate-limited until this time.
+    /// Set if there are engines but all of them are rate-limited, or brittle and full, until this time.
     std::optional<base::TimePoint> retryAt;
-    /// The engine whose limit ends at retryAt, and this node's share of its rate in starts a second.
+    /// The engine whose rate limit ends at retryAt, if there is one, and this node's share of its rate in starts a
+    /// second.
     Engine *limitedEngine = nullptr;
     double startsPerSecond = 0;
     PlacementDetails details;
@@ -80,6 +85,8 @@
                               base::TimePoint now);
     /// Delays the first start at a rate of @p perSecond by a random part of the interval.
     void spreadStarts(StartRate &starts, double perSecond, base::TimePoint now);
+    /// True if this node's share of a brittle engine is in use.
+    static bool isHeldAsBrittle(Engine &engine, const PlacementRequest &request, base::TimePoint now);
     void spreadColdStarts(Engine &engine, const PlacementRequest &request, base::TimePoint now);
     /// Makes @p engine wait in @p placement if one of its limits allows no start at @p now. Returns true if it does.
     bool isHeldBack(Engine &engine, const PlacementRequest &request, base::TimePoint now, Placement &placement);
--- a/tests/gateway/brittleengine_test.cpp
+++ b/tests/gateway/brittleengine_test.cpp
@@ -72,7 +72,7 @@
             return test::plainReply(503, "", load + "Ibisfork-Not-Executed: 1\r\n");
         }
         ++brittle.inFlight;
-        const auto waiting = brittle.inFlight / slots;
+        const auto waiting = (brittle.inFlight - 1) / slots;
         auto reply = test::plainReply(200, "good", load + "Ibisfork-Response-Seal: s\r\n");
         reply.delay = runTime * (1 + static_cast<int>(waiting));
         after(reply.delay, [&brittle] { --brittle.inFlight; });
@@ -163,4 +163,82 @@
     EXPECT_GE(served() - before, 180U);
 }
 
+/// Nodes that send to one brittle engine.
+class BrittleShareTest : public testing::TestWithParam<unsigned>
+{
+protected:
+    static constexpr std::uint32_t slots = 64;
+    static constexpr base::TimePoint now{std::chrono::seconds(1000)};
+
+    static EngineTracker engines()
+    {
+        EngineTracker tracker;
+        EngineEntry entry;
+        entry.id = "e0";
+        entry.service = "s";
+        entry.slots = slots;
+        tracker.put(entry, now);
+        tracker.recordRefusalLimit("e0", 3);
+        return tracker;
+    }
+
+    static PlacementRequest requestOf(const std::string &node, const std::set<std::string> &names)
+    {
+        PlacementRequest request;
+        request.node = node;
+        request.nodeNames = &names;
+        request.nodes = static_cast<unsigned>(names.size());
+        return request;
+    }
+
+    /// Requests that a node may have in flight at the engine.
+    static unsigned shareOf(const PlacementRequest &request)
+    {
+        auto tracker = engines();
+        EnginePlacement placement(1);
+        unsigned count = 0;
+        while (count <= slots && placement.choose(tracker.ofService("s"), request, now).engine != nullptr) {
+            tracker.recordSent("e0", 0);
+            ++count;
+        }
+        return count;
+    }
+};
+
+TEST_P(BrittleShareTest, sharesOfAllNodes_fillTheSlotsAndNoMore)
+{
+    std::set<std::string> names;
+    for (unsigned i = 0; i < GetParam(); ++i) {
+        names.insert("n" + std::to_string(i));
+    }
+    unsigned sum = 0;
+    for (const auto &name : names) {
+        sum += shareOf(requestOf(name, names));
+    }
+    EXPECT_EQ(sum, slots);
+}
+
+INSTANTIATE_TEST_SUITE_P(Nodes, BrittleShareTest, testing::Values(1U, 7U, 30U, 64U, 89U, 380U));
+
+TEST_F(BrittleShareTest, engineRefused_nodeWaitsForItsShareOfTheRefusals)
+{
+    auto tracker = engines();
+    EnginePlacement placement(1);
+    const std::set<std::string> names{"a", "b", "c"};
+    const auto request = requestOf("a", names);
+    tracker.recordRefusal("e0", 3, now);
+    EXPECT_EQ(placement.choose(tracker.ofService("s"), request, now + 900ms).engine, nullptr);
+    EXPECT_NE(placement.choose(tracker.ofService("s"), request, now + 1s).engine, nullptr);
+}
+
+TEST_F(BrittleShareTest, engineSaysItNoMore_nodeIsFreeAgain)
+{
+    auto tracker = engines();
+    tracker.recordRefusal("e0", 3, now);
+    EXPECT_TRUE(tracker.recordRefusalLimit("e0", std::nullopt));
+    const std::set<std::string> names{"a", "b", "c"};
+    EnginePlacement placement(1);
+    EXPECT_NE(placement.choose(tracker.ofService("s"), requestOf("a", names), now).engine, nullptr);
+}
+
 } // namespace ibisfork::gateway
--- a/tests/platformcodec/callcodec_test.cpp
+++ b/tests/platformcodec/callcodec_test.cpp
@@ -159,6 +159,19 @@
                                          LimitCase{"1e9", {}},
                                          LimitCase{"2 a second", {}}));
 
+TEST_F(CallCodecTest, refusalLimitOfAnEngine_isReadOrMarkedUnreadable)
+{
+    http::ResponseHead head{200, {}};
+    EXPECT_FALSE(decodeAnswer(head).refusalLimit);
+    EXPECT_FALSE(decodeAnswer(head).hasUnreadableRefusalLimit);
+    head.headers.add("Server-Brittle", "12");
+    EXPECT_EQ(decodeAnswer(head).refusalLimit, 12U);
+    http::ResponseHead odd{200, {}};
+    odd.headers.add("Server-Brittle", "-2");
+    EXPECT_FALSE(decodeAnswer(odd).refusalLimit);
+    EXPECT_TRUE(decodeAnswer(odd).hasUnreadableRefusalLimit);
+}
+
 TEST_F(CallCodecTest, forwardedRequest_keepsTheCallersHeaders_andTellsTheTimeLeft)
 {
     http::RequestHead head{"POST", "/a", {}};
