Leave a silent engine only if another one or another node can run the request

Callers of a service with one engine left got 502 when it fell silent for a second, found by a test for answers that come late: the node gave up the run after 0.45 s, though nothing else could run it. Change: it goes on waiting then, to the deadline at most.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -463,6 +463,17 @@
     m_timer.startOnce(std::max<base::Duration>(next - now, std::chrono::milliseconds(1)));
 }
 
+bool Exchange::mayRunElsewhere()
+{
+    const auto engines = m_context.view.usableEngines(m_service, m_preference);
+    const bool otherEngine = std::any_of(engines.begin(), engines.end(), [this](const Engine *engine) {
+        return std::find(m_tried.begin(), m_tried.end(), engine->entry.id) == m_tried.end();
+    });
+    const bool otherNode
+        = m_origin == RequestOrigin::Caller && m_context.reach.isCutOff(m_service) && m_context.knowsForwardingPeers();
+    return otherEngine || otherNode;
+}
+
 void Exchange::onTimer()
 {
     const auto now = base::monotonicNow();
@@ -492,7 +503,7 @@
     }
     if (m_phase == Phase::Connecting) {
         handleFailedAttempt({EngineFault::Unreachable, false, "connect_timeout"});
-    } else if (consumeResend(true)) {
+    } else if (mayRunElsewhere() && consumeResend(true)) {
         handleFailedAttempt({EngineFault::Silent, true, "engine_silent", true});
     } else {
         // No other engine may be tried, so keep waiting: the current one may still answer.
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -147,6 +147,8 @@
     std::string sharedPartsText() const;
     bool consumeResend(bool mayHaveRun);
     bool mayRetry(bool mayHaveRun) const;
+    /// True if there is an engine that was not tried, or another node to forward to.
+    bool mayRunElsewhere();
     void failRequest(const char *reason);
     void refuse(int status, const char *reason, std::chrono::milliseconds retryAfter);
     /// Refuses a request that has not run here.
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -14,6 +14,13 @@
 using test::FakeStore;
 using test::GatewayTest;
 
+namespace {
+
+constexpr const char *unframedStreamHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                                           "Ibisfork-Attempt-Id: ID\r\nIbisfork-Response-Seal: s\r\n\r\n";
+
+} // namespace
+
 TEST_F(GatewayTest, request_toItsRoute_isForwardedWithoutKeyAndWithWorkspace)
 {
     auto &engine = addEngine("e1");
@@ -347,6 +354,58 @@
     EXPECT_TRUE(until([&] { return m_engines["e1"]->open() == 0; }));
 }
 
+TEST_F(GatewayTest, streamWithoutLength_connectionEndsCleanly_isForwardedWhole)
+{
+    addEngine("e1").willReply({{unframedStreamHead + std::string("id: 1\ndata: t1\n\nid: 2\ndata: t2\n\n"), true}});
+    start();
+    const auto answer = ask(request("POST", "/chat/x", {}, "abc"));
+    EXPECT_TRUE(answer.complete);
+    EXPECT_EQ(answer.body, "id: 1\ndata: t1\n\nid: 2\ndata: t2\n\n");
+}
+
+TEST_F(GatewayTest, streamWithoutLength_endsInsideAnEvent_goesOnElsewhereWithoutGapOrRepeat)
+{
+    for (const auto *id : {"e1", "e2"}) {
+        auto &engine = addEngine(id);
+        engine.willReply({{unframedStreamHead + std::string("id: 1\ndata: t1\n\nid: 2\nda"), true}});
+        engine.willResumeWith(test::streamReply(2, 3));
+    }
+    start();
+    const auto answer = ask(request("POST", "/chat/x", {}, "abc"));
+    EXPECT_TRUE(answer.complete);
+    EXPECT_EQ(answer.body, "id: 1\ndata: t1\n\nid: 2\ndata: t2\n\nid: 3\ndata: t3\n\n");
+}
+
+TEST_F(GatewayTest, streamWithoutLength_endsBeforeItsFirstEvent_isNotTakenForComplete)
+{
+    addEngine("e1").willReply({{unframedStreamHead, true}});
+    addEngine("e2").willReply({test::streamReply(1, 2)});
+    start();
+    for (int i = 0; i < 4; ++i) {
+        EXPECT_EQ(ask(request("POST", "/chat/x", {}, "abc")).body, "id: 1\ndata: t1\n\nid: 2\ndata: t2\n\n");
+    }
+}
+
+TEST_F(GatewayTest, engineSilentForASecond_requestThatMayRunOnce_isAnsweredByItsOneRun)
+{
+    auto slow = test::plainReply(200, "late");
+    slow.delay = 1100ms;
+    auto &engine = addEngine("e1");
+    engine.willReply({slow});
+    start();
+    EXPECT_EQ(ask(request("POST", "/book/x", {}, "abc")).body, "late");
+    EXPECT_EQ(engine.requests().size(), 1U);
+}
+
+TEST_F(GatewayTest, onlyEngineSilentForASecond_repeatableRequest_isAnsweredByIt)
+{
+    auto slow = test::plainReply(200, "late");
+    slow.delay = 1100ms;
+    addEngine("e1").willReply({slow});
+    start();
+    EXPECT_EQ(ask(request("GET", "/read/x")).body, "late");
+}
+
 TEST_F(GatewayTest, callerLeaves_runAtTheEngineIsEnded)
 {
     auto &engine = addEngine("e1");
