--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -17,24 +17,8 @@
 constexpr std::chrono::milliseconds configurationPollInterval{20};
 /// Deadline of a request that carries none.
 constexpr std::chrono::milliseconds defaultTimeout{30000};
-/// Connecting within a region takes a few milliseconds; a host that is down never answers.
-constexpr std::chrono::milliseconds connectTimeout{300};
 /// A request waits for an engine for at most the route's objective divided by this.
 constexpr int waitDivisor = 4;
-/// The first byte is late after this multiple of the usual time plus minFirstByteBound.
-constexpr double firstByteFactor = 5;
-constexpr std::chrono::milliseconds minFirstByteBound{500};
-/// Prompt tokens that a busy engine processes per millisecond.
-constexpr std::uint32_t slowTokensPerMs = 15;
-/// An idempotent request counts as stalled after its route's objective times idempotentBoundFactor, and at least this
-/// long.
-constexpr std::chrono::milliseconds minIdempotentBound{250};
-constexpr double idempotentBoundFactor = 1.5;
-/// After this many runs that were cut off before their answer began, a request with prompt parts that no run has shown
-/// to be sound is not sent again: it may itself have ended the engines.
-constexpr unsigned maxCutOffsOfUnproven = 2;
-/// A request that crashes engines is unlikely to be accepted sooner.
-constexpr std::chrono::milliseconds retryAfterPoison{30000};
 /// Below this many tokens, processing the prompt again costs no more than looking for an engine that has it cached.
 constexpr std::uint32_t minSharedTokens = 300;
 /// Priorities run from 0 (highest) to this value.
@@ -206,15 +190,6 @@
     }
 }
 
-void Exchange::endPoison()
-{
-    if (m_mayHaveRun || m_streamBegun) {
-        failRequest("crashes_engines");
-    } else {
-        refuse(http::status::unavailable, "crashes_engines", retryAfterPoison);
-    }
-}
-
 Placement Exchange::place(base::TimePoint now)
 {
     const auto *service = m_configuration->findService(m_service);
@@ -337,38 +312,6 @@
         http::serializeRequest(head, m_request.body), m_request.head.method == "HEAD", std::move(handlers));
 }
 
-const std::vector<RequestTrait> &Exchange::traits()
-{
-    if (m_traits.empty()) {
-        m_traits = m_parts;
-        m_traits.push_back(bodyTrait(m_workspace, m_request.head.target, m_request.body));
-    }
-    return m_traits;
-}
-
-bool Exchange::isPoison()
-{
-    const auto now = m_context.storeNow();
-    // The body is hashed only if there is anything to compare it with.
-    return m_context.crashes.hasPoison(now) && m_context.crashes.isPoison(traits(), now);
-}
-
-void Exchange::recordCutOff()
-{
-    if (m_runBeganAt) {
-        return;
-    }
-    ++m_cutOffs;
-    if (m_context.reportLostRun) {
-        m_context.reportLostRun({m_engineEntry, traits()});
-    }
-}
-
-bool Exchange::maySuspectItself() const
-{
-    return m_cutOffs >= maxCutOffsOfUnproven && !m_context.crashes.areProven(m_parts);
-}
-
 void Exchange::endRun(RunEnd end)
 {
     if (const auto id = std::exchange(m_runId, 0)) {
@@ -390,17 +333,6 @@
     return std::max(1U, most / idleConnectionsDivisor / std::max(1U, m_context.view.nodes()));
 }
 
-void Exchange::recordSoundRun()
-{
-    if (std::exchange(m_soundRunRecorded, true)) {
-        return;
-    }
-    const auto now = base::monotonicNow();
-    const auto age = std::chrono::duration_cast<StoreTime>(now - m_runBeganAt.value_or(m_lastProgress));
-    const bool hasBodySuspects = m_context.crashes.hasReports();
-    m_context.crashes.recordSoundRun(hasBodySuspects ? traits() : m_parts, m_context.storeNow() - age);
-}
-
 void Exchange::releaseConnection()
 {
     if (!m_connection) {
@@ -425,94 +357,4 @@
     }
 }
 
-base::Duration Exchange::silenceBound() const
-{
-    if (m_phase == Phase::Connecting) {
-        return connectTimeout;
-    }
-    return m_peer ? peerSilenceBound(engineSilenceBound()) : engineSilenceBound();
-}
-
-base::Duration Exchange::engineSilenceBound() const
-{
-    if (m_phase == Phase::Reading) {
-        return repeatable() ? base::Duration(m_route->pauseObjective) : base::Duration::max();
-    }
-    if (m_route->repeatability != Repeatability::Stream) {
-        const auto bound = std::chrono::duration<double>(m_route->objective) * idempotentBoundFactor;
-        return std::max<base::Duration>(std::chrono::duration_cast<base::Duration>(bound), minIdempotentBound);
-    }
-    const auto usual = std::chrono::duration<double>(m_context.firstByteTime(m_route->name).value());
-    const auto bound = std::chrono::duration_cast<base::Duration>(usual * firstByteFactor);
-    const auto reading = std::chrono::milliseconds(m_call.promptTokens / slowTokensPerMs);
-    return std::min<base::Duration>(bound + minFirstByteBound + reading, m_route->objective + reading);
-}
-
-void Exchange::arm()
-{
-    const auto now = base::monotonicNow();
-    auto next = m_deadline;
-    if (m_phase == Phase::Waiting) {
-        next = std::min(next, m_retryAt);
-    } else {
-        const auto bound = silenceBound();
-        if (bound != base::Duration::max()) {
-            next = std::min(next, m_lastProgress + bound);
-        }
-    }
-    m_timer.startOnce(std::max<base::Duration>(next - now, std::chrono::milliseconds(1)));
-}
-
-bool Exchange::mayRunElsewhere()
-{
-    const auto engines = m_context.view.usableEngines(m_service, m_preference);
-    const bool otherEngine = std::any_of(engines.begin(), engines.end(), [this](const Engine *engine) {
-        return std::find(m_tried.begin(), m_tried.end(), engine->entry.id) == m_tried.end();
-    });
-    const bool otherNode
-        = m_origin == RequestOrigin::Caller && m_context.reach.isCutOff(m_service) && m_context.knowsForwardingPeers();
-    return otherEngine || otherNode;
-}
-
-void Exchange::onTimer()
-{
-    const auto now = base::monotonicNow();
-    if (m_phase == Phase::Connecting && m_connection->connected()) {
-        m_phase = Phase::AwaitingHead;
-    }
-    if (now >= m_deadline) {
-        m_mayHaveRun = m_mayHaveRun || (m_connection && m_connection->sent());
-        endRun(RunEnd::TimedOut);
-        cancelAttempt();
-        failRequest("timeout");
-        return;
-    }
-    if (m_awaitsConfiguration) {
-        begin();
-        return;
-    }
-    if (m_phase == Phase::Waiting) {
-        dispatch();
-        return;
-    }
-    const auto bound = silenceBound();
-    const bool silent = bound != base::Duration::max() && now - m_lastProgress >= bound && !m_paused;
-    if (!silent) {
-        arm();
-        return;
-    }
-    if (m_phase == Phase::Connecting) {
-        handleFailedAttempt({EngineFault::Unreachable, false, "connect_timeout"});
-    } else if (mayRunElsewhere() && consumeResend(true)) {
-        handleFailedAttempt({EngineFault::Silent, true, "engine_silent", true});
-    } else {
-        // No other engine may be tried, so keep waiting: the current one may still answer.
-        if (!m_peer && m_phase == Phase::AwaitingHead) {
-            m_context.recordEngineUnreachable(m_service, m_engineId);
-        }
-        m_lastProgress = now;
-        arm();
-    }
-}
-
 } // namespace ibisfork::gateway
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -88,6 +88,8 @@
 
     /// True if this node seems to have no path to the engines of the service.
     bool seemsCutOff() const;
+    /// True if the node is cut off from the service and another node may serve the request.
+    bool mayForward() const;
     /// Hands the request to another node that may reach the engines. Returns false if there is none, or if the request
     /// must not be forwarded: it came from another node, or may have run and can't be repeated.
     bool tryForward();
--- /dev/null
+++ b/src/gateway/exchangecrash.cpp
@@ -0,0 +1,82 @@
+#include "gateway/exchange.h"
+
+#include <utility>
+
+#include "http/status.h"
+
+namespace ibisfork::gateway {
+
+namespace {
+
+/// After this many runs that were cut off before their answer began, a request with prompt parts that no run has shown
+/// to be sound is not sent again: it may itself have ended the engines.
+constexpr unsigned maxCutOffsOfUnproven = 2;
+/// A request that crashes engines is unlikely to be accepted sooner.
+constexpr std::chrono::milliseconds retryAfterPoison{30000};
+
+} // namespace
+
+const std::vector<RequestTrait> &Exchange::traits()
+{
+    if (m_traits.empty()) {
+        m_traits = m_parts;
+        m_traits.push_back(bodyTrait(m_workspace, m_request.head.target, m_request.body));
+    }
+    return m_traits;
+}
+
+bool Exchange::isPoison()
+{
+    const auto now = m_context.storeNow();
+    // The body is hashed only if there is anything to compare it with.
+    return m_context.crashes.hasPoison(now) && m_context.crashes.isPoison(traits(), now);
+}
+
+void Exchange::recordCutOff()
+{
+    if (m_runBeganAt) {
+        return;
+    }
+    ++m_cutOffs;
+    if (m_context.reportLostRun) {
+        m_context.reportLostRun({m_engineEntry, traits()});
+    }
+}
+
+bool Exchange::maySuspectItself() const
+{
+    return m_cutOffs >= maxCutOffsOfUnproven && !m_context.crashes.areProven(m_parts);
+}
+
+void Exchange::endPoison()
+{
+    if (m_mayHaveRun || m_streamBegun) {
+        failRequest("crashes_engines");
+    } else {
+        refuse(http::status::unavailable, "crashes_engines", retryAfterPoison);
+    }
+}
+
+void Exchange::recordSoundRun()
+{
+    if (std::exchange(m_soundRunRecorded, true)) {
+        return;
+    }
+    const auto now = base::monotonicNow();
+    const auto age = std::chrono::duration_cast<StoreTime>(now - m_runBeganAt.value_or(m_lastProgress));
+    const bool hasBodySuspects = m_context.crashes.hasReports();
+    m_context.crashes.recordSoundRun(hasBodySuspects ? traits() : m_parts, m_context.storeNow() - age);
+}
+
+void Exchange::endIfPoison()
+{
+    const bool runs = m_phase == Phase::Connecting || m_phase == Phase::AwaitingHead || m_phase == Phase::Reading;
+    if (!runs || m_runBeganAt || !isPoison()) {
+        return;
+    }
+    m_mayHaveRun = m_mayHaveRun || m_connection->sent();
+    cancelAttempt();
+    endPoison();
+}
+
+} // namespace ibisfork::gateway
--- a/src/gateway/exchangeend.cpp
+++ b/src/gateway/exchangeend.cpp
@@ -119,9 +119,7 @@
         return false;
     }
     // Runs at engines that this node has lost the path to don't count.
-    const bool mayForward
-        = m_origin == RequestOrigin::Caller && m_context.reach.isCutOff(m_service) && m_context.knowsForwardingPeers();
-    const bool runsLeft = (m_runs < maxRuns() || mayForward) && !maySuspectItself();
+    const bool runsLeft = (m_runs < maxRuns() || mayForward()) && !maySuspectItself();
     return runsLeft && m_deadline - base::monotonicNow() > minAttemptTime;
 }
 
@@ -181,17 +179,6 @@
     failRequest("node_stops");
 }
 
-void Exchange::endIfPoison()
-{
-    const bool runs = m_phase == Phase::Connecting || m_phase == Phase::AwaitingHead || m_phase == Phase::Reading;
-    if (!runs || m_runBeganAt || !isPoison()) {
-        return;
-    }
-    m_mayHaveRun = m_mayHaveRun || m_connection->sent();
-    cancelAttempt();
-    endPoison();
-}
-
 void Exchange::finish(const char *outcome, int status)
 {
     if (m_phase == Phase::Finished) {
--- a/src/gateway/exchangeforward.cpp
+++ b/src/gateway/exchangeforward.cpp
@@ -26,6 +26,11 @@
     return m_unreachableEngines >= unreachableEnginesToForward || m_context.reach.isCutOff(m_service);
 }
 
+bool Exchange::mayForward() const
+{
+    return m_origin == RequestOrigin::Caller && m_context.reach.isCutOff(m_service) && m_context.knowsForwardingPeers();
+}
+
 bool Exchange::tryForward()
 {
     const auto now = base::monotonicNow();
--- a/tests/gateway/brittleengine_test.cpp
+++ b/tests/gateway/brittleengine_test.cpp
@@ -46,17 +46,9 @@
             auto &brittle = m_brittle.emplace_back();
             brittle.engine = std::make_unique<FakeEngine>(m_base.get());
             brittle.engine->willDecide([this, &brittle](const http::Request &) { return answer(brittle); });
-            m_store.put("servers",
-                        "e" + std::to_string(i),
-                        nlohmann::json{{"service", "s"},
-                                       {"address", brittle.engine->address().text()},
-                                       {"zone", "d1"},
-                                       {"version", "v1"},
-                                       {"slots", slots},
-                                       {"state", "ready"},
-                                       {"coldLeftMs", 0},
-                                       {"seq", 1}}
-                            .dump());
+            auto entry = test::engineEntry(brittle.engine->address());
+            entry["slots"] = slots;
+            m_store.put("servers", "e" + std::to_string(i), entry.dump());
         }
     }
 
--- a/tests/gateway/enginefleet.cpp
+++ b/tests/gateway/enginefleet.cpp
@@ -28,17 +28,7 @@
     auto &engine = m_engines[id];
     engine = std::make_unique<FakeEngine>(m_base);
     engine->willDecide([this, id](const http::Request &request) { return answer(id, request); });
-    m_store.put("servers",
-                id,
-                nlohmann::json{{"service", "s"},
-                               {"address", engine->address().text()},
-                               {"zone", "d1"},
-                               {"version", "v1"},
-                               {"slots", 8},
-                               {"state", "ready"},
-                               {"coldLeftMs", 0},
-                               {"seq", 1}}
-                    .dump());
+    m_store.put("servers", id, engineEntry(engine->address()).dump());
 }
 
 EngineReply EngineFleet::answer(const std::string &id, const http::Request &request)
--- a/tests/gateway/forwarding_test.cpp
+++ b/tests/gateway/forwarding_test.cpp
@@ -64,17 +64,7 @@
 
     void listEngine(FakeStore &store, std::size_t index, Cut cut)
     {
-        store.put("servers",
-                  "e" + std::to_string(index),
-                  nlohmann::json{{"service", "s"},
-                                 {"address", engineAddress(index, cut).text()},
-                                 {"zone", "d1"},
-                                 {"version", "v1"},
-                                 {"slots", 8},
-                                 {"state", "ready"},
-                                 {"coldLeftMs", 0},
-                                 {"seq", 1}}
-                      .dump());
+        store.put("servers", "e" + std::to_string(index), test::engineEntry(engineAddress(index, cut)).dump());
     }
 
     void listEngines(FakeStore &store, Cut cut)
--- a/tests/gateway/gatewayfixture.h
+++ b/tests/gateway/gatewayfixture.h
@@ -71,17 +71,11 @@
               const std::string &domain = "d1",
               const std::string &version = "v1")
     {
-        m_store.put("servers",
-                    id,
-                    nlohmann::json{{"service", "s"},
-                                   {"address", m_engines[id]->address().text()},
-                                   {"zone", domain},
-                                   {"version", version},
-                                   {"slots", 8},
-                                   {"state", state},
-                                   {"coldLeftMs", 0},
-                                   {"seq", 1}}
-                        .dump());
+        auto entry = engineEntry(m_engines[id]->address());
+        entry["zone"] = domain;
+        entry["version"] = version;
+        entry["state"] = state;
+        m_store.put("servers", id, entry.dump());
     }
 
     void configure() { m_store.put("op", "config", m_configuration.dump()); }
--- a/tests/gateway/poisonpart_test.cpp
+++ b/tests/gateway/poisonpart_test.cpp
@@ -170,17 +170,9 @@
     engine.willReply({{""}});
     m_configuration["services"][0]["name"] = "s2";
     m_configuration["routes"][2]["service"] = "s2";
-    m_store.put("servers",
-                "silent",
-                nlohmann::json{{"service", "s2"},
-                               {"address", engine.address().text()},
-                               {"zone", "d1"},
-                               {"version", "v1"},
-                               {"slots", 8},
-                               {"state", "ready"},
-                               {"coldLeftMs", 0},
-                               {"seq", 2}}
-                    .dump());
+    auto entry = test::engineEntry(engine.address());
+    entry["service"] = "s2";
+    m_store.put("servers", "silent", entry.dump());
     startNodes();
     sendBad();
     ASSERT_TRUE(until([&] { return engine.open() == 1; }));
--- a/tests/gateway/standins.cpp
+++ b/tests/gateway/standins.cpp
@@ -81,6 +81,18 @@
     return {streamHead + events(from, to) + chunk(fmt::format("id: {}\nda", to + 1)), true};
 }
 
+nlohmann::json engineEntry(const net::Address &address)
+{
+    return {{"service", "s"},
+            {"address", address.text()},
+            {"zone", "d1"},
+            {"version", "v1"},
+            {"slots", 8},
+            {"state", "ready"},
+            {"coldLeftMs", 0},
+            {"seq", 1}};
+}
+
 class FakeEngine::Connection
 {
 public:
--- a/tests/gateway/standins.h
+++ b/tests/gateway/standins.h
@@ -8,6 +8,8 @@
 #include <string>
 #include <vector>
 
+#include <nlohmann/json.hpp>
+
 #include "fakestore.h"
 #include "gateway/callerport.h"
 #include "gateway/gateway.h"
@@ -56,6 +58,9 @@
 /// The same stream, closed in the middle of the event after @p to.
 EngineReply brokenStream(int from, int to);
 
+/// The entry that an engine of the service "s" writes to the platform's list of engines.
+nlohmann::json engineEntry(const net::Address &address);
+
 /// Accepts requests and answers them with replies set by the test.
 class FakeEngine
 {
