--- a/src/gateway/crashreporter.cpp
+++ b/src/gateway/crashreporter.cpp
@@ -9,8 +9,7 @@
 
 /// Time for an engine to accept a connection. It also lets runs that go on elsewhere show which traits are sound.
 constexpr std::chrono::milliseconds probeTime{250};
-constexpr std::chrono::milliseconds shareInterval{200};
-/// At this many nodes or more the interval grows with their number, since all of them may have something to tell.
+/// The time between two writes grows with the number of nodes, since all of them may have something to tell.
 constexpr std::chrono::milliseconds shareIntervalPerNode{5};
 
 } // namespace
@@ -23,10 +22,15 @@
     , m_store(store)
     , m_table(table)
     , m_verdictChanged(std::move(verdictChanged))
-    , m_shareTimer(context.base, [this] { share(); })
     , m_sharedRow(encodeCrashEvidence({}))
+{ }
+
+void CrashReporter::tick(base::TimePoint now)
 {
-    m_shareTimer.startOnce(shareInterval);
+    checkVerdict();
+    if (now - m_sharedAt >= shareIntervalPerNode * m_context.view.nodes()) {
+        share();
+    }
 }
 
 void CrashReporter::recordLostRun(const LostRun &run)
@@ -105,10 +109,7 @@
 
 void CrashReporter::share()
 {
-    const auto interval
-        = std::max<std::chrono::milliseconds>(shareInterval, shareIntervalPerNode * m_context.view.nodes());
-    m_shareTimer.startOnce(interval);
-    checkVerdict();
+    m_sharedAt = base::monotonicNow();
     if (m_writing || !m_table.loaded()) {
         return;
     }
--- a/src/gateway/crashreporter.h
+++ b/src/gateway/crashreporter.h
@@ -29,6 +29,8 @@
     void recordLostRun(const LostRun &run);
     /// Takes over rows of the own table.
     void applyRows(const TableChange &change);
+    /// Writes what has changed and was not written yet. To be called a few times a second.
+    void tick(base::TimePoint now);
 
 private:
     /// A connection that shows whether an engine still accepts any.
@@ -54,7 +56,7 @@
     std::function<void()> m_verdictChanged;
     unsigned m_verdictSerial = 0;
     std::list<Probe> m_probes;
-    net::Timer m_shareTimer;
+    base::TimePoint m_sharedAt{};
     std::string m_sharedRow;
     bool m_writing = false;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -206,6 +206,8 @@
     m_context.peerPool.dropStale(now);
     registerNode();
     m_rollouts.tick(now);
+    m_crashes.tick(now);
+    m_reachProbe.tick();
     if (ready() != m_wasReady) {
         m_wasReady = ready();
         EventLog::state("ready").field("ready", m_wasReady);
--- a/src/gateway/reachprobe.cpp
+++ b/src/gateway/reachprobe.cpp
@@ -6,7 +6,6 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds probeInterval{250};
 constexpr std::chrono::milliseconds probeTimeout{400};
 
 } // namespace
@@ -14,14 +13,11 @@
 ReachProbe::ReachProbe(Context &context)
     : m_context(context)
     , m_client(context.base)
-    , m_timer(context.base, [this] { probeAll(); })
-{
-    m_timer.startEvery(probeInterval);
-}
+{ }
 
-void ReachProbe::probeAll()
+void ReachProbe::tick()
 {
-    if (!m_context.knowsForwardingPeers()) {
+    if (m_context.reach.cutOffServices().empty() || !m_context.knowsForwardingPeers()) {
         // Requests go on to try the engines themselves.
         return;
     }
--- a/src/gateway/reachprobe.h
+++ b/src/gateway/reachprobe.h
@@ -5,7 +5,6 @@
 
 #include "gateway/context.h"
 #include "http/callclient.h"
-#include "net/timer.h"
 
 namespace ibisfork::gateway {
 
@@ -15,13 +14,14 @@
 public:
     explicit ReachProbe(Context &context);
 
+    /// Probes one engine of each service that the node is cut off from. To be called a few times a second.
+    void tick();
+
 private:
-    void probeAll();
     void probe(const std::string &service);
 
     Context &m_context;
     http::CallClient m_client;
-    net::Timer m_timer;
     /// Probes so far, by service; successive ones go to different engines.
     std::map<std::string, std::size_t> m_probes;
 };
