Name the likeliest traits first where a crash report can't name all

Change: parts that no run has shown to be sound go first, then other parts, then bodies; 40 in place of 24. A crash with nothing to suspect is not reported at all.

--- a/src/gateway/crashtracker.cpp
+++ b/src/gateway/crashtracker.cpp
@@ -11,7 +11,7 @@
 constexpr std::chrono::minutes evidenceLifetime{10};
 /// Bounds of what one node shares, so that its row stays far below the store's limit for a row.
 constexpr std::size_t maxReports = 24;
-constexpr std::size_t maxSuspects = 24;
+constexpr std::size_t maxSuspects = 40;
 /// Traits whose runs went well are removed when they are old, once there are this many.
 constexpr std::size_t maxSoundTraits = 4000;
 /// Other nodes are told of their sound runs with traits that this many crashes count against.
@@ -41,13 +41,9 @@
     if (!hasEnded) {
         return;
     }
-    CrashReport report{engine, loss.at, {}};
-    for (const auto &trait : loss.traits) {
-        const auto sound = m_own.soundRuns.find(trait);
-        const bool isSound = sound != m_own.soundRuns.end() && sound->second > loss.at;
-        if (!isSound && report.suspects.size() < maxSuspects) {
-            report.suspects.insert(trait);
-        }
+    CrashReport report{engine, loss.at, suspectsOf(loss)};
+    if (report.suspects.empty()) {
+        return;
     }
     std::erase_if(m_own.reports, [&](const CrashReport &known) { return known.engine == engine; });
     m_own.reports.push_back(std::move(report));
@@ -57,6 +53,32 @@
     update(now);
 }
 
+std::set<RequestTrait> CrashTracker::suspectsOf(const PendingLoss &loss) const
+{
+    // Where the report can't name all, the traits go first that are at fault more likely.
+    std::vector<RequestTrait> unprovenParts;
+    std::vector<RequestTrait> otherParts;
+    std::vector<RequestTrait> bodies;
+    for (const auto &trait : loss.traits) {
+        const auto sound = m_own.soundRuns.find(trait);
+        const bool isProven = sound != m_own.soundRuns.end();
+        if (isProven && sound->second > loss.at) {
+            continue;
+        }
+        if (trait.kind == TraitKind::Body) {
+            bodies.push_back(trait);
+        } else {
+            (isProven ? otherParts : unprovenParts).push_back(trait);
+        }
+    }
+    std::set<RequestTrait> suspects;
+    for (const auto *traits : {&unprovenParts, &otherParts, &bodies}) {
+        const auto room = std::min(traits->size(), maxSuspects - suspects.size());
+        suspects.insert(traits->begin(), traits->begin() + static_cast<std::ptrdiff_t>(room));
+    }
+    return suspects;
+}
+
 void CrashTracker::recordSoundRun(const std::vector<RequestTrait> &traits, StoreTime beganAt)
 {
     for (const auto &trait : traits) {
--- a/src/gateway/crashtracker.h
+++ b/src/gateway/crashtracker.h
@@ -66,6 +66,8 @@
         std::set<RequestTrait> traits;
     };
 
+    /// Traits of the lost runs that this node has not seen go well since; not all if there are many.
+    std::set<RequestTrait> suspectsOf(const PendingLoss &loss) const;
     /// Verdict on the evidence of all nodes, with this node's.
     CrashVerdict verdict(StoreTime now) const;
     /// Traits that any node suspects or that are convicted.
--- a/tests/gateway/crashtracker_test.cpp
+++ b/tests/gateway/crashtracker_test.cpp
@@ -150,6 +150,30 @@
     EXPECT_LT(encodeCrashEvidence(m_trackers.front().evidenceToShare(1s)).size(), maxRowBytes);
 }
 
+TEST_F(CrashTrackerTest, manyRequestsWaitedAtTheEngines_badPartIsStillFound)
+{
+    std::vector<RequestTrait> many;
+    for (int i = 0; i < 60; ++i) {
+        many.push_back(body("f" + std::to_string(i)));
+        many.push_back(part("a" + std::to_string(i)));
+    }
+    soundRunEverywhere(many, 0s);
+    many.push_back(part("bad"));
+    for (int i = 1; i <= 3; ++i) {
+        crash(0, "e" + std::to_string(i), many, i * 1s);
+    }
+    EXPECT_EQ(refusing(m_bad, 3100ms), nodes);
+}
+
+TEST_F(CrashTrackerTest, engineEndsUnderSoundRequestsOnly_nothingIsShared)
+{
+    auto &tracker = m_trackers.front();
+    tracker.recordLostRun("e1", m_sound, 1s);
+    tracker.recordSoundRun(m_sound, 1100ms);
+    tracker.confirmLoss("e1", true, 1250ms);
+    EXPECT_TRUE(tracker.evidenceToShare(2s).reports.empty());
+}
+
 TEST_F(CrashTrackerTest, requestAtEveryNode_nodesShareEvidence_threeEnginesCrash)
 {
     EXPECT_EQ(crashesOverNodes(true), CrashVerdict::minEngines);
