Try the node's own engines after other nodes have refused a forwarded request

Found on reading the change: a request that met two dead engines was refused when no other node could serve it, though a third engine could. Change: after a refusal it is dispatched anew, which tries the engines left.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -99,8 +99,8 @@
     void handleFailedPeer(const FailedAttempt &miss);
     /// Ends the attempt at another node.
     void leavePeer(const char *outcome);
-    /// Tries the next node after one where the request did not run.
-    void forwardAgain(const char *reason);
+    /// Tries the next node or engine after a node where the request did not run.
+    void dispatchAgain(const char *reason);
     /// Tells the node that forwarded the request to try another one.
     void refuseForwarded(const char *reason);
     base::Duration peerSilenceBound(base::Duration engineBound) const;
--- a/src/gateway/exchangeforward.cpp
+++ b/src/gateway/exchangeforward.cpp
@@ -89,7 +89,7 @@
     if (isForwardRefusal(m_answerHead.headers) || hasOlderConfiguration) {
         m_context.peers.recordRefused(m_peer->name, base::monotonicNow());
         leavePeer("refused");
-        forwardAgain("no_path");
+        dispatchAgain("no_path");
         return;
     }
     if (answerIsStream()) {
@@ -127,7 +127,7 @@
     m_firstByteAfter.reset();
     if (!miss.mayHaveRun) {
         leavePeer(miss.reason);
-        forwardAgain(miss.reason);
+        dispatchAgain(miss.reason);
         return;
     }
     releaseConnection();
@@ -145,13 +145,12 @@
     m_phase = Phase::Waiting;
 }
 
-void Exchange::forwardAgain(const char *reason)
+void Exchange::dispatchAgain(const char *reason)
 {
     // The request did not run at the last node.
     --m_runs;
-    if (!tryForward()) {
-        failRequest(reason);
-    }
+    m_lastReason = reason;
+    dispatch();
 }
 
 void Exchange::refuseForwarded(const char *reason)
--- a/tests/gateway/forwarding_test.cpp
+++ b/tests/gateway/forwarding_test.cpp
@@ -209,6 +209,18 @@
     EXPECT_EQ(arrived(), 12U);
 }
 
+TEST_F(ForwardingTest, twoEnginesAreDownAndThePeerIsCutOff_theThirdEngineServes)
+{
+    startNodes({Cut::None, Cut::Refused});
+    for (std::size_t i = 1; i < engines; ++i) {
+        listEngine(*m_nodes.front()->store, i, Cut::Refused);
+    }
+    runFor(800ms);
+    for (int i = 0; i < 10; ++i) {
+        EXPECT_EQ(askCut(request("GET", "/read/x")).status, 200);
+    }
+}
+
 TEST_F(ForwardingTest, allNodesAreCutOff_callersAreRefusedAtOnce_noNodeForwardsWhatWasForwarded)
 {
     startNodes({Cut::Refused, Cut::Refused, Cut::Refused});
