Forward requests whose engines count as cold only by this node's suspicion

Callers of a node whose connections to engines live on while new ones are refused got 503 engines_at_limit. Cause: a refused connection makes an engine count as cold for some seconds, since it may have restarted; answers on old connections keep the node from taking itself for cut off, and requests held back by a cold rate were refused without asking another node. Change: they are forwarded before they are refused, if the engine counts as cold by this node's faults alone. The other node keeps its own share of the rate, so the bound holds. Result: ForwardingTest.oldConnectionsLiveOnAndNewOnesAreRefused_...: before, failed with most of the logged requests engines_at_limit (43 of 56); now passes, none logged.

--- a/src/gateway/enginetracker.h
+++ b/src/gateway/enginetracker.h
@@ -97,6 +97,8 @@
     /// Estimated number of requests, running and waiting, at the engine now. @p nodes: number of nodes that send to it.
     double expectedLoad(base::TimePoint now, unsigned nodes) const;
     bool isCold(base::TimePoint now) const { return now < coldUntil || now < suspectedColdUntil; }
+    /// True if the engine counts as cold only because of faults that this node has seen.
+    bool isOnlySuspectedCold(base::TimePoint now) const { return now >= coldUntil && now < suspectedColdUntil; }
 };
 
 /// The engines listed by the platform, with the load and faults that this node has observed.
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -216,7 +216,10 @@
         arm();
         return;
     }
-    if (m_unreachableEngines > 0 && tryForward()) {
+    // Engines that this node could not reach count as cold here; other nodes may know better.
+    const bool isSuspicion
+        = placement.limitedEngine != nullptr && placement.limitedEngine->isOnlySuspectedCold(base::monotonicNow());
+    if ((m_unreachableEngines > 0 || isSuspicion) && tryForward()) {
         return;
     }
     if (placement.limitedEngine != nullptr && m_tried.empty()) {
--- a/tests/gateway/forwarding_test.cpp
+++ b/tests/gateway/forwarding_test.cpp
@@ -221,6 +221,39 @@
     }
 }
 
+TEST_F(ForwardingTest, oldConnectionsLiveOnAndNewOnesAreRefused_callersAreServed)
+{
+    m_configuration["services"][0]["coldStartS"] = 3;
+    m_configuration["services"][0]["coldPerS"] = 2;
+    for (auto &engine : m_silent) {
+        auto slow = test::plainReply(200, "good");
+        slow.delay = 20ms;
+        engine->willReply({slow});
+    }
+    startNodes({Cut::Hanging, Cut::None});
+    for (int i = 0; i < 6; ++i) {
+        ASSERT_EQ(askCut(request("GET", "/read/x")).status, 200);
+    }
+    for (auto &engine : m_silent) {
+        engine->refuseConnections();
+    }
+    constexpr int bursts = 30;
+    constexpr int burstSize = 5;
+    int served = 0;
+    for (int i = 0; i < bursts; ++i) {
+        std::vector<std::unique_ptr<FakeCaller>> callers;
+        for (int j = 0; j < burstSize; ++j) {
+            callers.push_back(std::make_unique<FakeCaller>(m_base.get(), m_nodes.front()->gateway->callers()));
+            callers.back()->send(request("POST", "/book/x", {}, "abc"));
+        }
+        runFor(100ms);
+        for (const auto &caller : callers) {
+            served += caller->answer().status == 200 ? 1 : 0;
+        }
+    }
+    EXPECT_GE(served, bursts * burstSize * 2 / 3);
+}
+
 TEST_F(ForwardingTest, allNodesAreCutOff_callersAreRefusedAtOnce_noNodeForwardsWhatWasForwarded)
 {
     startNodes({Cut::Refused, Cut::Refused, Cut::Refused});
--- a/tests/gateway/standins.cpp
+++ b/tests/gateway/standins.cpp
@@ -194,7 +194,10 @@
 
 FakeEngine::FakeEngine(event_base *base)
     : m_base(base)
-    , m_port(base, {"127.0.0.1", 0}, [this](evutil_socket_t socket) { accept(socket); })
+    , m_port(std::make_unique<ListeningPort>(base,
+                                             net::Address{"127.0.0.1", 0},
+                                             [this](evutil_socket_t socket) { accept(socket); }))
+    , m_address(m_port->address())
 { }
 
 FakeEngine::~FakeEngine() = default;
--- a/tests/gateway/standins.h
+++ b/tests/gateway/standins.h
@@ -68,13 +68,15 @@
     explicit FakeEngine(event_base *base);
     ~FakeEngine();
 
-    net::Address address() const { return m_port.address(); }
+    net::Address address() const { return m_address; }
     /// Sets the replies to the next requests, in order; the last one is repeated for all further requests.
     void willReply(std::deque<EngineReply> replies) { m_replies = std::move(replies); }
     /// Sets the reply to requests that resume a stream after an event.
     void willResumeWith(EngineReply reply) { m_resumeReply = std::move(reply); }
     /// Chooses the reply to each request; goes before the replies set otherwise.
     void willDecide(std::function<EngineReply(const http::Request &)> decide) { m_decide = std::move(decide); }
+    /// Refuses new connections from now on; those that are open live on.
+    void refuseConnections() { m_port.reset(); }
     /// All requests received so far.
     const std::vector<http::Request> &requests() const { return m_requests; }
     /// Number of open connections.
@@ -92,7 +94,8 @@
     std::function<EngineReply(const http::Request &)> m_decide;
     std::vector<http::Request> m_requests;
     std::map<Connection *, std::unique_ptr<Connection>> m_connections;
-    ListeningPort m_port;
+    std::unique_ptr<ListeningPort> m_port;
+    net::Address m_address;
 };
 
 /// A response as received by a caller.
