What callers get, by service: log event caller_results, counter, and ibisforkctl log cut-offs

The logs could not tell what callers of a node without a path to engines are served: lines of good answers are limited to ten a second. Nor did a line say how many nodes were asked before no_path. caller_results counts every request once a second and service; no_peer says how many nodes are known, left alone and tried; log cut-offs compares cut-off nodes with the others. No decision changes.

--- a/src/ctl/commandtable.cpp
+++ b/src/ctl/commandtable.cpp
@@ -8,6 +8,7 @@
 
 #include "ctl/configcommands.h"
 #include "ctl/fleetcommands.h"
+#include "ctl/logcutoffs.h"
 #include "ctl/logexplain.h"
 #include "ctl/nodecommands.h"
 #include "ctl/rolloutcommands.h"
@@ -22,7 +23,7 @@
     return exitcode::ok;
 }
 
-constexpr std::array<Command, 27> commands{{
+constexpr std::array<Command, 28> commands{{
     {"config", "check", "FILE", "check a fleet configuration", "config check fleet.yaml", configCheck},
     {"config", "apply", "FILE", "make it the fleet's", "config apply fleet.yaml --reason 'new engine'", configApply},
     {"config", "diff", "FILE", "rows that apply would change", "config diff fleet.yaml", configDiff},
@@ -66,6 +67,12 @@
      "the lines of a saved log that explain a request",
      "log explain 9c41 --log node.log",
      logExplain},
+    {"log",
+     "cut-offs",
+     "",
+     "what nodes without a path to engines served, beside the others",
+     "log cut-offs --log nodes.log",
+     logCutOffs},
     {"bills",
      "verify",
      "",
--- a/src/ctl/logexplain.cpp
+++ b/src/ctl/logexplain.cpp
@@ -5,24 +5,15 @@
 #include <iostream>
 #include <set>
 
+#include "ctl/logfields.h"
+
 namespace ibisfork::ctl {
 
 namespace {
 
-/// The value of @p key in a line of key=value pairs.
-std::string valueOf(const std::string &line, const std::string &key)
-{
-    const auto at = line.find(" " + key + "=");
-    if (at == std::string::npos) {
-        return {};
-    }
-    const auto from = at + key.size() + 2;
-    return line.substr(from, line.find(' ', from) - from);
-}
-
 bool isEngineState(const std::string &line)
 {
-    const auto event = valueOf(line, "event");
+    const auto event = logField(line, "event");
     return event == "engine" || event == "engine_unlisted" || event == "engine_gone";
 }
 
@@ -33,15 +24,15 @@
     std::vector<std::string> all;
     std::set<std::string> engines;
     for (std::string line; std::getline(log, line);) {
-        if (valueOf(line, "id") == id) {
-            engines.insert(valueOf(line, "engine"));
+        if (logField(line, "id") == id) {
+            engines.insert(logField(line, "engine"));
         }
         all.push_back(line);
     }
     engines.erase(std::string());
     std::vector<std::string> out;
     std::copy_if(all.begin(), all.end(), std::back_inserter(out), [&](const std::string &line) {
-        return valueOf(line, "id") == id || (isEngineState(line) && engines.contains(valueOf(line, "engine")));
+        return logField(line, "id") == id || (isEngineState(line) && engines.contains(logField(line, "engine")));
     });
     return out;
 }
--- a/src/gateway/context.cpp
+++ b/src/gateway/context.cpp
@@ -39,6 +39,7 @@
     , peerPool(eventBase, registry)
     , peers(random())
     , reserver(eventBase)
+    , results(registry)
 { }
 
 void Context::recordEngineUnreachable(const std::string &service, const std::string &engine)
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -9,6 +9,7 @@
 
 #include <ibisfork/base/metrics.h>
 
+#include "gateway/callerresults.h"
 #include "gateway/connectionpool.h"
 #include "gateway/crashtracker.h"
 #include "gateway/enginereach.h"
@@ -67,6 +68,7 @@
     ConnectionPool peerPool;
     PeerSelector peers;
     EngineReserver reserver;
+    CallerResults results;
     /// Called with an engine that has fallen silent: it may pause, or this node may have lost the path to it.
     std::function<void(const EngineEntry &)> checkPath;
     /// Called with each run that was lost before it had begun to be answered.
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -205,6 +205,8 @@
     void refuseNotRun(const char *reason, std::chrono::milliseconds retryAfter);
     void answerFailure(int status, const char *reason);
     void finish(const char *outcome, int status);
+    /// What the caller got; @p status: of the answer, 0 where it is not whole.
+    CallerResult resultWith(int status) const;
 
     void arm();
     base::Duration silenceBound() const;
@@ -271,6 +273,7 @@
     /// Runs that the node which the current attempt was forwarded to may use.
     unsigned m_peerRuns = 0;
     bool m_mayHaveRun = false;
+    bool m_hasCallerLeft = false;
     bool m_awaitsConfiguration = false;
     /// No engine takes the request now; it is sent again once one may.
     bool m_waitsForEngine = false;
--- a/src/gateway/exchangeend.cpp
+++ b/src/gateway/exchangeend.cpp
@@ -191,6 +191,7 @@
 
 void Exchange::onCallerLeft()
 {
+    m_hasCallerLeft = true;
     cancelAttempt();
     finish("caller_left", 0);
 }
@@ -202,6 +203,21 @@
     failRequest("node_stops");
 }
 
+CallerResult Exchange::resultWith(int status) const
+{
+    if (m_hasCallerLeft) {
+        return CallerResult::CallerLeft;
+    }
+    if (status >= http::status::firstSuccess && status < http::status::firstRedirect) {
+        return CallerResult::Served;
+    }
+    if (m_answer.isSigned && m_answer.status == status) {
+        return CallerResult::FailedAtEngine;
+    }
+    const bool isRefused = status == http::status::unavailable || status == http::status::tooManyRequests;
+    return isRefused ? CallerResult::Refused : CallerResult::Failed;
+}
+
 void Exchange::finish(const char *outcome, int status)
 {
     if (m_phase == Phase::Finished) {
@@ -215,6 +231,9 @@
     const auto route = m_route == nullptr ? std::string("-") : m_route->name;
     m_context.metrics.counter("ibisfork_requests_total", {{"route", route}, {"outcome", outcome}}).add();
     m_context.metrics.histogram("ibisfork_request_seconds", {{"route", route}}).observe(base::toSeconds(took));
+    if (m_origin == RequestOrigin::Caller && !m_service.empty()) {
+        m_context.results.record(m_service, resultWith(status));
+    }
     EventLog(status >= http::status::firstSuccess && status < http::status::firstRedirect ? Importance::Routine
                                                                                           : Importance::Failure,
              "request")
--- a/src/gateway/exchangeforward.cpp
+++ b/src/gateway/exchangeforward.cpp
@@ -42,8 +42,15 @@
     }
     const auto &node = m_context.settings.node;
     const PeerNode self{node.name, node.region, node.failureDomain, {}};
-    const auto peer = m_context.peers.choose(m_context.view.peersOf(node.name), self, m_triedPeers, now);
+    const auto known = m_context.view.peersOf(node.name);
+    const auto peer = m_context.peers.choose(known, self, m_triedPeers, now);
     if (!peer) {
+        EventLog::failure("no_peer")
+            .field("id", m_call.id)
+            .field("service", m_service)
+            .field("known", known.size())
+            .field("backed_off", m_context.peers.backedOff(known, now))
+            .field("tried", m_triedPeers.size());
         return false;
     }
     forwardTo(*peer);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -231,6 +231,7 @@
     m_rollouts.tick(now);
     m_crashes.tick(now);
     m_reachProbe.tick();
+    m_context.results.tick(now);
     if (ready() != m_wasReady) {
         m_wasReady = ready();
         EventLog::state("ready").field("ready", m_wasReady);
--- a/src/gateway/peerselector.cpp
+++ b/src/gateway/peerselector.cpp
@@ -20,10 +20,8 @@
     std::vector<const PeerNode *> near;
     std::vector<const PeerNode *> far;
     for (const auto &peer : peers) {
-        const auto backoff = m_backoffUntil.find(peer.name);
-        const bool backedOff = backoff != m_backoffUntil.end() && now < backoff->second;
         const bool wasTried = std::find(tried.begin(), tried.end(), peer.name) != tried.end();
-        if (backedOff || wasTried || !peer.forwarding || peer.region != self.region) {
+        if (isBackedOff(peer, now) || wasTried || !peer.forwarding || peer.region != self.region) {
             continue;
         }
         (peer.failureDomain == self.failureDomain ? near : far).push_back(&peer);
@@ -36,6 +34,19 @@
     return *eligible[draw(m_random)];
 }
 
+bool PeerSelector::isBackedOff(const PeerNode &peer, base::TimePoint now) const
+{
+    const auto backoff = m_backoffUntil.find(peer.name);
+    return backoff != m_backoffUntil.end() && now < backoff->second;
+}
+
+std::size_t PeerSelector::backedOff(const std::vector<PeerNode> &peers, base::TimePoint now) const
+{
+    const auto count
+        = std::count_if(peers.begin(), peers.end(), [&](const PeerNode &peer) { return isBackedOff(peer, now); });
+    return static_cast<std::size_t>(count);
+}
+
 void PeerSelector::recordRefused(const std::string &peer, base::TimePoint now)
 {
     m_backoffUntil[peer] = now + refusedBackoff;
--- a/src/gateway/peerselector.h
+++ b/src/gateway/peerselector.h
@@ -26,12 +26,16 @@
                                    const PeerNode &self,
                                    const std::vector<std::string> &tried,
                                    base::TimePoint now);
+    /// How many of @p peers are left alone now since they refused or failed.
+    std::size_t backedOff(const std::vector<PeerNode> &peers, base::TimePoint now) const;
     /// Records that @p peer can't serve requests of @p service at present.
     void recordRefused(const std::string &peer, base::TimePoint now);
     /// Records that @p peer did not answer.
     void recordFailed(const std::string &peer, base::TimePoint now);
 
 private:
+    bool isBackedOff(const PeerNode &peer, base::TimePoint now) const;
+
     std::mt19937_64 m_random;
     std::map<std::string, base::TimePoint> m_backoffUntil;
 };
