--- a/soak/nodeprocess.h
+++ b/soak/nodeprocess.h
@@ -37,7 +37,7 @@
     /// Addresses that the process has said it listens on; false before it has.
     bool readAddresses();
 
-    FaultProxy &storeLink() { return m_store; }
+    gateway::test::FaultProxy &storeLink() { return m_store; }
     const std::string &domain() const { return m_domain; }
     const net::Address &callers() const { return m_callers; }
     const net::Address &readiness() const { return m_readiness; }
@@ -49,7 +49,7 @@
 private:
     void writeSettings() const;
 
-    FaultProxy m_store;
+    gateway::test::FaultProxy m_store;
     std::string m_folder;
     std::string m_name;
     std::string m_domain;
--- a/soak/world.cpp
+++ b/soak/world.cpp
@@ -91,7 +91,7 @@
     auto &slot = m_engines[index];
     const EngineIdentity identity{id, service, fmt::format("d{}", index % domains), born};
     slot.engine = std::make_unique<SoakEngine>(m_base.get(), m_ledger, identity);
-    slot.link = std::make_unique<FaultProxy>(m_base.get(), slot.engine->address());
+    slot.link = std::make_unique<gateway::test::FaultProxy>(m_base.get(), slot.engine->address());
     slot.state = "ready";
     list(slot);
 }
--- a/soak/world.h
+++ b/soak/world.h
@@ -51,7 +51,7 @@
     struct EngineSlot
     {
         std::unique_ptr<SoakEngine> engine;
-        std::unique_ptr<FaultProxy> link;
+        std::unique_ptr<gateway::test::FaultProxy> link;
         std::string state = "ready";
         unsigned heartbeats = 0;
     };
--- a/soak/worldfaults.cpp
+++ b/soak/worldfaults.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 using namespace std::chrono_literals;
+using gateway::test::LinkMode;
 using gateway::test::StoreMode;
 
 constexpr auto nodeRestart = 400ms;
--- a/soak/faultproxy.cpp
+++ b/tests/gateway/faultproxy.cpp
@@ -9,7 +9,7 @@
 
 #include "net/deletelater.h"
 
-namespace ibisfork::soak {
+namespace ibisfork::gateway::test {
 
 namespace {
 
@@ -80,6 +80,8 @@
         auto &link = *static_cast<Link *>(self);
         if (link.m_mode == LinkMode::Delayed) {
             link.m_later.startOnce(linkDelay);
+        } else if (link.m_mode == LinkMode::Resetting) {
+            link.reset();
         } else {
             link.passBoth();
         }
@@ -140,11 +142,48 @@
 FaultProxy::FaultProxy(event_base *base, const net::Address &target)
     : m_base(base)
     , m_target(target)
-    , m_port(base, {"127.0.0.1", 0}, [this](evutil_socket_t socket) { accept(socket); })
-{ }
+{
+    listen();
+}
 
 FaultProxy::~FaultProxy() = default;
 
+void FaultProxy::listen()
+{
+    m_port = std::make_unique<ListeningPort>(m_base, m_address, [this](evutil_socket_t socket) { accept(socket); });
+    m_address = m_port->address();
+}
+
+void FaultProxy::cut(PathCut cut)
+{
+    switch (cut) {
+    case PathCut::Silent:
+    case PathCut::OneWay:
+        setMode(cut == PathCut::Silent ? LinkMode::Silent : LinkMode::OneWay);
+        m_port.reset();
+        m_hangingPort = std::make_unique<HangingPort>(m_address);
+        return;
+    case PathCut::Reset:
+        setMode(LinkMode::Resetting);
+        m_port.reset();
+        m_refusingPort = std::make_unique<RefusingPort>(m_address);
+        return;
+    case PathCut::Lossy:
+        setMode(LinkMode::Delayed);
+        return;
+    }
+}
+
+void FaultProxy::heal()
+{
+    m_hangingPort.reset();
+    if (!m_port) {
+        listen();
+    }
+    m_refusingPort.reset();
+    setMode(LinkMode::Passing);
+}
+
 void FaultProxy::accept(evutil_socket_t socket)
 {
     auto link = std::make_unique<Link>(*this, socket);
@@ -181,4 +220,4 @@
     }
 }
 
-} // namespace ibisfork::soak
+} // namespace ibisfork::gateway::test
--- a/tests/gateway/stoppedport.h
+++ b/tests/gateway/stoppedport.h
@@ -27,7 +27,6 @@
 private:
     static void onAcceptable(evutil_socket_t, short, void *self);
     static void onReadable(evutil_socket_t socket, short, void *self);
-    void fillQueue();
 
     event_base *m_base;
     evutil_socket_t m_listener;
