A node that refuses for one service is asked for the others

Cause: PeerSelector kept what it knew of a node by node alone. A node that lacks the path to one service refused, and was left alone for all services for a second; with two services that draw their nodes apart nobody was left to ask. A failed request, for example one at its limit, also took a node out for two seconds.

Change: refusals and failures are kept by node and service; a node that stops or has no configuration says that its refusal is of the node; a node with another configuration is passed over for this request alone; nodes that have failed lately are asked if there is no other, since a failure says less than a refusal.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -88,7 +88,7 @@
     }
     m_deadline = std::min<base::TimePoint>(m_deadline, m_start + m_route->timeout);
     if (mayOutlastNode()) {
-        refuseNotRun("node_stops", retryAfterFull);
+        refuseNotRun("node_stops", retryAfterFull, RefusalScope::Node);
         return;
     }
     std::uint32_t total = 0;
@@ -127,7 +127,7 @@
     const auto now = base::monotonicNow();
     const auto latest = std::min<base::TimePoint>(m_start + configurationTimeout, m_deadline - minAttemptTime);
     if (now >= latest) {
-        refuseNotRun("no_configuration", retryAfterNoEngine);
+        refuseNotRun("no_configuration", retryAfterNoEngine, RefusalScope::Node);
         return;
     }
     m_retryAt = now + configurationPollInterval;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -118,12 +118,15 @@
     /// Passes the buffered answer of another node on, unless the answer has begun as a stream.
     void endWithPeerAnswer(const char *outcome);
     void handleFailedPeer(const FailedAttempt &miss);
+    void recordPeerFailure(EngineFault fault);
     /// Ends the attempt at another node.
     void leavePeer(const char *outcome);
+    /// As above, and tries the next node or engine.
+    void leaveRefusingPeer(const char *reason);
     /// Tries the next node or engine after a node where the request did not run.
     void dispatchAgain(const char *reason);
     /// Tells the node that forwarded the request to try another one.
-    void refuseForwarded(const char *reason);
+    void refuseForwarded(const char *reason, RefusalScope scope);
     base::Duration peerSilenceBound(base::Duration engineBound) const;
 
     void onHead(const http::ResponseHead &head);
@@ -201,8 +204,8 @@
     /// Ends the request: refused if it has not run, broken off if its answer has begun.
     void failRequest(const char *reason);
     void refuse(int status, const char *reason, std::chrono::milliseconds retryAfter);
-    /// Refuses a request that has not run here.
-    void refuseNotRun(const char *reason, std::chrono::milliseconds retryAfter);
+    /// Refuses a request that has not run here. @p scope: what a node that forwarded it need not ask for here.
+    void refuseNotRun(const char *reason, std::chrono::milliseconds retryAfter, RefusalScope scope);
     void answerFailure(int status, const char *reason);
     void finish(const char *outcome, int status);
     /// What the caller got; @p status: of the answer, 0 where it is not whole.
--- a/src/gateway/exchangeend.cpp
+++ b/src/gateway/exchangeend.cpp
@@ -160,16 +160,16 @@
     }
     const auto retryAfter = m_tried.empty() ? retryAfterNoEngine : retryAfterFull;
     if (m_context.reach.isCutOff(m_service)) {
-        refuseNotRun(reason, retryAfter);
+        refuseNotRun(reason, retryAfter, RefusalScope::Service);
     } else {
         refuse(http::status::unavailable, reason, retryAfter);
     }
 }
 
-void Exchange::refuseNotRun(const char *reason, std::chrono::milliseconds retryAfter)
+void Exchange::refuseNotRun(const char *reason, std::chrono::milliseconds retryAfter, RefusalScope scope)
 {
     if (m_origin == RequestOrigin::Peer) {
-        refuseForwarded(reason);
+        refuseForwarded(reason, scope);
     } else {
         refuse(http::status::unavailable, reason, retryAfter);
     }
--- a/src/gateway/exchangeforward.cpp
+++ b/src/gateway/exchangeforward.cpp
@@ -43,13 +43,13 @@
     const auto &node = m_context.settings.node;
     const PeerNode self{node.name, node.region, node.failureDomain, {}};
     const auto known = m_context.view.peersOf(node.name);
-    const auto peer = m_context.peers.choose(known, self, m_triedPeers, now);
+    const auto peer = m_context.peers.choose(known, self, m_service, m_triedPeers, now);
     if (!peer) {
         EventLog::failure("no_peer")
             .field("id", m_call.id)
             .field("service", m_service)
             .field("known", known.size())
-            .field("backed_off", m_context.peers.backedOff(known, now))
+            .field("refusing", m_context.peers.refusing(known, m_service, now))
             .field("tried", m_triedPeers.size());
         return false;
     }
@@ -81,7 +81,7 @@
 
 void Exchange::onPeerHead()
 {
-    if (isForwardRefusal(m_answerHead.headers)) {
+    if (readForwardRefusal(m_answerHead.headers)) {
         return;
     }
     if (!headIsUsable()) {
@@ -97,10 +97,16 @@
 void Exchange::onPeerComplete()
 {
     switch (classifyPeerAnswer(m_answer, m_answerHead.headers)) {
-    case PeerAnswer::CannotServe:
-        m_context.peers.recordRefused(m_peer->name, base::monotonicNow());
-        leavePeer("refused");
-        dispatchAgain("no_path");
+    case PeerAnswer::NoPath:
+        m_context.peers.recordRefused(m_peer->name, m_service, base::monotonicNow());
+        leaveRefusingPeer("no_path");
+        return;
+    case PeerAnswer::TakesNothing:
+        m_context.peers.recordRefusedAll(m_peer->name, base::monotonicNow());
+        leaveRefusingPeer("peer_refused");
+        return;
+    case PeerAnswer::OtherConfiguration:
+        leaveRefusingPeer("peer_refused");
         return;
     case PeerAnswer::NotRun:
         onPeerNotRun();
@@ -129,8 +135,7 @@
         endWithPeerAnswer("peer_failed");
         return;
     }
-    leavePeer("refused");
-    dispatchAgain("peer_refused");
+    leaveRefusingPeer("peer_refused");
 }
 
 void Exchange::retryAfterPeer()
@@ -162,7 +167,7 @@
         .field("reason", miss.reason)
         .field("may_have_run", miss.mayHaveRun)
         .field("after_ms", base::toMilliseconds(base::monotonicNow() - m_sentAt));
-    m_context.peers.recordFailed(m_peer->name, base::monotonicNow());
+    recordPeerFailure(miss.fault);
     if (m_connection && !m_connection->reusable()) {
         m_connection->abandon();
     }
@@ -179,6 +184,16 @@
     dispatchOrFail(miss);
 }
 
+void Exchange::recordPeerFailure(EngineFault fault)
+{
+    const auto now = base::monotonicNow();
+    if (fault == EngineFault::Unreachable || fault == EngineFault::Lost) {
+        m_context.peers.recordUnreachable(m_peer->name, now);
+    } else {
+        m_context.peers.recordFailed(m_peer->name, m_service, now);
+    }
+}
+
 void Exchange::leavePeer(const char *outcome)
 {
     m_context.metrics.counter("ibisfork_forwarded_requests_total", {{"outcome", outcome}}).add();
@@ -186,6 +201,12 @@
     m_phase = Phase::Waiting;
 }
 
+void Exchange::leaveRefusingPeer(const char *reason)
+{
+    leavePeer("refused");
+    dispatchAgain(reason);
+}
+
 void Exchange::dispatchAgain(const char *reason)
 {
     // The request did not run at the last node, so its charge still holds.
@@ -195,10 +216,10 @@
     dispatch();
 }
 
-void Exchange::refuseForwarded(const char *reason)
+void Exchange::refuseForwarded(const char *reason, RefusalScope scope)
 {
     http::HeaderList headers;
-    addForwardRefusal(headers);
+    addForwardRefusal(headers, scope);
     m_caller.sendAnswer(http::status::unavailable, headers, {}, m_context.stopping);
     finish(reason, http::status::unavailable);
 }
--- a/src/gateway/forwardheaders.cpp
+++ b/src/gateway/forwardheaders.cpp
@@ -1,8 +1,11 @@
 #include "gateway/forwardheaders.h"
 
+#include <array>
 #include <charconv>
 #include <string>
 
+#include <ibisfork/base/names.h>
+
 namespace ibisfork::gateway {
 
 namespace {
@@ -15,6 +18,11 @@
 /// Value: start time in milliseconds, space, engine id.
 constexpr const char *leavingEngineHeader = "Forward-Engine-Leaving";
 
+constexpr std::array<base::Name<RefusalScope>, 2> refusalScopeNames{{
+    {RefusalScope::Service, "service"},
+    {RefusalScope::Node, "node"},
+}};
+
 bool concernsNodes(std::string_view name)
 {
     return http::equalNames(name.substr(0, headerPrefix.size()), headerPrefix);
@@ -44,14 +52,18 @@
     return state;
 }
 
-void addForwardRefusal(http::HeaderList &headers)
+void addForwardRefusal(http::HeaderList &headers, RefusalScope scope)
 {
-    headers.add(refusedHeader, "1");
+    headers.add(refusedHeader, std::string(base::nameOf(refusalScopeNames, scope)));
 }
 
-bool isForwardRefusal(const http::HeaderList &headers)
+std::optional<RefusalScope> readForwardRefusal(const http::HeaderList &headers)
 {
-    return headers.find(refusedHeader).has_value();
+    const auto value = headers.find(refusedHeader);
+    if (!value) {
+        return std::nullopt;
+    }
+    return base::valueOf(refusalScopeNames, *value).value_or(RefusalScope::Service);
 }
 
 void addLeavingEngine(http::HeaderList &headers, const EngineProcess &engine)
--- a/src/gateway/forwardheaders.h
+++ b/src/gateway/forwardheaders.h
@@ -20,9 +20,16 @@
 /// Returns nullopt if the headers are missing or invalid.
 std::optional<ForwardState> readForwardState(const http::HeaderList &headers);
 
+/// What a node that refuses a forwarded request would refuse as well.
+enum class RefusalScope {
+    Service, ///< All requests of the same service: it has no path to the engines.
+    Node, ///< All requests.
+};
+
 /// Marks an answer that tells the forwarding node to try another one: the request has not run here and will not.
-void addForwardRefusal(http::HeaderList &headers);
-bool isForwardRefusal(const http::HeaderList &headers);
+void addForwardRefusal(http::HeaderList &headers, RefusalScope scope);
+/// Returns nullopt if the answer is none. Earlier builds don't say the scope; it is the service then.
+std::optional<RefusalScope> readForwardRefusal(const http::HeaderList &headers);
 
 /// Names the engine that has said in the forwarded answer that it leaves.
 void addLeavingEngine(http::HeaderList &headers, const EngineProcess &engine);
--- a/src/gateway/peeranswer.cpp
+++ b/src/gateway/peeranswer.cpp
@@ -15,7 +15,7 @@
     case http::status::bodyTooLarge:
     case http::status::headTooLarge:
         // The forwarding node has admitted the request, so a node that does not has another configuration.
-        return PeerAnswer::CannotServe;
+        return PeerAnswer::OtherConfiguration;
     case http::status::unavailable:
     case http::status::tooManyRequests:
         return PeerAnswer::NotRun;
@@ -30,8 +30,8 @@
 
 PeerAnswer classifyPeerAnswer(const EngineAnswer &answer, const http::HeaderList &headers)
 {
-    if (isForwardRefusal(headers)) {
-        return PeerAnswer::CannotServe;
+    if (const auto scope = readForwardRefusal(headers)) {
+        return *scope == RefusalScope::Node ? PeerAnswer::TakesNothing : PeerAnswer::NoPath;
     }
     if (answer.isStream()) {
         return PeerAnswer::Stream;
--- a/src/gateway/peeranswer.h
+++ b/src/gateway/peeranswer.h
@@ -6,7 +6,9 @@
 
 /// What the complete answer of a node says about the request that was forwarded to it.
 enum class PeerAnswer {
-    CannotServe, ///< The request has not run, and this node won't serve it: another one may.
+    NoPath, ///< The request has not run: the node does not reach the engines of its service.
+    TakesNothing, ///< The request has not run: the node takes no requests.
+    OtherConfiguration, ///< The request has not run: the configuration of the node does not allow it.
     NotRun, ///< The request has not run; the node or its engines take no more for the moment.
     Stream, ///< The stream, or what was missing of it.
     Signed, ///< A buffered answer, signed by the engine.
--- a/src/gateway/peerselector.cpp
+++ b/src/gateway/peerselector.cpp
@@ -12,49 +12,79 @@
 
 } // namespace
 
+bool PeerSelector::Backoff::isActive(const std::string &service, base::TimePoint now) const
+{
+    const auto found = byService.find(service);
+    return now < ofNode || (found != byService.end() && now < found->second);
+}
+
+bool PeerSelector::isActive(const Backoffs &backoffs,
+                            const std::string &peer,
+                            const std::string &service,
+                            base::TimePoint now)
+{
+    const auto found = backoffs.find(peer);
+    return found != backoffs.end() && found->second.isActive(service, now);
+}
+
 std::optional<PeerNode> PeerSelector::choose(const std::vector<PeerNode> &peers,
                                              const PeerNode &self,
+                                             const std::string &service,
                                              const std::vector<std::string> &tried,
                                              base::TimePoint now)
 {
     std::vector<const PeerNode *> near;
     std::vector<const PeerNode *> far;
+    std::vector<const PeerNode *> failed;
     for (const auto &peer : peers) {
         const bool wasTried = std::find(tried.begin(), tried.end(), peer.name) != tried.end();
-        if (isBackedOff(peer, now) || wasTried || !peer.forwarding || peer.region != self.region) {
+        if (wasTried || !peer.forwarding || peer.region != self.region
+            || isActive(m_refusals, peer.name, service, now)) {
             continue;
         }
-        (peer.failureDomain == self.failureDomain ? near : far).push_back(&peer);
+        if (isActive(m_failures, peer.name, service, now)) {
+            failed.push_back(&peer);
+        } else {
+            (peer.failureDomain == self.failureDomain ? near : far).push_back(&peer);
+        }
     }
-    const auto &eligible = near.empty() ? far : near;
-    if (eligible.empty()) {
-        return std::nullopt;
+    for (const auto *eligible : {&near, &far, &failed}) {
+        if (!eligible->empty()) {
+            std::uniform_int_distribution<std::size_t> draw(0, eligible->size() - 1);
+            return *(*eligible)[draw(m_random)];
+        }
     }
-    std::uniform_int_distribution<std::size_t> draw(0, eligible.size() - 1);
-    return *eligible[draw(m_random)];
+    return std::nullopt;
 }
 
-bool PeerSelector::isBackedOff(const PeerNode &peer, base::TimePoint now) const
+std::size_t PeerSelector::refusing(const std::vector<PeerNode> &peers,
+                                   const std::string &service,
+                                   base::TimePoint now) const
 {
-    const auto backoff = m_backoffUntil.find(peer.name);
-    return backoff != m_backoffUntil.end() && now < backoff->second;
+    const auto count = std::count_if(peers.begin(), peers.end(), [&](const PeerNode &peer) {
+        return isActive(m_refusals, peer.name, service, now);
+    });
+    return static_cast<std::size_t>(count);
 }
 
-std::size_t PeerSelector::backedOff(const std::vector<PeerNode> &peers, base::TimePoint now) const
+void PeerSelector::recordRefused(const std::string &peer, const std::string &service, base::TimePoint now)
 {
-    const auto count
-        = std::count_if(peers.begin(), peers.end(), [&](const PeerNode &peer) { return isBackedOff(peer, now); });
-    return static_cast<std::size_t>(count);
+    m_refusals[peer].byService[service] = now + refusedBackoff;
+}
+
+void PeerSelector::recordRefusedAll(const std::string &peer, base::TimePoint now)
+{
+    m_refusals[peer].ofNode = now + refusedBackoff;
 }
 
-void PeerSelector::recordRefused(const std::string &peer, base::TimePoint now)
+void PeerSelector::recordFailed(const std::string &peer, const std::string &service, base::TimePoint now)
 {
-    m_backoffUntil[peer] = now + refusedBackoff;
+    m_failures[peer].byService[service] = now + failedBackoff;
 }
 
-void PeerSelector::recordFailed(const std::string &peer, base::TimePoint now)
+void PeerSelector::recordUnreachable(const std::string &peer, base::TimePoint now)
 {
-    m_backoffUntil[peer] = now + failedBackoff;
+    m_failures[peer].ofNode = now + failedBackoff;
 }
 
 } // namespace ibisfork::gateway
--- a/src/gateway/peerselector.h
+++ b/src/gateway/peerselector.h
@@ -20,24 +20,46 @@
         : m_random(seed)
     { }
 
-    /// Returns a node of @p region that accepts forwarded requests, is not in @p tried and has not failed or refused
-    /// one lately; nodes of @p failureDomain go first. Returns nullopt if there is none.
+    /// Returns a node of the region of @p self that accepts forwarded requests, is not in @p tried and has not refused
+    /// one of @p service lately; nodes of the same failure domain go first. Nodes that have failed lately are returned
+    /// only if there is no other. Returns nullopt if there is none.
     std::optional<PeerNode> choose(const std::vector<PeerNode> &peers,
                                    const PeerNode &self,
+                                   const std::string &service,
                                    const std::vector<std::string> &tried,
                                    base::TimePoint now);
-    /// How many of @p peers are left alone now since they refused or failed.
-    std::size_t backedOff(const std::vector<PeerNode> &peers, base::TimePoint now) const;
+    /// How many of @p peers are not asked for @p service now since they have refused it.
+    std::size_t refusing(const std::vector<PeerNode> &peers, const std::string &service, base::TimePoint now) const;
+
     /// Records that @p peer can't serve requests of @p service at present.
-    void recordRefused(const std::string &peer, base::TimePoint now);
-    /// Records that @p peer did not answer.
-    void recordFailed(const std::string &peer, base::TimePoint now);
+    void recordRefused(const std::string &peer, const std::string &service, base::TimePoint now);
+    /// Records that @p peer takes no requests at present.
+    void recordRefusedAll(const std::string &peer, base::TimePoint now);
+    /// Records that a request of @p service has failed at @p peer.
+    void recordFailed(const std::string &peer, const std::string &service, base::TimePoint now);
+    /// Records that @p peer could not be reached.
+    void recordUnreachable(const std::string &peer, base::TimePoint now);
 
 private:
-    bool isBackedOff(const PeerNode &peer, base::TimePoint now) const;
+    /// How long a node is left alone, for all services or for one.
+    struct Backoff
+    {
+        base::TimePoint ofNode{};
+        std::map<std::string, base::TimePoint> byService;
+
+        bool isActive(const std::string &service, base::TimePoint now) const;
+    };
+    using Backoffs = std::map<std::string, Backoff>;
+
+    static bool isActive(const Backoffs &backoffs,
+                         const std::string &peer,
+                         const std::string &service,
+                         base::TimePoint now);
 
     std::mt19937_64 m_random;
-    std::map<std::string, base::TimePoint> m_backoffUntil;
+    /// By node.
+    Backoffs m_refusals;
+    Backoffs m_failures;
 };
 
 } // namespace ibisfork::gateway
--- a/tests/gateway/forwardheaders_test.cpp
+++ b/tests/gateway/forwardheaders_test.cpp
@@ -29,14 +29,26 @@
     http::HeaderList headers;
     headers.add("X-Own", "1");
     addForwardState(headers, {1, false});
-    addForwardRefusal(headers);
-    EXPECT_TRUE(isForwardRefusal(headers));
+    addForwardRefusal(headers, RefusalScope::Service);
+    EXPECT_TRUE(readForwardRefusal(headers));
     const auto left = withoutForwardHeaders(headers);
-    EXPECT_FALSE(isForwardRefusal(left));
+    EXPECT_FALSE(readForwardRefusal(left));
     EXPECT_FALSE(readForwardState(left));
     EXPECT_EQ(left.find("X-Own"), "1");
 }
 
+TEST(ForwardHeadersTest, refusal_isReadBackWithItsScope_thatOfAnEarlierBuildIsOfTheService)
+{
+    for (const auto scope : {RefusalScope::Service, RefusalScope::Node}) {
+        http::HeaderList headers;
+        addForwardRefusal(headers, scope);
+        EXPECT_EQ(readForwardRefusal(headers), scope);
+    }
+    http::HeaderList earlier;
+    earlier.add("Forward-Refused", "1");
+    EXPECT_EQ(readForwardRefusal(earlier), RefusalScope::Service);
+}
+
 TEST(NodeRowTest, forwardingAddress_isReadBack_andMayBeMissing)
 {
     PeerNode node{"n1", "r1", "d1", {"10.0.0.1", 1}, net::Address{"10.0.0.1", 2}};
--- a/tests/gateway/peeranswer_test.cpp
+++ b/tests/gateway/peeranswer_test.cpp
@@ -33,30 +33,35 @@
 
     static PeerAnswer classify(const EngineAnswer &answer) { return classifyPeerAnswer(answer, {}); }
 
-    static PeerAnswer classifyRefusal(const EngineAnswer &answer)
+    static PeerAnswer classifyRefusal(const EngineAnswer &answer, RefusalScope scope = RefusalScope::Service)
     {
         http::HeaderList headers;
-        addForwardRefusal(headers);
+        addForwardRefusal(headers, scope);
         return classifyPeerAnswer(answer, headers);
     }
 };
 
-TEST_F(PeerAnswerClassTest, markedAsRefusal_cannotServe)
+TEST_F(PeerAnswerClassTest, markedAsRefusalOfTheService_hasNoPath)
 {
-    EXPECT_EQ(classifyRefusal(answer(http::status::unavailable)), PeerAnswer::CannotServe);
+    EXPECT_EQ(classifyRefusal(answer(http::status::unavailable)), PeerAnswer::NoPath);
+}
+
+TEST_F(PeerAnswerClassTest, markedAsRefusalOfTheNode_takesNothing)
+{
+    EXPECT_EQ(classifyRefusal(answer(http::status::unavailable), RefusalScope::Node), PeerAnswer::TakesNothing);
 }
 
 TEST_F(PeerAnswerClassTest, markedAsRefusal_goesBeforeSignatureAndStream)
 {
-    EXPECT_EQ(classifyRefusal(answer(http::status::ok, true)), PeerAnswer::CannotServe);
-    EXPECT_EQ(classifyRefusal(stream(http::status::ok, true)), PeerAnswer::CannotServe);
+    EXPECT_EQ(classifyRefusal(answer(http::status::ok, true)), PeerAnswer::NoPath);
+    EXPECT_EQ(classifyRefusal(stream(http::status::ok, true)), PeerAnswer::NoPath);
 }
 
-TEST_F(PeerAnswerClassTest, unsignedStatusOfARequestNotAdmitted_cannotServe)
+TEST_F(PeerAnswerClassTest, unsignedStatusOfARequestNotAdmitted_isOfAnotherConfiguration)
 {
     for (const int status :
          {http::status::unauthorized, http::status::notFound, http::status::bodyTooLarge, http::status::headTooLarge}) {
-        EXPECT_EQ(classify(answer(status)), PeerAnswer::CannotServe) << status;
+        EXPECT_EQ(classify(answer(status)), PeerAnswer::OtherConfiguration) << status;
     }
 }
 
--- a/tests/gateway/peerselector_test.cpp
+++ b/tests/gateway/peerselector_test.cpp
@@ -19,11 +19,13 @@
     static base::TimePoint at(base::Duration after) { return base::TimePoint(1000s) + after; }
 
     /// Names of the nodes chosen in many draws; "-" if none was.
-    std::string chosen(base::Duration after = 0s, const std::vector<std::string> &tried = {})
+    std::string chosen(base::Duration after = 0s,
+                       const std::vector<std::string> &tried = {},
+                       const std::string &service = "s")
     {
         std::set<std::string> names;
         for (int i = 0; i < 100; ++i) {
-            const auto found = m_selector.choose(m_peers, m_self, tried, at(after));
+            const auto found = m_selector.choose(m_peers, m_self, service, tried, at(after));
             names.insert(found ? found->name : "-");
         }
         std::string text;
@@ -51,18 +53,57 @@
 
 TEST_F(PeerSelectorTest, nodeThatRefused_isLeftAloneForAWhile)
 {
-    m_selector.recordRefused("a", at(0s));
+    m_selector.recordRefused("a", "s", at(0s));
     EXPECT_EQ(chosen(900ms), "b");
     EXPECT_EQ(chosen(1s), "ab");
 }
 
+TEST_F(PeerSelectorTest, nodeThatRefusedOneService_isChosenForAnother)
+{
+    for (const auto &peer : m_peers) {
+        m_selector.recordRefused(peer.name, "s", at(0s));
+    }
+    EXPECT_EQ(chosen(900ms), "-");
+    EXPECT_EQ(chosen(900ms, {}, "t"), "ab");
+    EXPECT_EQ(m_selector.refusing(m_peers, "s", at(900ms)), m_peers.size());
+    EXPECT_EQ(m_selector.refusing(m_peers, "t", at(900ms)), 0U);
+}
+
+TEST_F(PeerSelectorTest, nodeThatTakesNothing_isLeftAloneForAllServices)
+{
+    m_selector.recordRefusedAll("a", at(0s));
+    EXPECT_EQ(chosen(900ms), "b");
+    EXPECT_EQ(chosen(900ms, {}, "t"), "b");
+    EXPECT_EQ(chosen(1s), "ab");
+}
+
 TEST_F(PeerSelectorTest, nodeThatFailed_isLeftAloneForLonger)
 {
-    m_selector.recordFailed("a", at(0s));
+    m_selector.recordFailed("a", "s", at(0s));
     EXPECT_EQ(chosen(1900ms), "b");
+    EXPECT_EQ(chosen(1900ms, {}, "t"), "ab");
     EXPECT_EQ(chosen(2s), "ab");
 }
 
+TEST_F(PeerSelectorTest, nodeThatCouldNotBeReached_isLeftAloneForAllServices)
+{
+    m_selector.recordUnreachable("a", at(0s));
+    EXPECT_EQ(chosen(1900ms), "b");
+    EXPECT_EQ(chosen(1900ms, {}, "t"), "b");
+    EXPECT_EQ(chosen(2s), "ab");
+}
+
+TEST_F(PeerSelectorTest, allNodesHaveFailed_oneOfThemIsChosenAllTheSame)
+{
+    for (const auto *name : {"a", "b", "c"}) {
+        m_selector.recordFailed(name, "s", at(0s));
+    }
+    EXPECT_EQ(chosen(100ms), "abc");
+    EXPECT_EQ(chosen(100ms, {"a", "b"}), "c");
+    m_selector.recordRefused("c", "s", at(0s));
+    EXPECT_EQ(chosen(100ms), "ab");
+}
+
 TEST_F(PeerSelectorTest, nodeOfAnEarlierVersion_acceptsNoForwardedRequests)
 {
     m_peers = {peer("a", "d1")};
