An attempt that reached no engine is no resend

Cause: the second attempt of a request was charged to the resend budget also if the first had not been connected. Nothing had arrived, so the second was the first arrival, but a few seconds of a cut used the budget up, and every request then ended with its first failed connection. Ruled out: too little time left (17 s), engines at limits (9 candidates).

Change: the first attempt that reaches an engine is free, whichever that is. A refusal by another node's engines is an arrival and is no longer carried over.

--- a/src/gateway/exchangeforward.cpp
+++ b/src/gateway/exchangeforward.cpp
@@ -135,7 +135,11 @@
         endWithPeerAnswer("peer_failed");
         return;
     }
-    leaveRefusingPeer("peer_refused");
+    // An engine may have turned it away there, which counts as an arrival.
+    leavePeer("refused");
+    --m_runs;
+    m_lastReason = "peer_refused";
+    dispatchOrFail({EngineFault::Full, false, m_lastReason});
 }
 
 void Exchange::retryAfterPeer()
--- a/src/gateway/resendcharge.cpp
+++ b/src/gateway/resendcharge.cpp
@@ -12,7 +12,8 @@
 
 void ResendCharge::beginAttempt()
 {
-    m_isCurrentCharged = std::exchange(m_isNextCharged, false);
+    const bool isFree = std::exchange(m_isFirstFree, false);
+    m_isCurrentCharged = std::exchange(m_isNextCharged, false) || isFree;
 }
 
 void ResendCharge::carryOver()
--- a/src/gateway/resendcharge.h
+++ b/src/gateway/resendcharge.h
@@ -7,7 +7,7 @@
 namespace ibisfork::gateway {
 
 /// What of the resend budget one request has been charged: at most one retry for the current attempt, and one for the
-/// next.
+/// next. The first attempt that reaches an engine is free.
 class ResendCharge
 {
 public:
@@ -16,10 +16,11 @@
     bool chargeNext(ResendBudget &budget, const std::string &service, unsigned nodes, base::TimePoint now);
     /// The next attempt becomes the current one.
     void beginAttempt();
-    /// The current attempt has not run, so the next one uses its charge.
+    /// The current attempt has reached no engine, so the next one takes its place.
     void carryOver();
 
 private:
+    bool m_isFirstFree = true;
     bool m_isNextCharged = false;
     bool m_isCurrentCharged = false;
 };
