A node that could not reach engines says so to the node that forwarded the request

Cause: a node answered a forwarded request like one of a caller unless it already took itself for cut off; its 503 is then final for the node that forwarded it. One that is cut off and doesn't know it yet, or that still reaches one engine, ended the request.

Change: a node that has met two engines out of reach for a forwarded request refuses it, as not run, and a refusal after any engine out of reach is marked too; so is one that only its own suspicion of cold engines holds back. The mark says that it concerns this request, so the node is asked last for the service, not left alone.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -194,6 +194,10 @@
         waitOrFail("no_path");
         return;
     }
+    if (m_unreachableEngines >= unreachableEnginesToForward && mayRefuseForwarded()) {
+        refuseForwarded("no_path", RefusalScope::Request);
+        return;
+    }
     const auto placement = place(now);
     if (placement.engine == nullptr) {
         noEngine(placement);
@@ -248,6 +252,10 @@
         return;
     }
     const bool isTimeKnown = m_tried.empty() || placement.areAllHeld;
+    if (isSuspicion && mayRefuseForwarded()) {
+        refuseForwarded("engines_at_limit", RefusalScope::Request);
+        return;
+    }
     if (held && held->starts != nullptr && isTimeKnown && !m_mayHaveRun) {
         refuseForHold(*held);
         return;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -108,6 +108,8 @@
     /// Hands the request to another node that may reach the engines. Returns false if there is none, or if the request
     /// must not be forwarded: it came from another node, or may have run and can't be repeated.
     bool tryForward();
+    /// True if another node has forwarded the request, and may try a third one, since the request has not run here.
+    bool mayRefuseForwarded() const;
     void forwardTo(const PeerNode &peer);
     void onPeerHead();
     void onPeerComplete();
--- a/src/gateway/exchangeend.cpp
+++ b/src/gateway/exchangeend.cpp
@@ -161,6 +161,8 @@
     const auto retryAfter = m_tried.empty() ? retryAfterNoEngine : retryAfterFull;
     if (m_context.reach.isCutOff(m_service)) {
         refuseNotRun(reason, retryAfter, RefusalScope::Service);
+    } else if (m_unreachableEngines > 0) {
+        refuseNotRun(reason, retryAfter, RefusalScope::Request);
     } else {
         refuse(http::status::unavailable, reason, retryAfter);
     }
--- a/src/gateway/exchangeforward.cpp
+++ b/src/gateway/exchangeforward.cpp
@@ -14,8 +14,6 @@
 
 namespace {
 
-/// A request that met this many unreachable engines is forwarded, whatever other requests have met.
-constexpr unsigned unreachableEnginesToForward = 2;
 /// Nodes that one request is forwarded to at most, one after the other. Most refuse within a millisecond.
 constexpr std::size_t maxPeers = 5;
 /// A node answers for its engines, which it gives up by itself, so it gets this multiple of an engine's time.
@@ -33,6 +31,11 @@
     return m_origin == RequestOrigin::Caller && m_context.reach.isCutOff(m_service) && m_context.knowsForwardingPeers();
 }
 
+bool Exchange::mayRefuseForwarded() const
+{
+    return m_origin == RequestOrigin::Peer && !m_mayHaveRun && !m_streamBegun;
+}
+
 bool Exchange::tryForward()
 {
     const auto now = base::monotonicNow();
@@ -97,6 +100,10 @@
 void Exchange::onPeerComplete()
 {
     switch (classifyPeerAnswer(m_answer, m_answerHead.headers)) {
+    case PeerAnswer::Unreachable:
+        m_context.peers.recordFailed(m_peer->name, m_service, base::monotonicNow());
+        leaveRefusingPeer("no_path");
+        return;
     case PeerAnswer::NoPath:
         m_context.peers.recordRefused(m_peer->name, m_service, base::monotonicNow());
         leaveRefusingPeer("no_path");
--- a/src/gateway/forwardheaders.cpp
+++ b/src/gateway/forwardheaders.cpp
@@ -18,7 +18,8 @@
 /// Value: start time in milliseconds, space, engine id.
 constexpr const char *leavingEngineHeader = "Forward-Engine-Leaving";
 
-constexpr std::array<base::Name<RefusalScope>, 2> refusalScopeNames{{
+constexpr std::array<base::Name<RefusalScope>, 3> refusalScopeNames{{
+    {RefusalScope::Request, "request"},
     {RefusalScope::Service, "service"},
     {RefusalScope::Node, "node"},
 }};
--- a/src/gateway/forwardheaders.h
+++ b/src/gateway/forwardheaders.h
@@ -22,6 +22,7 @@
 
 /// What a node that refuses a forwarded request would refuse as well.
 enum class RefusalScope {
+    Request, ///< Nothing for certain: engines that this request was to go to could not be reached.
     Service, ///< All requests of the same service: it has no path to the engines.
     Node, ///< All requests.
 };
--- a/src/gateway/peeranswer.cpp
+++ b/src/gateway/peeranswer.cpp
@@ -7,6 +7,19 @@
 
 namespace {
 
+PeerAnswer classifyRefusal(RefusalScope scope)
+{
+    switch (scope) {
+    case RefusalScope::Request:
+        return PeerAnswer::Unreachable;
+    case RefusalScope::Service:
+        return PeerAnswer::NoPath;
+    case RefusalScope::Node:
+        return PeerAnswer::TakesNothing;
+    }
+    return PeerAnswer::NoPath;
+}
+
 PeerAnswer classifyUnsigned(int status)
 {
     switch (status) {
@@ -31,7 +44,7 @@
 PeerAnswer classifyPeerAnswer(const EngineAnswer &answer, const http::HeaderList &headers)
 {
     if (const auto scope = readForwardRefusal(headers)) {
-        return *scope == RefusalScope::Node ? PeerAnswer::TakesNothing : PeerAnswer::NoPath;
+        return classifyRefusal(*scope);
     }
     if (answer.isStream()) {
         return PeerAnswer::Stream;
--- a/src/gateway/peeranswer.h
+++ b/src/gateway/peeranswer.h
@@ -6,6 +6,7 @@
 
 /// What the complete answer of a node says about the request that was forwarded to it.
 enum class PeerAnswer {
+    Unreachable, ///< The request has not run: engines of its service could not be reached from the node.
     NoPath, ///< The request has not run: the node does not reach the engines of its service.
     TakesNothing, ///< The request has not run: the node takes no requests.
     OtherConfiguration, ///< The request has not run: the configuration of the node does not allow it.
--- a/tests/gateway/cutfleet.cpp
+++ b/tests/gateway/cutfleet.cpp
@@ -221,16 +221,37 @@
         next += betweenRequests;
         for (std::size_t i = 0; i < m_nodes.size(); ++i) {
             if (m_nodes[i].gateway) {
-                sendTo(i);
+                sendTo(i, std::uniform_int_distribution<std::size_t>(0, routes.size() - 1)(m_random));
             }
         }
     }
 }
 
-void CutFleetTest::sendTo(std::size_t node)
+int CutFleetTest::askOnce(std::size_t node, const std::string &name)
 {
-    std::uniform_int_distribution<std::size_t> draw(0, routes.size() - 1);
-    const auto &item = routes.at(draw(m_random));
+    const auto found = std::find_if(routes.begin(), routes.end(), [&](const Route &item) { return item.name == name; });
+    sendTo(node, static_cast<std::size_t>(found - routes.begin()));
+    return collect().back().status;
+}
+
+Answer CutFleetTest::forward(std::size_t node, const std::string &bytes)
+{
+    FakeCaller caller(m_base.get(), m_nodes[node].gateway->forwarding());
+    caller.send(bytes);
+    until([&] { return caller.done(); }, lastAnswers);
+    return caller.answer();
+}
+
+std::size_t CutFleetTest::crashesReported(std::size_t node) const
+{
+    const auto row = m_nodes[node].store->find(ownTable, std::string(crashEvidencePrefix) + nameOf(node));
+    const auto evidence = row ? decodeCrashEvidence(*row) : std::nullopt;
+    return evidence.value_or(CrashEvidence{}).reports.size();
+}
+
+void CutFleetTest::sendTo(std::size_t node, std::size_t route)
+{
+    const auto &item = routes.at(route);
     const auto id = "id" + std::to_string(++m_requests);
     const std::string body = std::string_view(item.method) == "GET" ? "" : "question " + id;
     auto bytes = request(item.method, std::string("/") + item.name + "/x", {}, body);
--- a/tests/gateway/cutfleet.h
+++ b/tests/gateway/cutfleet.h
@@ -33,6 +33,15 @@
     std::vector<FirstTry> play(const CutSpell &spell);
     /// Lets callers ask for @p time, in which nothing is harmed.
     std::vector<FirstTry> playCalm(base::Duration time);
+    /// Cuts paths as @p spell says, until heal().
+    void cut(const CutSpell &spell);
+    void heal();
+    /// Sends one request of the route @p name to @p node, and returns the status of its answer, 0 without a whole one.
+    int askOnce(std::size_t node, const std::string &name);
+    /// Sends @p bytes to the port of @p node that other nodes use.
+    Answer forward(std::size_t node, const std::string &bytes);
+    /// Engines whose end @p node has shared as evidence against requests.
+    std::size_t crashesReported(std::size_t node) const;
 
 private:
     struct Engine
@@ -65,11 +74,9 @@
     void shareRows();
     /// Sends requests to all nodes for @p time.
     void ask(base::Duration time);
-    void cut(const CutSpell &spell);
-    void heal();
     void beginBeside(const CutSpell &spell);
     void setStoreMode(StoreMode mode);
-    void sendTo(std::size_t node);
+    void sendTo(std::size_t node, std::size_t route);
     std::vector<FirstTry> collect();
 
     std::vector<Engine> m_fleetEngines;
--- a/tests/gateway/forwardheaders_test.cpp
+++ b/tests/gateway/forwardheaders_test.cpp
@@ -39,7 +39,7 @@
 
 TEST(ForwardHeadersTest, refusal_isReadBackWithItsScope_thatOfAnEarlierBuildIsOfTheService)
 {
-    for (const auto scope : {RefusalScope::Service, RefusalScope::Node}) {
+    for (const auto scope : {RefusalScope::Request, RefusalScope::Service, RefusalScope::Node}) {
         http::HeaderList headers;
         addForwardRefusal(headers, scope);
         EXPECT_EQ(readForwardRefusal(headers), scope);
--- a/tests/gateway/peeranswer_test.cpp
+++ b/tests/gateway/peeranswer_test.cpp
@@ -46,6 +46,11 @@
     EXPECT_EQ(classifyRefusal(answer(http::status::unavailable)), PeerAnswer::NoPath);
 }
 
+TEST_F(PeerAnswerClassTest, markedAsRefusalOfTheRequest_couldNotReachEngines)
+{
+    EXPECT_EQ(classifyRefusal(answer(http::status::unavailable), RefusalScope::Request), PeerAnswer::Unreachable);
+}
+
 TEST_F(PeerAnswerClassTest, markedAsRefusalOfTheNode_takesNothing)
 {
     EXPECT_EQ(classifyRefusal(answer(http::status::unavailable), RefusalScope::Node), PeerAnswer::TakesNothing);
