A lost path is found by new connections before requests are lost on old ones

Cause: such a request used any connection idle for up to 1.5 s, and the node found its cut out only from the requests that came by, engine by engine. What is sent on an old connection may have run, so it can go nowhere else.

Change: a request that may not be repeated, or that has met a lost path, uses a connection only within 100 ms of its last answer, else a new one: if that doesn't come about, nothing was sent, and another engine or node is asked. The first engine out of reach makes the node ask the others for their health at once, over new connections, as many as tell a cut from engines that are down, and at most once a second for a service. Nodes that know no other don't.

--- a/src/gateway/connectionpool.cpp
+++ b/src/gateway/connectionpool.cpp
@@ -12,8 +12,9 @@
 constexpr std::chrono::milliseconds defaultIdleTimeout{3000};
 /// A connection is dropped this long before the engine's own idle timeout, so that the two don't race.
 constexpr std::chrono::milliseconds idleMargin{1000};
-/// Requests that avoid stale connections only reuse connections idle for less than the usual limit divided by this.
-constexpr int avoidStaleDivisor = 2;
+/// Requests that avoid stale connections only reuse connections on which an answer has ended within this time: the
+/// path may have been lost since.
+constexpr std::chrono::milliseconds provenTime{100};
 constexpr std::size_t maxIdlePerEngine = 48;
 
 base::Duration maxIdleTime(const http::UpstreamConnection &connection)
@@ -31,7 +32,8 @@
 
 bool ConnectionPool::isUsable(const Idle &idle, bool avoidStale, base::TimePoint now)
 {
-    const auto longest = maxIdleTime(*idle.connection) / (avoidStale ? avoidStaleDivisor : 1);
+    const auto usual = maxIdleTime(*idle.connection);
+    const auto longest = avoidStale ? std::min<base::Duration>(usual, provenTime) : usual;
     return idle.connection->reusable() && now - idle.since < longest;
 }
 
--- a/src/gateway/context.cpp
+++ b/src/gateway/context.cpp
@@ -10,6 +10,8 @@
 
 /// Rest of an engine that asks for one whose time can't be read.
 constexpr std::chrono::milliseconds unreadableRest{1000};
+/// Paths of a service are checked at most once in this time.
+constexpr std::chrono::milliseconds pathCheckInterval{1000};
 constexpr double meanWeight = 0.1;
 /// Assumed time to the first byte before the first answer.
 constexpr double initialFirstByteSeconds = 0.3;
@@ -46,6 +48,27 @@
 {
     if (reach.recordUnreachable(service, engine, view.engines().ofService(service).size())) {
         onCutOff(service, engine);
+    } else if (knowsForwardingPeers()) {
+        checkPaths(service);
+    }
+}
+
+void Context::checkPaths(const std::string &service)
+{
+    const auto now = base::monotonicNow();
+    const auto last = m_pathsCheckedAt.find(service);
+    if (!checkPath || (last != m_pathsCheckedAt.end() && now - last->second < pathCheckInterval)) {
+        return;
+    }
+    m_pathsCheckedAt[service] = now;
+    auto engines = view.engines().ofService(service);
+    auto left = reach.failuresMissing(service, engines.size());
+    std::shuffle(engines.begin(), engines.end(), random);
+    for (const auto *engine : engines) {
+        if (left > 0 && !reach.hasFailed(service, engine->entry.id) && !engine->isResting(now)) {
+            checkPath(engine->entry);
+            --left;
+        }
     }
 }
 
@@ -59,8 +82,11 @@
     }
     const auto *known = view.engines().find(engine);
     const bool mayBeAsked = known != nullptr && !known->isResting(now);
-    if (mayBeAsked && reach.isSuspected(service, listed) && checkPath) {
-        checkPath(known->entry);
+    if (reach.isSuspected(service, listed) && checkPath && knowsForwardingPeers()) {
+        if (mayBeAsked) {
+            checkPath(known->entry);
+        }
+        checkPaths(service);
     }
 }
 
@@ -80,7 +106,7 @@
     if (connectedAt) {
         view.engines().recordProcessAlive(engine, *connectedAt);
     }
-    if (reach.recordAnswered(service)) {
+    if (reach.recordAnswered(service, base::monotonicNow())) {
         EventLog::state("cut_off_ended").field("service", service).field("engine", engine);
         view.engines().forgetFaults(service);
     }
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -69,7 +69,7 @@
     PeerSelector peers;
     EngineReserver reserver;
     CallerResults results;
-    /// Called with an engine that has fallen silent: it may pause, or this node may have lost the path to it.
+    /// Called with an engine that may have ended or pause, or that this node may have lost the path to.
     std::function<void(const EngineEntry &)> checkPath;
     /// Called with each run that was lost before it had begun to be answered.
     std::function<void(const LostRun &)> reportLostRun;
@@ -86,6 +86,10 @@
     /// While the node shuts down: when it ends the requests that still run.
     std::optional<base::TimePoint> endsRequestsAt;
 
+    /// Asks engines of @p service for their health over new connections, as many as show whether the node has a path to
+    /// them; at most once a second for a service.
+    void checkPaths(const std::string &service);
+
     /// Records that no connection to an engine could be established.
     void recordEngineUnreachable(const std::string &service, const std::string &engine);
     /// Records that an engine was silent on a connection.
@@ -113,6 +117,9 @@
 
 private:
     void onCutOff(const std::string &service, const std::string &engine);
+
+    /// When paths were last checked, by service.
+    std::map<std::string, base::TimePoint> m_pathsCheckedAt;
 };
 
 } // namespace ibisfork::gateway
--- a/src/gateway/enginereach.cpp
+++ b/src/gateway/enginereach.cpp
@@ -42,8 +42,7 @@
         failures.silent.insert(engine);
     }
     const bool isNoPause = now - failures.silentSince >= longestPause;
-    const auto failed = failures.silent.size() + failures.unreachable.size();
-    return isNoPause && failed >= enginesNeeded(listed) && m_cutOff.insert(service).second;
+    return isNoPause && failures.count() >= enginesNeeded(listed) && m_cutOff.insert(service).second;
 }
 
 bool EngineReach::isSuspected(const std::string &service, std::size_t listed) const
@@ -52,12 +51,32 @@
     if (found == m_failures.end()) {
         return false;
     }
-    const auto failed = found->second.silent.size() + found->second.unreachable.size();
-    return failed >= std::min(enginesToSuspect, enginesNeeded(listed));
+    return found->second.count() >= std::min(enginesToSuspect, enginesNeeded(listed));
 }
 
-bool EngineReach::recordAnswered(const std::string &service)
+bool EngineReach::hasFailed(const std::string &service, const std::string &engine) const
 {
+    const auto found = m_failures.find(service);
+    return found != m_failures.end()
+        && (found->second.unreachable.contains(engine) || found->second.silent.contains(engine));
+}
+
+std::size_t EngineReach::failuresMissing(const std::string &service, std::size_t listed) const
+{
+    const auto found = m_failures.find(service);
+    const auto failed = found == m_failures.end() ? 0 : found->second.count();
+    return enginesNeeded(listed) - std::min(enginesNeeded(listed), failed);
+}
+
+std::optional<base::TimePoint> EngineReach::answeredAt(const std::string &service) const
+{
+    const auto found = m_answeredAt.find(service);
+    return found == m_answeredAt.end() ? std::nullopt : std::optional(found->second);
+}
+
+bool EngineReach::recordAnswered(const std::string &service, base::TimePoint now)
+{
+    m_answeredAt[service] = now;
     m_failures.erase(service);
     return m_cutOff.erase(service) > 0;
 }
--- a/src/gateway/reachprobe.cpp
+++ b/src/gateway/reachprobe.cpp
@@ -35,8 +35,7 @@
 
 void ReachProbe::checkPath(const EngineEntry &engine)
 {
-    const bool isKnown = m_context.reach.isCutOff(engine.service) || m_checks.contains(engine.id);
-    if (isKnown || !m_context.knowsForwardingPeers()) {
+    if (m_context.reach.isCutOff(engine.service) || m_checks.contains(engine.id)) {
         return;
     }
     const auto id = engine.id;
--- a/tests/gateway/enginereach_test.cpp
+++ b/tests/gateway/enginereach_test.cpp
@@ -53,16 +53,16 @@
 TEST_F(EngineReachTest, anEngineAnswersInBetween_countBeginsAnew)
 {
     fail(2, 3);
-    EXPECT_FALSE(m_reach.recordAnswered("s"));
+    EXPECT_FALSE(m_reach.recordAnswered("s", {}));
     EXPECT_FALSE(m_reach.recordUnreachable("s", "e2", 3));
 }
 
 TEST_F(EngineReachTest, anEngineAnswersAgain_nodeIsNoLongerCutOff)
 {
     fail(3, 3);
-    EXPECT_TRUE(m_reach.recordAnswered("s"));
+    EXPECT_TRUE(m_reach.recordAnswered("s", {}));
     EXPECT_FALSE(m_reach.isCutOff("s"));
-    EXPECT_FALSE(m_reach.recordAnswered("s"));
+    EXPECT_FALSE(m_reach.recordAnswered("s", {}));
 }
 
 TEST_F(EngineReachTest, allEnginesAreSilentForASecond_nodeIsNotCutOff)
