An engine counts as ended only if others of its service answer

Cause: a run whose connection was reset is evidence against its request once the engine refuses a connection. A lost path that resets connections looks the same, and the node doesn't take itself for cut off until enough engines have failed; the check is over before. Requests with one body or prompt part lose several runs in a cut, so the evidence convicts them.

An engine that accepts a connection is alive, and one whose process is listed anew has ended, at any time.

--- a/src/gateway/crashreporter.cpp
+++ b/src/gateway/crashreporter.cpp
@@ -50,6 +50,7 @@
     const auto probe = std::prev(m_probes.end());
     probe->timer = std::make_unique<net::Timer>(m_context.base, [this, probe] { finishProbe(probe); });
     openConnection(*probe);
+    m_context.checkPaths(run.engine.service);
 }
 
 void CrashReporter::openConnection(Probe &probe)
@@ -60,30 +61,39 @@
     probe.timer->startOnce(probeTime);
 }
 
-bool CrashReporter::hadPath(const Probe &probe) const
+bool CrashReporter::hasPath(const Probe &probe) const
 {
-    return probe.connection != nullptr && !m_context.reach.isCutOff(probe.engine.service);
+    const auto answeredAt = m_context.reach.answeredAt(probe.engine.service);
+    return answeredAt && *answeredAt >= probe.beganAt && !m_context.reach.isCutOff(probe.engine.service);
+}
+
+bool CrashReporter::isReplaced(const Probe &probe) const
+{
+    const auto *listed = m_context.view.engines().find(probe.engine.id);
+    return listed != nullptr && listed->entry.startTimeMs != probe.engine.startTimeMs;
 }
 
 bool CrashReporter::isUndecided(const Probe &probe) const
 {
+    const bool accepts = probe.connection != nullptr && probe.connection->connected();
+    if (isReplaced(probe) || accepts) {
+        return false;
+    }
     const auto age = base::monotonicNow() - probe.beganAt;
-    if (!hadPath(probe)) {
-        // The node can't tell which engines have ended until it has a path to them again.
+    if (probe.connection == nullptr || !hasPath(probe)) {
+        // A path that resets connections looks like engines that have ended.
         return age < longestDoubt;
     }
     // An engine that has ended refuses connections; one that pauses may leave them unanswered until it goes on.
-    return !probe.connection->connected() && !probe.connection->broken() && age < longestPause;
+    return !probe.connection->broken() && age < longestPause;
 }
 
 bool CrashReporter::hasEnded(const Probe &probe) const
 {
-    if (!hadPath(probe)) {
-        return false;
+    if (isReplaced(probe)) {
+        return true;
     }
-    const auto *listed = m_context.view.engines().find(probe.engine.id);
-    const bool isReplaced = listed != nullptr && listed->entry.startTimeMs != probe.engine.startTimeMs;
-    return isReplaced || !probe.connection->reusable();
+    return probe.connection != nullptr && hasPath(probe) && !probe.connection->reusable();
 }
 
 void CrashReporter::finishProbe(std::list<Probe>::iterator probe)
--- a/src/gateway/crashreporter.h
+++ b/src/gateway/crashreporter.h
@@ -45,8 +45,10 @@
 
     void openConnection(Probe &probe);
     void finishProbe(std::list<Probe>::iterator probe);
-    /// False if the node was cut off from the engine's service when the probe's connection was opened, or is now.
-    bool hadPath(const Probe &probe) const;
+    /// True if an engine of the service has answered since the run was lost.
+    bool hasPath(const Probe &probe) const;
+    /// True if another process is listed under the engine's id.
+    bool isReplaced(const Probe &probe) const;
     /// True if the probe tells nothing yet.
     bool isUndecided(const Probe &probe) const;
     bool hasEnded(const Probe &probe) const;
