Connections are given up after 150 ms, and peers refuse sooner what they can't reach

In the first second of cuts that most nodes share, requests of the small service still ended with 504: two connections of 0.3 s were tried, then the request went to a node that was cut off too and had not noticed, with 0.2 s left of 0.8 s (9 first tries of 29 at three nodes in the worst cut).

A connection within a region takes some round trips, and a lost opening packet is sent again only after a second, so waiting 300 ms gained nothing over 150 ms. The time stood twice, for requests and for path checks; it is one constant now. A forwarded request goes out on a connection only just used or a new one, and a node that has met two lost paths refuses it also if it may be repeated.

--- a/src/gateway/context.cpp
+++ b/src/gateway/context.cpp
@@ -48,7 +48,7 @@
 {
     if (reach.recordUnreachable(service, engine, view.engines().ofService(service).size())) {
         onCutOff(service, engine);
-    } else if (knowsForwardingPeers()) {
+    } else {
         checkPaths(service);
     }
 }
@@ -57,7 +57,8 @@
 {
     const auto now = base::monotonicNow();
     const auto last = m_pathsCheckedAt.find(service);
-    if (!checkPath || (last != m_pathsCheckedAt.end() && now - last->second < pathCheckInterval)) {
+    const bool isDue = last == m_pathsCheckedAt.end() || now - last->second >= pathCheckInterval;
+    if (!isDue || !checkPath || !knowsForwardingPeers()) {
         return;
     }
     m_pathsCheckedAt[service] = now;
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -87,7 +87,7 @@
     std::optional<base::TimePoint> endsRequestsAt;
 
     /// Asks engines of @p service for their health over new connections, as many as show whether the node has a path to
-    /// them; at most once a second for a service.
+    /// them; at most once a second for a service, and only if other nodes may serve for this one.
     void checkPaths(const std::string &service);
 
     /// Records that no connection to an engine could be established.
--- a/src/gateway/crashreporter.cpp
+++ b/src/gateway/crashreporter.cpp
@@ -63,8 +63,12 @@
 
 bool CrashReporter::hasPath(const Probe &probe) const
 {
+    if (m_context.reach.isCutOff(probe.engine.service)) {
+        return false;
+    }
     const auto answeredAt = m_context.reach.answeredAt(probe.engine.service);
-    return answeredAt && *answeredAt >= probe.beganAt && !m_context.reach.isCutOff(probe.engine.service);
+    // A node that knows no other doesn't judge its path.
+    return !m_context.knowsForwardingPeers() || (answeredAt && *answeredAt >= probe.beganAt);
 }
 
 bool CrashReporter::isReplaced(const Probe &probe) const
--- a/src/gateway/crashreporter.h
+++ b/src/gateway/crashreporter.h
@@ -45,7 +45,7 @@
 
     void openConnection(Probe &probe);
     void finishProbe(std::list<Probe>::iterator probe);
-    /// True if an engine of the service has answered since the run was lost.
+    /// True if the node has a path to the engine's service: one of its engines has answered since the run was lost.
     bool hasPath(const Probe &probe) const;
     /// True if another process is listed under the engine's id.
     bool isReplaced(const Probe &probe) const;
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -318,8 +318,9 @@
     m_runId = m_context.view.rollouts().recordSent(m_service, run, now);
     const auto head = platform::encodeDispatch(m_request.head, dispatchTo(engine, now));
     m_reservation.clear();
-    // Once a path has failed the request, others may have been lost with it.
-    const bool avoidsStale = !repeatable() || m_unreachableEngines > 0 || m_cutOffs > 0;
+    // Once a path has failed the request, here or at the node that forwarded it, others may have been lost with it.
+    const bool pathsFail = m_unreachableEngines > 0 || m_cutOffs > 0 || m_origin == RequestOrigin::Peer;
+    const bool avoidsStale = pathsFail || !repeatable();
     startAttempt(m_context.pool.acquire(m_engineId, engine.entry.address, avoidsStale, now), head);
 }
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -108,13 +108,18 @@
     /// Hands the request to another node that may reach the engines. Returns false if there is none, or if the request
     /// must not be forwarded: it came from another node, or may have run and can't be repeated.
     bool tryForward();
-    /// True if another node has forwarded the request, and may try a third one, since the request has not run here.
+    /// True if another node has forwarded the request, and may try a third one: the request has not run here, or may be
+    /// repeated.
     bool mayRefuseForwarded() const;
     void forwardTo(const PeerNode &peer);
     void onPeerHead();
     void onPeerComplete();
     /// Tries another node or engine if the request has run or its answer has begun; else passes the refusal on.
     void onPeerNotRun();
+    /// Tries another node or engine after a node that could not reach engines.
+    void onPeerUnreachable();
+    /// Sends a request again that a node has refused, although it may have reached an engine there.
+    void resendAfterRefusal(const char *reason);
     /// Repeats the request after it has failed at another node; passes the failure on if it must not be repeated.
     void retryAfterPeer();
     /// Passes the buffered answer of another node on, unless the answer has begun as a stream.
--- a/src/gateway/exchangeforward.cpp
+++ b/src/gateway/exchangeforward.cpp
@@ -33,7 +33,7 @@
 
 bool Exchange::mayRefuseForwarded() const
 {
-    return m_origin == RequestOrigin::Peer && !m_mayHaveRun && !m_streamBegun;
+    return m_origin == RequestOrigin::Peer && !m_streamBegun && (!m_mayHaveRun || repeatable());
 }
 
 bool Exchange::tryForward()
@@ -102,7 +102,7 @@
     switch (classifyPeerAnswer(m_answer, m_answerHead.headers)) {
     case PeerAnswer::Unreachable:
         m_context.peers.recordFailed(m_peer->name, m_service, base::monotonicNow());
-        leaveRefusingPeer("no_path");
+        onPeerUnreachable();
         return;
     case PeerAnswer::NoPath:
         m_context.peers.recordRefused(m_peer->name, m_service, base::monotonicNow());
@@ -143,10 +143,25 @@
         return;
     }
     // An engine may have turned it away there, which counts as an arrival.
+    resendAfterRefusal("peer_refused");
+}
+
+void Exchange::onPeerUnreachable()
+{
+    if (!repeatable()) {
+        leaveRefusingPeer("no_path");
+        return;
+    }
+    // It may have reached an engine there that then fell silent.
+    resendAfterRefusal("no_path");
+}
+
+void Exchange::resendAfterRefusal(const char *reason)
+{
     leavePeer("refused");
     --m_runs;
-    m_lastReason = "peer_refused";
-    dispatchOrFail({EngineFault::Full, false, m_lastReason});
+    m_lastReason = reason;
+    dispatchOrFail({EngineFault::Full, false, reason});
 }
 
 void Exchange::retryAfterPeer()
--- a/src/gateway/exchangetimer.cpp
+++ b/src/gateway/exchangetimer.cpp
@@ -2,12 +2,12 @@
 
 #include <algorithm>
 
+#include "gateway/enginepause.h"
+
 namespace ibisfork::gateway {
 
 namespace {
 
-/// Connecting within a region takes a few milliseconds; a host that is down never answers.
-constexpr std::chrono::milliseconds connectTimeout{300};
 /// The first byte is late after this multiple of the usual time plus minFirstByteBound.
 constexpr double firstByteFactor = 5;
 constexpr std::chrono::milliseconds minFirstByteBound{500};
@@ -23,7 +23,7 @@
 base::Duration Exchange::silenceBound() const
 {
     if (m_phase == Phase::Connecting) {
-        return connectTimeout;
+        return connectTime;
     }
     return m_peer ? peerSilenceBound(engineSilenceBound()) : engineSilenceBound();
 }
