Soak: nodes that lose their paths to engines, and what each of them serves beside the others

A seed draws when which nodes lose the paths to which service, in what way, beside engines that pause, crash, drain or are busy and changes of the configuration; one node is without a path to both services, and for each another one serves. Each node must serve at least two thirds as large a share of its callers' requests as the nodes with a path.

--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -76,6 +76,8 @@
         "older-daemon",
         "path of an older ibisforkd: all nodes start with it and are replaced one after the other",
         cxxopts::value<std::string>())("roll-back", "with --older-daemon: the nodes go back to it in the end")(
+        "daemon", "path of the ibisforkd that the nodes run", cxxopts::value<std::string>())(
+        "lost-paths", "three nodes, some of which lose their paths to engines")(
         "pauses", "only engines that fall silent or are full, and planned work")("verbose", "print each plan")(
         "help", "print this");
     try {
@@ -88,6 +90,9 @@
         if (given.count("pauses") > 0) {
             set = soak::FaultSet::PausesAndPlannedWork;
         }
+        if (given.count("lost-paths") > 0) {
+            set = soak::FaultSet::LostPaths;
+        }
         bool kept = true;
         const auto first = given["seed"].as<std::uint64_t>();
         for (auto seed = first; seed < first + given["seeds"].as<std::uint64_t>(); ++seed) {
@@ -96,6 +101,14 @@
             settings.nodes = given["nodes"].as<std::size_t>();
             settings.enginesPerService = given["engines"].as<std::size_t>();
             settings.callers = given["callers"].as<std::size_t>();
+            settings.nodesHavePaths = set == soak::FaultSet::LostPaths;
+            if (settings.nodesHavePaths) {
+                settings.nodes = soak::nodesWithPaths;
+                settings.callers *= soak::callersPerUsual;
+            }
+            if (given.count("daemon") > 0) {
+                settings.daemon = std::filesystem::absolute(given["daemon"].as<std::string>()).string();
+            }
             settings.length = std::chrono::seconds(given["seconds"].as<unsigned>());
             if (given.count("older-daemon") > 0) {
                 const auto older = std::filesystem::absolute(given["older-daemon"].as<std::string>());
--- a/soak/plan.cpp
+++ b/soak/plan.cpp
@@ -26,6 +26,7 @@
 constexpr milliseconds longestAddedGap{5000};
 /// Kinds added after those are drawn apart once more.
 constexpr std::uint64_t pauseKindsSeed = 0x7f4a7c15;
+constexpr std::size_t pauseKindsEnd = 32;
 constexpr milliseconds shortestPause{600};
 constexpr milliseconds longestPause{1800};
 /// What a plan of pauses and planned work draws from.
@@ -41,6 +42,21 @@
                                 FaultKind::SignalReload,
                                 FaultKind::TerminateNode};
 
+/// What a plan of lost paths draws from; paths are lost in a part of its own.
+constexpr std::array lostPathKinds{FaultKind::LosePathsSilently,
+                                   FaultKind::LosePathsOneWay,
+                                   FaultKind::LosePathsByReset};
+constexpr std::array besideLostPathKinds{FaultKind::PauseEngine,
+                                         FaultKind::PauseSeveralEngines,
+                                         FaultKind::BusyEngines,
+                                         FaultKind::CrashEngine,
+                                         FaultKind::RestartEngineSameId,
+                                         FaultKind::DrainEngine,
+                                         FaultKind::ChangeConfiguration,
+                                         FaultKind::ChangeTimes,
+                                         FaultKind::SignalReload};
+constexpr milliseconds longestGapOfLostPaths{6000};
+
 milliseconds draw(std::mt19937_64 &random, milliseconds least, milliseconds most)
 {
     return milliseconds(std::uniform_int_distribution<std::int64_t>(least.count(), most.count())(random));
@@ -93,6 +109,12 @@
         return draw(seed, length, pauseKinds, longestGap);
     }
     std::vector<Fault> plan;
+    if (set == FaultSet::LostPaths) {
+        plan = draw(seed, length, lostPathKinds, longestGapOfLostPaths);
+        const auto beside = draw(seed + addedKindsSeed, length, besideLostPathKinds, longestGap);
+        plan.insert(plan.end(), beside.begin(), beside.end());
+        return plan;
+    }
     const auto add = [&](const std::vector<Fault> &faults) {
         plan.insert(plan.end(), faults.begin(), faults.end());
     };
@@ -101,7 +123,7 @@
     }
     add(draw(seed + addedKindsSeed, length, kindsBetween(firstKinds, addedKindsEnd), longestAddedGap));
     if (set == FaultSet::All) {
-        const auto kinds = kindsBetween(addedKindsEnd, faultKindNames.size());
+        const auto kinds = kindsBetween(addedKindsEnd, pauseKindsEnd);
         add(draw(seed + pauseKindsSeed, length, kinds, longestAddedGap));
     }
     std::stable_sort(
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -44,8 +44,11 @@
     BusyEngines, ///< They refuse new requests as full.
     ChangeTimes, ///< Timeouts, pause objectives and the idle limit.
     MoveStreams, ///< Their route goes to the other service.
+    LosePathsSilently, ///< Some nodes lose their paths to all engines of a service, or of both.
+    LosePathsOneWay,
+    LosePathsByReset,
 };
-inline constexpr std::array<base::Name<FaultKind>, 32> faultKindNames{{
+inline constexpr std::array<base::Name<FaultKind>, 35> faultKindNames{{
     {FaultKind::KillNode, "kill-node"},
     {FaultKind::TerminateNode, "terminate-node"},
     {FaultKind::PauseNode, "pause-node"},
@@ -78,6 +81,9 @@
     {FaultKind::BusyEngines, "busy-engines"},
     {FaultKind::ChangeTimes, "change-times"},
     {FaultKind::MoveStreams, "move-streams"},
+    {FaultKind::LosePathsSilently, "lose-paths-silently"},
+    {FaultKind::LosePathsOneWay, "lose-paths-one-way"},
+    {FaultKind::LosePathsByReset, "lose-paths-by-reset"},
 }};
 
 /// One fault of a plan.
@@ -95,6 +101,7 @@
 enum class FaultSet {
     All,
     EnginesAndStoreSay, ///< Only what engines and the store say of themselves; paths and processes stay unharmed.
+    LostPaths, ///< Nodes lose their paths to engines, beside engines that pause or crash and changes.
     PausesAndPlannedWork, ///< Engines fall silent or are full, beside changes of the configuration, SIGHUP and SIGTERM.
 };
 
--- a/soak/world.cpp
+++ b/soak/world.cpp
@@ -67,7 +67,7 @@
         addEngine(fmt::format("e{}", m_engineCount++), i % 2 == 0 ? "a" : "b", i, 1);
     }
     for (std::size_t i = 0; i < m_settings.nodes; ++i) {
-        m_nodes.push_back(std::make_unique<NodeProcess>(m_base.get(), m_store.address(), m_settings.folder, i));
+        addNode(i);
     }
     if (m_settings.upgrade) {
         const auto terminate = [this](std::size_t index) {
@@ -83,6 +83,21 @@
 
 World::~World() = default;
 
+void World::addNode(std::size_t index)
+{
+    auto store = m_store.address();
+    if (m_settings.nodesHavePaths) {
+        auto *paths = m_paths.emplace_back(std::make_unique<NodePaths>(m_base.get())).get();
+        store = m_store.openView([paths](const std::string &table, const std::string &, const std::string &data) {
+            return table == "servers" ? paths->rewrite(data) : data;
+        });
+    }
+    m_nodes.push_back(std::make_unique<NodeProcess>(m_base.get(), store, m_settings.folder, index));
+    if (!m_settings.daemon.empty()) {
+        m_nodes.back()->setDaemon(m_settings.daemon);
+    }
+}
+
 void World::addEngine(const std::string &id, const std::string &service, std::size_t index, std::int64_t born)
 {
     if (m_engines.size() <= index) {
@@ -278,6 +293,9 @@
         runFor(watchInterval);
     }
     checkQuietTime(quietFrom);
+    for (const auto &promise : unfairLosses(m_ledger, m_losses)) {
+        m_ledger.broken(promise);
+    }
     m_ledger.close();
 }
 
--- a/soak/world.h
+++ b/soak/world.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -9,14 +10,22 @@
 #include "fakestore.h"
 #include "http/callclient.h"
 #include "ledger.h"
+#include "nodepaths.h"
 #include "nodeprocess.h"
 #include "plan.h"
+#include "servedshares.h"
 #include "soakcaller.h"
 #include "soakengine.h"
 #include "upgrade.h"
 
 namespace ibisfork::soak {
 
+/// Nodes that have paths of their own: with more of them some would read the list of engines, and so the paths, from
+/// others.
+inline constexpr std::size_t nodesWithPaths = 3;
+/// So many more callers ask them, so that shares of one node mean something.
+inline constexpr std::size_t callersPerUsual = 4;
+
 struct WorldSettings
 {
     std::uint64_t seed = 1;
@@ -29,6 +38,10 @@
     std::string folder;
     /// Set: the nodes are replaced by ones of another build meanwhile.
     std::optional<UpgradeSettings> upgrade;
+    /// Each node has paths of its own to the engines, which it may lose.
+    bool nodesHavePaths = false;
+    /// Path of the nodes' program; empty: the one that was built along.
+    std::string daemon{};
 };
 
 /// Nodes as processes, the store, engines and callers in this one, and a plan of faults.
@@ -88,6 +101,10 @@
     std::vector<std::size_t> enginesOfService(const Fault &fault, std::size_t count) const;
     void changeOrders(const Fault &fault);
     void restartEngine(std::size_t index, base::Duration after);
+    void addNode(std::size_t index);
+    /// Each service that @p fault chooses loses nodes of its own, unless paths are lost already.
+    void losePaths(const Fault &fault);
+    void losePathsTo(const std::string &service, const std::set<std::size_t> &nodes, const Fault &fault);
     void after(base::Duration delay, std::function<void()> step);
     /// Notes a disturbance of @p node, or of the paths of all, from now until @p lasts is over.
     void disturbPaths(std::optional<std::size_t> node, base::Duration lasts);
@@ -104,6 +121,10 @@
     gateway::test::FakeStore m_store;
     http::CallClient m_client;
     std::vector<std::unique_ptr<NodeProcess>> m_nodes;
+    /// By node; empty unless nodes have paths of their own.
+    std::vector<std::unique_ptr<NodePaths>> m_paths;
+    std::vector<LostPaths> m_losses;
+    base::TimePoint m_pathsLostUntil{};
     std::unique_ptr<Upgrade> m_upgrade;
     std::vector<EngineSlot> m_engines;
     std::vector<std::unique_ptr<SoakCaller>> m_callers;
--- a/soak/worldfaults.cpp
+++ b/soak/worldfaults.cpp
@@ -11,9 +11,13 @@
 
 using namespace std::chrono_literals;
 using gateway::test::LinkMode;
+using gateway::test::PathCut;
 using gateway::test::StoreMode;
 
 constexpr auto nodeRestart = 400ms;
+constexpr auto shortestLoss = 2s;
+/// Of so many losses of paths one is of a single service.
+constexpr unsigned singleServiceOneIn = 4;
 constexpr auto engineRestart = 800ms;
 /// A draining engine goes on serving for at least this long.
 constexpr auto drainTime = 2500ms;
@@ -66,6 +70,11 @@
     case FaultKind::BusyEngines:
         hinderEngines(fault);
         return;
+    case FaultKind::LosePathsSilently:
+    case FaultKind::LosePathsOneWay:
+    case FaultKind::LosePathsByReset:
+        losePaths(fault);
+        return;
     case FaultKind::ChangeConfiguration:
     case FaultKind::RevokeKey:
     case FaultKind::EvacuateDomain:
@@ -76,6 +85,39 @@
     }
 }
 
+void World::losePaths(const Fault &fault)
+{
+    const auto now = base::monotonicNow();
+    if (now < m_pathsLostUntil) {
+        return;
+    }
+    m_pathsLostUntil = now + shortestLoss + fault.lasts;
+    const auto count = m_nodes.size();
+    const auto node = [&](unsigned offset) {
+        return (fault.target + offset) % count;
+    };
+    // One node has no path to either service, and for each of them another one serves.
+    losePathsTo("a", {node(0), node(1)}, fault);
+    if (fault.target % singleServiceOneIn != 0) {
+        losePathsTo("b", {node(1), node(2)}, fault);
+    }
+}
+
+void World::losePathsTo(const std::string &service, const std::set<std::size_t> &nodes, const Fault &fault)
+{
+    const auto lasts = m_pathsLostUntil - base::monotonicNow();
+    auto way = PathCut::Silent;
+    if (fault.kind != FaultKind::LosePathsSilently) {
+        way = fault.kind == FaultKind::LosePathsOneWay ? PathCut::OneWay : PathCut::Reset;
+    }
+    for (const auto node : nodes) {
+        disturbPaths(node, lasts);
+        m_paths[node]->cut(service, way);
+        after(lasts, [this, node, service] { m_paths[node]->heal(service); });
+    }
+    m_losses.push_back({service, nodes, base::monotonicNow(), m_pathsLostUntil});
+}
+
 void World::harmNode(const Fault &fault, std::size_t index)
 {
     auto &node = *m_nodes[index];
--- a/tests/gateway/fakestore.cpp
+++ b/tests/gateway/fakestore.cpp
@@ -39,10 +39,19 @@
 
 FakeStore::FakeStore(event_base *base)
     : m_base(base)
-    , m_port(base, {"127.0.0.1", 0}, [this](evutil_socket_t socket) { accept(socket); })
+    , m_port(base, {"127.0.0.1", 0}, [this](evutil_socket_t socket) { accept(socket, nullptr); })
 { }
 
-void FakeStore::accept(evutil_socket_t socket)
+net::Address FakeStore::openView(Rewrite rewrite)
+{
+    m_views.push_back(std::make_unique<Rewrite>(std::move(rewrite)));
+    const auto *view = m_views.back().get();
+    m_viewPorts.push_back(std::make_unique<ListeningPort>(
+        m_base, net::Address{"127.0.0.1", 0}, [this, view](evutil_socket_t socket) { accept(socket, view); }));
+    return m_viewPorts.back()->address();
+}
+
+void FakeStore::accept(evutil_socket_t socket, const Rewrite *rewrite)
 {
     http::CallerConnection::Handlers handlers;
     handlers.onRequest = [this](http::CallerConnection &connection, const http::Request &request) {
@@ -54,6 +63,7 @@
     handlers.onCallerLeft = forget;
     handlers.onClosed = [this, forget](http::CallerConnection &connection) {
         forget(connection);
+        m_rewrites.erase(&connection);
         const auto found = m_connections.find(&connection);
         if (found != m_connections.end()) {
             net::deleteLater(m_base, std::move(found->second));
@@ -64,6 +74,7 @@
         return http::CallerBounds();
     };
     auto connection = std::make_unique<http::CallerConnection>(m_base, socket, bounds, std::move(handlers));
+    m_rewrites[connection.get()] = rewrite;
     m_connections.emplace(connection.get(), std::move(connection));
 }
 
@@ -77,13 +88,17 @@
     return target.substr(from, target.find('&', from) - from);
 }
 
-json FakeStore::row(const std::string &table, const std::string &key, const Stored &stored) const
+json FakeStore::row(const http::CallerConnection &reader,
+                    const std::string &table,
+                    const std::string &key,
+                    const Stored &stored) const
 {
+    const auto *rewrite = m_rewrites.at(&reader);
     json out{{"table", table}, {"part", ""}, {"key", key}, {"rowVersion", stored.version}};
     if (stored.removed) {
         out["deleted"] = true;
     } else {
-        out["data"] = toBase64(stored.data);
+        out["data"] = toBase64(rewrite == nullptr ? stored.data : (*rewrite)(table, key, stored.data));
     }
     return out;
 }
@@ -126,7 +141,7 @@
     json rows = json::array();
     for (const auto &[key, stored] : m_tables[table]) {
         if (!stored.removed) {
-            rows.push_back(row(table, key, stored));
+            rows.push_back(row(connection, table, key, stored));
         }
     }
     send(connection, http::status::ok, {{"rows", rows}, {"hasMore", false}});
@@ -157,7 +172,7 @@
     json rows = json::array();
     for (const auto &[key, stored] : m_tables[table]) {
         if (stored.version > since) {
-            rows.push_back(row(table, key, stored));
+            rows.push_back(row(connection, table, key, stored));
         }
     }
     if (rows.empty() && !force) {
--- a/tests/gateway/fakestore.h
+++ b/tests/gateway/fakestore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -25,6 +26,11 @@
     explicit FakeStore(event_base *base);
 
     net::Address address() const { return m_port.address(); }
+    /// Returns what a reader gets in place of @p data, in the row @p key of @p table.
+    using Rewrite
+        = std::function<std::string(const std::string &table, const std::string &key, const std::string &data)>;
+    /// Opens a further address, at which readers get rows as @p rewrite gives them.
+    net::Address openView(Rewrite rewrite);
     void put(const std::string &table, const std::string &key, const std::string &data);
     void remove(const std::string &table, const std::string &key);
     std::optional<std::string> find(const std::string &table, const std::string &key) const;
@@ -68,7 +74,8 @@
         std::unique_ptr<net::Timer> timer;
     };
 
-    void accept(evutil_socket_t socket);
+    /// @p rewrite: null for rows as they are.
+    void accept(evutil_socket_t socket, const Rewrite *rewrite);
     void answer(http::CallerConnection &connection, const http::Request &request);
     void answerRead(http::CallerConnection &connection, const std::string &table);
     void answerFeed(http::CallerConnection &connection, const std::string &target);
@@ -80,7 +87,10 @@
     http::HeaderList headers() const;
     void send(http::CallerConnection &connection, int status, nlohmann::json body);
     static std::string parameter(const std::string &target, const std::string &name);
-    nlohmann::json row(const std::string &table, const std::string &key, const Stored &stored) const;
+    nlohmann::json row(const http::CallerConnection &reader,
+                       const std::string &table,
+                       const std::string &key,
+                       const Stored &stored) const;
 
     event_base *m_base;
     StoreMode m_mode = StoreMode::Serving;
@@ -96,6 +106,9 @@
     std::uint32_t m_era = 1;
     std::map<http::CallerConnection *, std::unique_ptr<http::CallerConnection>> m_connections;
     std::vector<Waiting> m_waiting;
+    std::map<const http::CallerConnection *, const Rewrite *> m_rewrites;
+    std::vector<std::unique_ptr<Rewrite>> m_views;
+    std::vector<std::unique_ptr<ListeningPort>> m_viewPorts;
     ListeningPort m_port;
 };
 
