--- a/tests/gateway/reachprobe_test.cpp
+++ b/tests/gateway/reachprobe_test.cpp
@@ -71,7 +71,12 @@
         , m_probe(m_context)
     {
         const RowVersion version{1, 5};
-        const PeerNode peer{"n2", "r1", "d2", {"127.0.0.1", 1}, net::Address{"127.0.0.1", 2}};
+        PeerNode peer;
+        peer.name = "n2";
+        peer.region = "r1";
+        peer.failureDomain = "d2";
+        peer.address = {"127.0.0.1", 1};
+        peer.forwarding = net::Address{"127.0.0.1", 2};
         m_context.view.applyOperatorRows({{{"config", m_configuration.dump(), version}}, true, version},
                                          base::monotonicNow());
         m_context.view.applyOwnRows(
