Path checks spare engines that are evacuated, cold or on trial

The checks of paths asked any listed engine. A health check is a request, so engines of an evacuated domain, cold ones and versions that this node may not use yet are left out, as the probes of a cut-off node leave them out. Found by reading; 111 tests of paths, crashes, pauses and forwarding pass.

--- a/src/gateway/context.cpp
+++ b/src/gateway/context.cpp
@@ -62,14 +62,16 @@
         return;
     }
     m_pathsCheckedAt[service] = now;
-    auto engines = view.engines().ofService(service);
-    auto left = reach.failuresMissing(service, engines.size());
+    const auto missing = reach.failuresMissing(service, view.engines().ofService(service).size());
+    auto engines = view.usableEngines(service, VersionPreference::Any);
+    // A health check is a request that an engine may want to be spared.
+    std::erase_if(engines, [&](const Engine *engine) {
+        return reach.hasFailed(service, engine->entry.id) || engine->isResting(now) || now < engine->coldUntil;
+    });
     std::shuffle(engines.begin(), engines.end(), random);
+    engines.resize(std::min(engines.size(), missing));
     for (const auto *engine : engines) {
-        if (left > 0 && !reach.hasFailed(service, engine->entry.id) && !engine->isResting(now)) {
-            checkPath(engine->entry);
-            --left;
-        }
+        checkPath(engine->entry);
     }
 }
 
