A refusal names the service that it concerns

Cause: the node that forwards a request and the one that takes it may send it to different services: a configuration moves the route, or the route is split and each node draws. The refusal for the one service was kept for the other.

Change: a refusal carries the service it concerns (Forward-Refused-Service), and is kept for that one; one of an earlier build doesn't and is kept for the service of the request, as before.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -114,6 +114,8 @@
     void forwardTo(const PeerNode &peer);
     void onPeerHead();
     void onPeerComplete();
+    /// The service that the refusal of another node concerns.
+    std::string refusedService() const;
     /// Tries another node or engine if the request has run or its answer has begun; else passes the refusal on.
     void onPeerNotRun();
     /// Tries another node or engine after a node that could not reach engines.
--- a/src/gateway/exchangeforward.cpp
+++ b/src/gateway/exchangeforward.cpp
@@ -101,11 +101,11 @@
 {
     switch (classifyPeerAnswer(m_answer, m_answerHead.headers)) {
     case PeerAnswer::Unreachable:
-        m_context.peers.recordFailed(m_peer->name, m_service, base::monotonicNow());
+        m_context.peers.recordFailed(m_peer->name, refusedService(), base::monotonicNow());
         onPeerUnreachable();
         return;
     case PeerAnswer::NoPath:
-        m_context.peers.recordRefused(m_peer->name, m_service, base::monotonicNow());
+        m_context.peers.recordRefused(m_peer->name, refusedService(), base::monotonicNow());
         leaveRefusingPeer("no_path");
         return;
     case PeerAnswer::TakesNothing:
@@ -136,6 +136,11 @@
     }
 }
 
+std::string Exchange::refusedService() const
+{
+    return readRefusedService(m_answerHead.headers).value_or(m_service);
+}
+
 void Exchange::onPeerNotRun()
 {
     if (!m_streamBegun && !m_mayHaveRun) {
@@ -245,7 +250,7 @@
 void Exchange::refuseForwarded(const char *reason, RefusalScope scope)
 {
     http::HeaderList headers;
-    addForwardRefusal(headers, scope);
+    addForwardRefusal(headers, scope, m_service);
     m_caller.sendAnswer(http::status::unavailable, headers, {}, m_context.stopping);
     finish(reason, http::status::unavailable);
 }
--- a/src/gateway/forwardheaders.cpp
+++ b/src/gateway/forwardheaders.cpp
@@ -15,6 +15,7 @@
 constexpr const char *runsLeftHeader = "Forward-Runs-Left";
 constexpr const char *countedHeader = "Forward-Counted";
 constexpr const char *refusedHeader = "Forward-Refused";
+constexpr const char *refusedServiceHeader = "Forward-Refused-Service";
 /// Value: start time in milliseconds, space, engine id.
 constexpr const char *leavingEngineHeader = "Forward-Engine-Leaving";
 
@@ -53,9 +54,18 @@
     return state;
 }
 
-void addForwardRefusal(http::HeaderList &headers, RefusalScope scope)
+void addForwardRefusal(http::HeaderList &headers, RefusalScope scope, const std::string &service)
 {
     headers.add(refusedHeader, std::string(base::nameOf(refusalScopeNames, scope)));
+    if (!service.empty()) {
+        headers.add(refusedServiceHeader, service);
+    }
+}
+
+std::optional<std::string> readRefusedService(const http::HeaderList &headers)
+{
+    const auto value = headers.find(refusedServiceHeader);
+    return value ? std::optional(std::string(*value)) : std::nullopt;
 }
 
 std::optional<RefusalScope> readForwardRefusal(const http::HeaderList &headers)
--- a/src/gateway/forwardheaders.h
+++ b/src/gateway/forwardheaders.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <optional>
+#include <string>
 
 #include "gateway/engine.h"
 #include "http/message.h"
@@ -28,9 +29,12 @@
 };
 
 /// Marks an answer that tells the forwarding node to try another one: the request has not run here and will not.
-void addForwardRefusal(http::HeaderList &headers, RefusalScope scope);
+/// @p service: that of the request here; the forwarding node may have drawn another one, or have another configuration.
+void addForwardRefusal(http::HeaderList &headers, RefusalScope scope, const std::string &service);
 /// Returns nullopt if the answer is none. Earlier builds don't say the scope; it is the service then.
 std::optional<RefusalScope> readForwardRefusal(const http::HeaderList &headers);
+/// The service that a refusal concerns; nullopt if it doesn't say.
+std::optional<std::string> readRefusedService(const http::HeaderList &headers);
 
 /// Names the engine that has said in the forwarded answer that it leaves.
 void addLeavingEngine(http::HeaderList &headers, const EngineProcess &engine);
--- a/tests/gateway/forwardheaders_test.cpp
+++ b/tests/gateway/forwardheaders_test.cpp
@@ -29,7 +29,7 @@
     http::HeaderList headers;
     headers.add("X-Own", "1");
     addForwardState(headers, {1, false});
-    addForwardRefusal(headers, RefusalScope::Service);
+    addForwardRefusal(headers, RefusalScope::Service, "s");
     EXPECT_TRUE(readForwardRefusal(headers));
     const auto left = withoutForwardHeaders(headers);
     EXPECT_FALSE(readForwardRefusal(left));
@@ -41,12 +41,14 @@
 {
     for (const auto scope : {RefusalScope::Request, RefusalScope::Service, RefusalScope::Node}) {
         http::HeaderList headers;
-        addForwardRefusal(headers, scope);
+        addForwardRefusal(headers, scope, "s");
         EXPECT_EQ(readForwardRefusal(headers), scope);
+        EXPECT_EQ(readRefusedService(headers), "s");
     }
     http::HeaderList earlier;
     earlier.add("Forward-Refused", "1");
     EXPECT_EQ(readForwardRefusal(earlier), RefusalScope::Service);
+    EXPECT_FALSE(readRefusedService(earlier));
 }
 
 TEST(NodeRowTest, forwardingAddress_isReadBack_andMayBeMissing)
--- a/tests/gateway/peeranswer_test.cpp
+++ b/tests/gateway/peeranswer_test.cpp
@@ -36,7 +36,7 @@
     static PeerAnswer classifyRefusal(const EngineAnswer &answer, RefusalScope scope = RefusalScope::Service)
     {
         http::HeaderList headers;
-        addForwardRefusal(headers, scope);
+        addForwardRefusal(headers, scope, "s");
         return classifyPeerAnswer(answer, headers);
     }
 };
