One place opens a log for ibisforkctl; a test's loop stands once

log explain and log cut-offs opened the file and refused a missing one with the same lines; openLog serves both. Two tests of CutBeginTest sent the same eight requests. No behaviour changes: ctl_test 6 passed, CutBeginTest 4 passed.

--- a/src/ctl/logcutoffs.cpp
+++ b/src/ctl/logcutoffs.cpp
@@ -1,8 +1,8 @@
 #include "ctl/logcutoffs.h"
 
 #include <algorithm>
-#include <fstream>
 #include <iostream>
+#include <tuple>
 
 #include <fmt/format.h>
 
@@ -114,13 +114,7 @@
 
 int logCutOffs(const Invocation &invocation)
 {
-    if (invocation.log.empty()) {
-        throw UsageError("--log FILE is required");
-    }
-    std::ifstream file(invocation.log);
-    if (!file) {
-        throw UsageError("the log " + invocation.log + " can't be read");
-    }
+    auto file = openLog(invocation);
     for (const auto &span : cutOffSpans(file)) {
         std::cout << fmt::format(
             "service={} from_ms={} for_ms={} nodes={} served={}/{} share={:.2f} served_at_others={}/{} share={:.2f}\n",
--- a/src/ctl/logexplain.cpp
+++ b/src/ctl/logexplain.cpp
@@ -1,7 +1,6 @@
 #include "ctl/logexplain.h"
 
 #include <algorithm>
-#include <fstream>
 #include <iostream>
 #include <set>
 
@@ -39,13 +38,7 @@
 
 int logExplain(const Invocation &invocation)
 {
-    if (invocation.log.empty()) {
-        throw UsageError("--log FILE is required");
-    }
-    std::ifstream file(invocation.log);
-    if (!file) {
-        throw UsageError("the log " + invocation.log + " can't be read");
-    }
+    auto file = openLog(invocation);
     const auto lines = linesAbout(invocation.argument, file);
     for (const auto &line : lines) {
         std::cout << line << '\n';
--- a/src/ctl/logfields.cpp
+++ b/src/ctl/logfields.cpp
@@ -12,4 +12,16 @@
     return line.substr(from, line.find(' ', from) - from);
 }
 
+std::ifstream openLog(const Invocation &invocation)
+{
+    if (invocation.log.empty()) {
+        throw UsageError("--log FILE is required");
+    }
+    std::ifstream file(invocation.log);
+    if (!file) {
+        throw UsageError("the log " + invocation.log + " can't be read");
+    }
+    return file;
+}
+
 } // namespace ibisfork::ctl
--- a/tests/gateway/cutbegin_test.cpp
+++ b/tests/gateway/cutbegin_test.cpp
@@ -25,30 +25,31 @@
         spell.nodes = {{"s", nodes}, {"t", nodes}};
         return spell;
     }
+
+    /// How many of eight requests of both services, sent to the first node one after the other, are served.
+    int servedOfEightThatMayRunOnce()
+    {
+        int served = 0;
+        for (int i = 0; i < 4; ++i) {
+            served += askOnce(0, "enter") == 200 ? 1 : 0;
+            served += askOnce(0, "order") == 200 ? 1 : 0;
+        }
+        return served;
+    }
 };
 
 TEST_F(CutBeginTest, requestThatMayRunOnce_isNotLostOnAConnectionFromBeforeTheCut)
 {
     runFor(200ms);
     cut(lossOf({0}));
-    int served = 0;
-    for (int i = 0; i < 4; ++i) {
-        served += askOnce(0, "enter") == 200 ? 1 : 0;
-        served += askOnce(0, "order") == 200 ? 1 : 0;
-    }
-    EXPECT_EQ(served, 8);
+    EXPECT_EQ(servedOfEightThatMayRunOnce(), 8);
 }
 
 TEST_F(CutBeginTest, requestThatMayRunOnce_pathResetsConnections_isServed)
 {
     runFor(200ms);
     cut(lossOf({0}, test::PathCut::Reset));
-    int served = 0;
-    for (int i = 0; i < 4; ++i) {
-        served += askOnce(0, "enter") == 200 ? 1 : 0;
-        served += askOnce(0, "order") == 200 ? 1 : 0;
-    }
-    EXPECT_EQ(served, 8);
+    EXPECT_EQ(servedOfEightThatMayRunOnce(), 8);
 }
 
 TEST_F(CutBeginTest, nodeThatDoesNotKnowYetOfItsCut_refusesAForwardedRequestSoThatAnotherIsAsked)
