Runs that wait through a pause of their engine are no evidence against its version

Cause: a run is judged by its age, whether its engine answers others or nobody. Ruled out: the step test and its bounds (30 good runs stood against 20 late ones, all sent within one pause).

Now one run that is late at a silent engine is judged at once; further ones wait while their engines are silent too, for as long as a pause lasts (2 s). Those of one engine that were sent over more than 250 ms and are answered within 100 ms of each other, after 500 ms of silence at least, get no verdict; the others are late as before.

Four new tests of RunMonitor.

--- a/src/gateway/runmonitor.h
+++ b/src/gateway/runmonitor.h
@@ -10,6 +10,7 @@
 #include <ibisfork/base/clock.h>
 #include <ibisfork/base/names.h>
 
+#include "gateway/answertimes.h"
 #include "gateway/usualtimes.h"
 
 namespace ibisfork::gateway {
@@ -55,6 +56,9 @@
 /// Judges the runs of a service, each one at the age at which its first byte would be several times later than usual,
 /// on time, late or failed, whether it has been answered or not. If fast runs counted sooner than slow ones, the first
 /// verdicts on a slow version would be good. A run that fails after that age is judged again.
+///
+/// Sound engines may pause. Once a run has been late at a silent engine, further ones are not judged while their
+/// engines are silent too, for as long as a pause lasts; those that waited through a pause together get no verdict.
 class RunMonitor
 {
 public:
@@ -84,12 +88,25 @@
         std::optional<RunQuality> quality;
         bool isJudged = false;
         bool hasEnded = false;
+        /// The run was late and is answered: when its engine went on after it had been silent since the run was sent.
+        std::optional<base::TimePoint> wentOnAt{};
     };
 
     /// Verdict on @p open if one is due at @p now.
-    static std::optional<RunVerdict> judge(OpenRun &open, base::TimePoint now);
+    std::optional<RunVerdict> judge(OpenRun &open, base::TimePoint now);
+    /// True if a run of @p version was judged late at a silent engine not longer ago than a pause lasts.
+    bool isSilenceJudged(const std::string &version, base::TimePoint now) const;
+    /// Records that @p open is judged late.
+    void recordLate(const OpenRun &open, base::TimePoint now);
+    /// True if the engine may merely pause, so that nothing can be said of @p open yet.
+    bool mayPause(const OpenRun &open, base::TimePoint now) const;
+    /// Withholds the verdicts on runs that waited together until their engines went on.
+    void discardPaused(base::TimePoint now);
 
     UsualTimes m_usual;
+    AnswerTimes m_answers;
+    /// When a run was last judged late at once although its engine was silent, by version.
+    std::map<std::string, base::TimePoint> m_silenceJudgedAt;
     std::string m_trialVersion;
     std::map<RunId, OpenRun> m_open;
     RunId m_lastId = 0;
--- a/tests/gateway/runmonitor_test.cpp
+++ b/tests/gateway/runmonitor_test.cpp
@@ -148,4 +148,44 @@
     EXPECT_EQ(m_monitor.recordFirstByte(m_monitor.recordSent(other, at(0s)), at(2100ms))->quality, RunQuality::Late);
 }
 
+TEST_F(RunMonitorTest, engineAnswersNothingAndGoesOn_ofTheRunsThatWaitedTogetherOneIsLate)
+{
+    std::vector<RunId> waiting;
+    for (const auto sentAt : {10000ms, 10300ms, 10700ms}) {
+        waiting.push_back(m_monitor.recordSent(run("v2"), at(sentAt)));
+    }
+    EXPECT_EQ(verdictsAt(10500ms), Verdicts{RunQuality::Late});
+    EXPECT_TRUE(verdictsAt(11s).empty());
+    for (const auto id : waiting) {
+        EXPECT_FALSE(m_monitor.recordFirstByte(id, at(11100ms)));
+    }
+    EXPECT_TRUE(verdictsAt(11300ms).empty());
+    EXPECT_EQ(m_monitor.unjudged("v2"), 0U);
+}
+
+TEST_F(RunMonitorTest, engineAnswersNothingForLongerThanAPause_allItsRunsAreLate)
+{
+    m_monitor.recordSent(run("v2"), at(10s));
+    m_monitor.recordSent(run("v2"), at(10400ms));
+    EXPECT_EQ(verdictsAt(11s), Verdicts{RunQuality::Late});
+    EXPECT_EQ(verdictsAt(13100ms), Verdicts{RunQuality::Late});
+}
+
+TEST_F(RunMonitorTest, engineAnswersOthersMeanwhile_lateRunsAreJudgedAtOnce)
+{
+    m_monitor.recordSent(run("v2"), at(10s));
+    m_monitor.recordSent(run("v2"), at(10010ms));
+    const auto other = m_monitor.recordSent(run("v2"), at(10100ms));
+    m_monitor.recordFirstByte(other, at(10200ms));
+    EXPECT_EQ(verdictsAt(10500ms), (Verdicts{RunQuality::Late, RunQuality::Late, RunQuality::Good}));
+}
+
+TEST_F(RunMonitorTest, slowEngine_answersRunsOneByOne_allAreLate)
+{
+    const auto first = m_monitor.recordSent(run("v2"), at(10s));
+    const auto second = m_monitor.recordSent(run("v2"), at(10400ms));
+    EXPECT_EQ(m_monitor.recordFirstByte(first, at(10900ms))->quality, RunQuality::Late);
+    EXPECT_EQ(m_monitor.recordFirstByte(second, at(11300ms))->quality, RunQuality::Late);
+}
+
 } // namespace ibisfork::gateway
