The runs of a request are counted wherever it is forwarded

Causes: a run whose connection was lost at a node that takes itself for cut off was taken back as if it had not been (endFailedAttempt); what a forwarded request used at a node that then refused it was forgotten (onPeerUnreachable); a node that had no run left still gave the next one a run; and "not run" could be said of a request that had run at another node. Ruled out: the count of a stream that moves within one node.

Now every run that may have reached an engine counts. A node gives the other all runs but one, reserves them, and takes back what the other says that it has not used (header Forward-Runs-Used, also in refusals and at the head of streams). A lost node, or one of an earlier build, counts as having used what it was given. An engine's failure that comes through another node is repeated with the run kept back.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -108,20 +108,28 @@
     /// Hands the request to another node that may reach the engines. Returns false if there is none, or if the request
     /// must not be forwarded: it came from another node, or may have run and can't be repeated.
     bool tryForward();
+    /// The node that tryForward() would hand it to.
+    std::optional<PeerNode> choosePeer();
     /// True if another node has forwarded the request, and may try a third one: the request has not run here, or may be
     /// repeated.
     bool mayRefuseForwarded() const;
     void forwardTo(const PeerNode &peer);
     void onPeerHead();
     void onPeerComplete();
+    /// Passes an engine's answer on, or repeats the request elsewhere if the engine has failed it.
+    void onPeerAnswered();
     /// The service that the refusal of another node concerns.
     std::string refusedService() const;
     /// Tries another node or engine if the request has run or its answer has begun; else passes the refusal on.
     void onPeerNotRun();
     /// Tries another node or engine after a node that could not reach engines.
     void onPeerUnreachable();
-    /// Sends a request again that a node has refused, although it may have reached an engine there.
-    void resendAfterRefusal(const char *reason);
+    /// Sends a request again that a node has refused, although it may have reached an engine there. @p runsIfUntold: as
+    /// for settlePeerRuns().
+    void resendAfterRefusal(const char *reason, unsigned runsIfUntold);
+    /// Counts the runs that the request has used at the node that it was forwarded to, @p usedIfUntold of them if that
+    /// node has not said it, and takes the others back.
+    void settlePeerRuns(unsigned usedIfUntold);
     /// Repeats the request after it has failed at another node; passes the failure on if it must not be repeated.
     void retryAfterPeer();
     /// Passes the buffered answer of another node on, unless the answer has begun as a stream.
@@ -216,6 +224,8 @@
     /// Refuses a request that has not run here. @p scope: what a node that forwarded it need not ask for here.
     void refuseNotRun(const char *reason, std::chrono::milliseconds retryAfter, RefusalScope scope);
     void answerFailure(int status, const char *reason);
+    /// Adds what the node that forwarded the request, if one did, has to know of its runs.
+    void tellRunsUsed(http::HeaderList &headers) const;
     void finish(const char *outcome, int status);
     /// What the caller got; @p status: of the answer, 0 where it is not whole.
     CallerResult resultWith(int status) const;
@@ -280,10 +290,12 @@
     /// The request is counted in the resend budget, here or at the node that forwarded it.
     bool m_isCounted = false;
     unsigned m_sends = 0;
-    /// Attempts that the engine may have executed.
+    /// Attempts that the engine may have executed, here or at other nodes, and those that m_peerRuns allows.
     unsigned m_runs = 0;
     /// Runs that the node which the current attempt was forwarded to may use.
     unsigned m_peerRuns = 0;
+    /// Runs that this node has used, if its answer tells.
+    std::optional<unsigned> m_peerRunsUsed;
     bool m_mayHaveRun = false;
     bool m_hasCallerLeft = false;
     bool m_awaitsConfiguration = false;
--- a/src/gateway/exchangeanswer.cpp
+++ b/src/gateway/exchangeanswer.cpp
@@ -242,6 +242,7 @@
     if (m_origin == RequestOrigin::Peer && m_answer.isLeaving) {
         addLeavingEngine(headers, m_engineEntry.process());
     }
+    tellRunsUsed(headers);
     return headers;
 }
 
--- a/src/gateway/exchangeend.cpp
+++ b/src/gateway/exchangeend.cpp
@@ -119,9 +119,7 @@
         recordCutOff();
     }
     m_mayHaveRun = m_mayHaveRun || miss.mayHaveRun;
-    // Runs at engines that this node has lost the path to don't count.
-    const bool lostPath = mayForward() && (miss.fault == EngineFault::Silent || miss.fault == EngineFault::Lost);
-    if (!miss.mayHaveRun || lostPath) {
+    if (!miss.mayHaveRun) {
         --m_runs;
     }
     m_firstByteAfter.reset();
@@ -141,7 +139,7 @@
     if (mayHaveRun && !repeatable()) {
         return false;
     }
-    const bool runsLeft = (m_runs < maxRuns() || mayForward()) && !maySuspectItself();
+    const bool runsLeft = m_runs < maxRuns() && !maySuspectItself();
     return runsLeft && m_deadline - base::monotonicNow() > minAttemptTime;
 }
 
@@ -181,16 +179,26 @@
 {
     http::HeaderList headers;
     headers.add("Retry-After", secondsText(retryAfter));
+    tellRunsUsed(headers);
     m_caller.sendAnswer(status, headers, {}, m_context.stopping);
     finish(reason, status);
 }
 
 void Exchange::answerFailure(int status, const char *reason)
 {
-    m_caller.sendAnswer(status, {}, {}, m_context.stopping);
+    http::HeaderList headers;
+    tellRunsUsed(headers);
+    m_caller.sendAnswer(status, headers, {}, m_context.stopping);
     finish(reason, status);
 }
 
+void Exchange::tellRunsUsed(http::HeaderList &headers) const
+{
+    if (m_origin == RequestOrigin::Peer) {
+        addRunsUsed(headers, m_runs);
+    }
+}
+
 void Exchange::onCallerLeft()
 {
     m_hasCallerLeft = true;
--- a/src/gateway/exchangeforward.cpp
+++ b/src/gateway/exchangeforward.cpp
@@ -36,17 +36,17 @@
     return m_origin == RequestOrigin::Peer && !m_streamBegun && (!m_mayHaveRun || repeatable());
 }
 
-bool Exchange::tryForward()
+std::optional<PeerNode> Exchange::choosePeer()
 {
     const auto now = base::monotonicNow();
-    const bool mayRunElsewhere = !m_mayHaveRun || repeatable();
+    const bool mayRunElsewhere = (!m_mayHaveRun || repeatable()) && m_runs < maxRuns();
     if (m_origin == RequestOrigin::Peer || !mayRunElsewhere || m_triedPeers.size() >= maxPeers) {
-        return false;
+        return std::nullopt;
     }
     const auto &node = m_context.settings.node;
     const PeerNode self{node.name, node.region, node.failureDomain, {}};
     const auto known = m_context.view.peersOf(node.name);
-    const auto peer = m_context.peers.choose(known, self, m_service, m_triedPeers, now);
+    auto peer = m_context.peers.choose(known, self, m_service, m_triedPeers, now);
     if (!peer) {
         EventLog::failure("no_peer")
             .field("id", m_call.id)
@@ -54,10 +54,17 @@
             .field("known", known.size())
             .field("refusing", m_context.peers.refusing(known, m_service, now))
             .field("tried", m_triedPeers.size());
-        return false;
     }
-    forwardTo(*peer);
-    return true;
+    return peer;
+}
+
+bool Exchange::tryForward()
+{
+    const auto peer = choosePeer();
+    if (peer) {
+        forwardTo(*peer);
+    }
+    return peer.has_value();
 }
 
 void Exchange::forwardTo(const PeerNode &peer)
@@ -76,14 +83,18 @@
         m_request.head, std::chrono::duration_cast<std::chrono::milliseconds>(m_deadline - now), m_lastEvent);
     // A caller may have sent such headers of its own.
     head.headers = withoutForwardHeaders(head.headers);
-    m_peerRuns = m_route->maxUpstreams - std::min(m_route->maxUpstreams - 1, m_runs);
+    // One run is kept back where there are more, since a node that is lost may have used all that it was given.
+    const auto left = maxRuns() - m_runs;
+    m_peerRuns = std::max(1U, left - std::min(left, 1U));
+    m_runs += m_peerRuns;
+    m_peerRunsUsed.reset();
     addForwardState(head.headers, {m_peerRuns, m_isCounted});
-    ++m_runs;
     startAttempt(m_context.peerPool.acquire(peer.name, *peer.forwarding, !repeatable(), now), head);
 }
 
 void Exchange::onPeerHead()
 {
+    m_peerRunsUsed = readRunsUsed(m_answerHead.headers);
     if (readForwardRefusal(m_answerHead.headers)) {
         return;
     }
@@ -123,19 +134,45 @@
         endStreamOfCaller();
         return;
     case PeerAnswer::Signed:
-        endWithPeerAnswer("answered");
+        onPeerAnswered();
         return;
     case PeerAnswer::OutOfTime:
-        // A shorter time there ends the first run.
-        retryAfterPeer();
-        return;
     case PeerAnswer::Failed:
-        m_runs += m_peerRuns - 1;
+        settlePeerRuns(m_peerRuns);
         retryAfterPeer();
         return;
     }
 }
 
+void Exchange::onPeerAnswered()
+{
+    if (m_answer.status >= http::status::firstServerError) {
+        settlePeerRuns(m_peerRuns);
+    }
+    // An engine has failed, not the node, so it may be asked again if it is the only one.
+    const bool mayRepeat = m_answer.status >= http::status::firstServerError && !m_streamBegun && mayRetry(true);
+    auto next = mayRepeat ? choosePeer() : std::nullopt;
+    if (mayRepeat && !next) {
+        m_triedPeers.pop_back();
+        next = choosePeer();
+    }
+    if (next && consumeResend(true)) {
+        leavePeer("engine_failed");
+        forwardTo(*next);
+    } else {
+        endWithPeerAnswer("answered");
+    }
+}
+
+void Exchange::settlePeerRuns(unsigned usedIfUntold)
+{
+    const auto used = m_peerRunsUsed.value_or(usedIfUntold);
+    m_runs = m_runs - m_peerRuns + used;
+    m_peerRuns = 0;
+    m_isCounted = m_isCounted || used > 0;
+    m_mayHaveRun = m_mayHaveRun || used > 0;
+}
+
 std::string Exchange::refusedService() const
 {
     return readRefusedService(m_answerHead.headers).value_or(m_service);
@@ -143,12 +180,12 @@
 
 void Exchange::onPeerNotRun()
 {
+    // An engine may have turned it away there, which counts as an arrival.
     if (!m_streamBegun && !m_mayHaveRun) {
         endWithPeerAnswer("peer_failed");
         return;
     }
-    // An engine may have turned it away there, which counts as an arrival.
-    resendAfterRefusal("peer_refused");
+    resendAfterRefusal("peer_refused", 0);
 }
 
 void Exchange::onPeerUnreachable()
@@ -158,13 +195,13 @@
         return;
     }
     // It may have reached an engine there that then fell silent.
-    resendAfterRefusal("no_path");
+    resendAfterRefusal("no_path", m_peerRuns);
 }
 
-void Exchange::resendAfterRefusal(const char *reason)
+void Exchange::resendAfterRefusal(const char *reason, unsigned runsIfUntold)
 {
     leavePeer("refused");
-    --m_runs;
+    settlePeerRuns(runsIfUntold);
     m_lastReason = reason;
     dispatchOrFail({EngineFault::Full, false, reason});
 }
@@ -212,6 +249,9 @@
         return;
     }
     releaseConnection();
+    // What the node has told was true when its answer began; it may have used the others since.
+    m_peerRunsUsed.reset();
+    settlePeerRuns(m_peerRuns);
     dispatchOrFail(miss);
 }
 
@@ -241,7 +281,7 @@
 void Exchange::dispatchAgain(const char *reason)
 {
     // The request did not run at the last node, so its charge still holds.
-    --m_runs;
+    settlePeerRuns(0);
     m_resendCharge.carryOver();
     m_lastReason = reason;
     dispatch();
@@ -251,6 +291,7 @@
 {
     http::HeaderList headers;
     addForwardRefusal(headers, scope, m_service);
+    addRunsUsed(headers, m_runs);
     m_caller.sendAnswer(http::status::unavailable, headers, {}, m_context.stopping);
     finish(reason, http::status::unavailable);
 }
--- a/src/gateway/forwardheaders.cpp
+++ b/src/gateway/forwardheaders.cpp
@@ -13,6 +13,7 @@
 /// Names with this prefix concern two nodes only, also those that only a newer build knows.
 constexpr std::string_view headerPrefix = "Forward-";
 constexpr const char *runsLeftHeader = "Forward-Runs-Left";
+constexpr const char *runsUsedHeader = "Forward-Runs-Used";
 constexpr const char *countedHeader = "Forward-Counted";
 constexpr const char *refusedHeader = "Forward-Refused";
 constexpr const char *refusedServiceHeader = "Forward-Refused-Service";
@@ -30,6 +31,17 @@
     return http::equalNames(name.substr(0, headerPrefix.size()), headerPrefix);
 }
 
+std::optional<unsigned> readNumber(const http::HeaderList &headers, std::string_view name)
+{
+    const auto text = headers.find(name);
+    unsigned value = 0;
+    if (!text) {
+        return std::nullopt;
+    }
+    const auto result = std::from_chars(text->data(), text->data() + text->size(), value);
+    return result.ec == std::errc() ? std::optional(value) : std::nullopt;
+}
+
 } // namespace
 
 void addForwardState(http::HeaderList &headers, const ForwardState &state)
@@ -40,18 +52,22 @@
 
 std::optional<ForwardState> readForwardState(const http::HeaderList &headers)
 {
-    const auto runs = headers.find(runsLeftHeader);
+    const auto runs = readNumber(headers, runsLeftHeader);
     const auto counted = headers.find(countedHeader);
-    ForwardState state;
-    if (!runs || !counted) {
-        return std::nullopt;
-    }
-    const auto result = std::from_chars(runs->data(), runs->data() + runs->size(), state.runsLeft);
-    if (result.ec != std::errc() || state.runsLeft == 0) {
+    if (!runs || *runs == 0 || !counted) {
         return std::nullopt;
     }
-    state.isCounted = *counted == "1";
-    return state;
+    return ForwardState{*runs, *counted == "1"};
+}
+
+void addRunsUsed(http::HeaderList &headers, unsigned runs)
+{
+    headers.add(runsUsedHeader, std::to_string(runs));
+}
+
+std::optional<unsigned> readRunsUsed(const http::HeaderList &headers)
+{
+    return readNumber(headers, runsUsedHeader);
 }
 
 void addForwardRefusal(http::HeaderList &headers, RefusalScope scope, const std::string &service)
--- a/src/gateway/forwardheaders.h
+++ b/src/gateway/forwardheaders.h
@@ -36,6 +36,11 @@
 /// The service that a refusal concerns; nullopt if it doesn't say.
 std::optional<std::string> readRefusedService(const http::HeaderList &headers);
 
+/// Tells the forwarding node how many runs the request has used here, up to this answer or its beginning.
+void addRunsUsed(http::HeaderList &headers, unsigned runs);
+/// Returns nullopt if the header is missing or invalid; earlier builds don't send it.
+std::optional<unsigned> readRunsUsed(const http::HeaderList &headers);
+
 /// Names the engine that has said in the forwarded answer that it leaves.
 void addLeavingEngine(http::HeaderList &headers, const EngineProcess &engine);
 /// Returns nullopt if the header is missing or invalid.
