A node's refusal for full engines is not final for a node without a path

Cause: the node that took the request over tries its engines on its own part of the resend budget, while the part of the node without a path is never used; its refusal was passed on as final. Now, if time and budget are left, another node is asked on the asking node's part.

--- a/src/gateway/exchangeforward.cpp
+++ b/src/gateway/exchangeforward.cpp
@@ -181,11 +181,20 @@
 void Exchange::onPeerNotRun()
 {
     // An engine may have turned it away there, which counts as an arrival.
-    if (!m_streamBegun && !m_mayHaveRun) {
-        endWithPeerAnswer("peer_failed");
+    const bool isFinal = !m_streamBegun && !m_mayHaveRun;
+    if (!isFinal) {
+        resendAfterRefusal("peer_refused", 0);
         return;
     }
-    resendAfterRefusal("peer_refused", 0);
+    settlePeerRuns(0);
+    // Another node may find room at an engine, and this one's part of the resend budget is its callers'.
+    const auto next = m_deadline - base::monotonicNow() > minAttemptTime ? choosePeer() : std::nullopt;
+    if (next && consumeResend(false)) {
+        leavePeer("refused");
+        forwardTo(*next);
+    } else {
+        endWithPeerAnswer("peer_failed");
+    }
 }
 
 void Exchange::onPeerUnreachable()
