A node that refused for a cut is asked again while all refuse

Trace: the node with the path had refused until 16.980 s, when its own cut ended; the next cut began at 17.389 s, and until 17.98 s the node without a path left it alone for that refusal (no_peer refusing=2), refusing 95 callers. Back-off of a refusal outlives its reason.

Now, where all nodes refuse, each is asked again by one request in 100 ms, the longest unasked first, and an answer ends its back-off.

--- a/src/gateway/exchangeforward.cpp
+++ b/src/gateway/exchangeforward.cpp
@@ -102,6 +102,9 @@
         handleFailedAttempt({EngineFault::Failed, true, "foreign_answer"});
         return;
     }
+    if (m_answer.status < http::status::firstServerError) {
+        m_context.peers.recordServed(m_peer->name, m_service);
+    }
     if (const auto engine = readLeavingEngine(m_answerHead.headers)) {
         m_context.recordEngineLeaving(m_service, *engine, m_call.id);
     }
--- a/src/gateway/peerselector.cpp
+++ b/src/gateway/peerselector.cpp
@@ -9,6 +9,9 @@
 /// A node that refuses has no path to the engines either; most such cuts last for seconds.
 constexpr std::chrono::milliseconds refusedBackoff{1000};
 constexpr std::chrono::milliseconds failedBackoff{2000};
+/// Where all nodes refuse, each is asked for a service once in this time. A refusal costs a millisecond, and the one
+/// that refused for a cut that has just ended may be the only one with a path.
+constexpr std::chrono::milliseconds refusedRetryInterval{100};
 
 } // namespace
 
@@ -36,13 +39,15 @@
     std::vector<const PeerNode *> near;
     std::vector<const PeerNode *> far;
     std::vector<const PeerNode *> failed;
+    std::vector<const PeerNode *> refusing;
     for (const auto &peer : peers) {
         const bool wasTried = std::find(tried.begin(), tried.end(), peer.name) != tried.end();
-        if (wasTried || !peer.forwarding || peer.region != self.region
-            || isActive(m_refusals, peer.name, service, now)) {
+        if (wasTried || !peer.forwarding || peer.region != self.region) {
             continue;
         }
-        if (isActive(m_failures, peer.name, service, now)) {
+        if (isActive(m_refusals, peer.name, service, now)) {
+            refusing.push_back(&peer);
+        } else if (isActive(m_failures, peer.name, service, now)) {
             failed.push_back(&peer);
         } else {
             (peer.failureDomain == self.failureDomain ? near : far).push_back(&peer);
@@ -54,7 +59,37 @@
             return *(*eligible)[draw(m_random)];
         }
     }
-    return std::nullopt;
+    const auto *again = chooseRefusing(refusing, service, now);
+    return again == nullptr ? std::nullopt : std::optional(*again);
+}
+
+const PeerNode *PeerSelector::chooseRefusing(const std::vector<const PeerNode *> &refusing,
+                                             const std::string &service,
+                                             base::TimePoint now)
+{
+    const PeerNode *longestAgo = nullptr;
+    base::TimePoint askedAt{};
+    for (const auto *peer : refusing) {
+        const auto at = m_refusals[peer->name].askedAt[service];
+        if (longestAgo == nullptr || at < askedAt) {
+            longestAgo = peer;
+            askedAt = at;
+        }
+    }
+    if (longestAgo == nullptr || now - askedAt < refusedRetryInterval) {
+        return nullptr;
+    }
+    m_refusals[longestAgo->name].askedAt[service] = now;
+    return longestAgo;
+}
+
+void PeerSelector::recordServed(const std::string &peer, const std::string &service)
+{
+    const auto found = m_refusals.find(peer);
+    if (found != m_refusals.end()) {
+        found->second.ofNode = {};
+        found->second.byService.erase(service);
+    }
 }
 
 std::size_t PeerSelector::refusing(const std::vector<PeerNode> &peers,
@@ -70,6 +105,7 @@
 void PeerSelector::recordRefused(const std::string &peer, const std::string &service, base::TimePoint now)
 {
     m_refusals[peer].byService[service] = now + refusedBackoff;
+    m_refusals[peer].askedAt[service] = now;
 }
 
 void PeerSelector::recordRefusedAll(const std::string &peer, base::TimePoint now)
--- a/src/gateway/peerselector.h
+++ b/src/gateway/peerselector.h
@@ -22,7 +22,8 @@
 
     /// Returns a node of the region of @p self that accepts forwarded requests, is not in @p tried and has not refused
     /// one of @p service lately; nodes of the same failure domain go first. Nodes that have failed lately are returned
-    /// only if there is no other. Returns nullopt if there is none.
+    /// only if there is no other, and those that have refused, if all have, now and then: their paths may be back.
+    /// Returns nullopt if there is none.
     std::optional<PeerNode> choose(const std::vector<PeerNode> &peers,
                                    const PeerNode &self,
                                    const std::string &service,
@@ -31,6 +32,8 @@
     /// How many of @p peers are not asked for @p service now since they have refused it.
     std::size_t refusing(const std::vector<PeerNode> &peers, const std::string &service, base::TimePoint now) const;
 
+    /// Records that @p peer has served a request of @p service.
+    void recordServed(const std::string &peer, const std::string &service);
     /// Records that @p peer can't serve requests of @p service at present.
     void recordRefused(const std::string &peer, const std::string &service, base::TimePoint now);
     /// Records that @p peer takes no requests at present.
@@ -46,6 +49,8 @@
     {
         base::TimePoint ofNode{};
         std::map<std::string, base::TimePoint> byService;
+        /// When the node was last asked for a service, or refused it.
+        std::map<std::string, base::TimePoint> askedAt;
 
         bool isActive(const std::string &service, base::TimePoint now) const;
     };
@@ -56,6 +61,11 @@
                          const std::string &service,
                          base::TimePoint now);
 
+    /// The one of @p refusing that was asked longest ago, if any may be asked again.
+    const PeerNode *chooseRefusing(const std::vector<const PeerNode *> &refusing,
+                                   const std::string &service,
+                                   base::TimePoint now);
+
     std::mt19937_64 m_random;
     /// By node.
     Backoffs m_refusals;
