--- a/src/ctl/commandtable.cpp
+++ b/src/ctl/commandtable.cpp
@@ -23,7 +23,7 @@
     return exitcode::ok;
 }
 
-constexpr std::array<Command, 28> commands{{
+constexpr std::array<Command, 29> commands{{
     {"config", "check", "FILE", "check a fleet configuration", "config check fleet.yaml", configCheck},
     {"config", "apply", "FILE", "make it the fleet's", "config apply fleet.yaml --reason 'new engine'", configApply},
     {"config", "diff", "FILE", "rows that apply would change", "config diff fleet.yaml", configDiff},
@@ -61,6 +61,7 @@
     {"upstream", "undrain", "ID", "give it work again", "upstream undrain engine-3", upstreamUndrain},
     {"node", "list", "", "nodes of the fleet", "node list", nodeList},
     {"node", "view", "", "what one node believes of the platform", "node view --node 10.0.0.1:7301", nodeView},
+    {"node", "evidence", "", "who has told one node what", "node evidence --node 10.0.0.1:7301", nodeEvidence},
     {"log",
      "explain",
      "REQUEST-ID",
--- a/src/ctl/nodecommands.cpp
+++ b/src/ctl/nodecommands.cpp
@@ -140,4 +140,27 @@
     return exitcode::ok;
 }
 
+int nodeEvidence(const Invocation &invocation)
+{
+    const auto evidence = NodeClient(invocation.node).get("/status").value("evidence", nlohmann::json::object());
+    if (invocation.output == OutputFormat::Text) {
+        const auto from = evidence.value("sums_from", std::string());
+        fmt::print(std::cout,
+                   "sums from {}, undelivered: {}\n",
+                   from.empty() ? "no other node" : from,
+                   evidence.value("undelivered", false) ? "yes" : "no");
+    }
+    Listing listing({"node", "incarnation", "serial", "age-ms", "rollouts", "engines-ended"});
+    for (const auto &held : evidence.value("held", nlohmann::json::array())) {
+        listing.add({held.value("node", "?"),
+                     held.value("incarnation", "?"),
+                     fmt::format("{}", held.value("serial", 0U)),
+                     fmt::format("{}", held.value("age_ms", 0)),
+                     held.value("rollouts", nlohmann::json::array()).dump(),
+                     fmt::format("{}", held.value("engines_ended", 0U))});
+    }
+    listing.print(std::cout, invocation.output);
+    return exitcode::ok;
+}
+
 } // namespace ibisfork::ctl
--- a/src/ctl/nodecommands.h
+++ b/src/ctl/nodecommands.h
@@ -13,6 +13,9 @@
 /// Prints what one node that reads the platform's store believes.
 int nodeView(const Invocation &invocation);
 
+/// Prints which processes have told one such node what of roll-outs and crashes, and how long ago.
+int nodeEvidence(const Invocation &invocation);
+
 /// Prints a picture of the fleet.
 int status(const Invocation &invocation);
 
--- a/src/gateway/crashevidence.cpp
+++ b/src/gateway/crashevidence.cpp
@@ -16,6 +16,8 @@
 /// Period of a first conviction; doubles with each further one, up to maxPeriodDoublings times.
 constexpr std::chrono::minutes firstPeriod{10};
 constexpr unsigned maxPeriodDoublings = 7;
+/// Ends of engines that are kept of all nodes together.
+constexpr std::size_t maxReports = 150;
 
 json encodeTraits(const std::set<RequestTrait> &traits)
 {
@@ -48,6 +50,31 @@
 
 } // namespace
 
+void CrashEvidence::add(const CrashEvidence &other)
+{
+    for (const auto &report : other.reports) {
+        const auto found = std::find_if(
+            reports.begin(), reports.end(), [&](const CrashReport &known) { return known.engine == report.engine; });
+        if (found == reports.end()) {
+            reports.push_back(report);
+        } else {
+            found->at = std::min(found->at, report.at);
+            found->suspects.insert(report.suspects.begin(), report.suspects.end());
+        }
+    }
+    if (reports.size() > maxReports) {
+        const auto excess = static_cast<std::ptrdiff_t>(reports.size() - maxReports);
+        std::stable_sort(reports.begin(), reports.end(), [](const CrashReport &left, const CrashReport &right) {
+            return left.at < right.at;
+        });
+        reports.erase(reports.begin(), reports.begin() + excess);
+    }
+    for (const auto &[trait, beganAt] : other.soundRuns) {
+        auto &latest = soundRuns.try_emplace(trait, beganAt).first->second;
+        latest = std::max(latest, beganAt);
+    }
+}
+
 std::string encodeCrashEvidence(const CrashEvidence &evidence)
 {
     auto reports = json::array();
--- a/src/gateway/crashevidence.h
+++ b/src/gateway/crashevidence.h
@@ -23,6 +23,8 @@
     /// Traits of this node's requests that ran there and had not begun to be answered. A request that crashes engines
     /// does so as its answer begins, so the others are not suspected.
     std::set<RequestTrait> suspects;
+
+    bool operator==(const CrashReport &) const = default;
 };
 
 /// What one node knows about crashes. Nodes share it as a row of the store.
@@ -31,6 +33,12 @@
     std::vector<CrashReport> reports{};
     /// When the latest run with the trait that went well began to be answered.
     std::map<RequestTrait, StoreTime> soundRuns{};
+
+    bool empty() const { return reports.empty() && soundRuns.empty(); }
+    /// Adds what another node, or several, know. Of the ends of engines the latest are kept if there are many.
+    void add(const CrashEvidence &other);
+
+    bool operator==(const CrashEvidence &) const = default;
 };
 
 std::string encodeCrashEvidence(const CrashEvidence &evidence);
--- a/src/gateway/crashreporter.cpp
+++ b/src/gateway/crashreporter.cpp
@@ -10,8 +10,10 @@
 
 /// Time for an engine to accept a connection. It also lets runs that go on elsewhere show which traits are sound.
 constexpr std::chrono::milliseconds probeTime{250};
-/// The time between two writes grows with the number of nodes, since all of them may have something to tell.
+/// What is known of sound runs changes with each request; it is told less often the more nodes there are.
 constexpr std::chrono::milliseconds shareIntervalPerNode{5};
+/// Nodes that don't read the store leave convictions to those that do for this time.
+constexpr std::chrono::milliseconds otherNodesDelay{1500};
 /// After a longer cut, an engine may have ended for other reasons than the run that was lost there.
 constexpr std::chrono::milliseconds longestDoubt{10000};
 
@@ -24,13 +26,16 @@
 
 CrashReporter::CrashReporter(Context &context,
                              StoreClient &store,
+                             const TableSource &source,
                              const TableWatch &table,
+                             evidence::EvidenceExchange &exchange,
                              std::function<void()> verdictChanged)
     : m_context(context)
     , m_store(store)
+    , m_source(source)
     , m_table(table)
+    , m_exchange(exchange)
     , m_verdictChanged(std::move(verdictChanged))
-    , m_sharedRow(encodeCrashEvidence({}))
 { }
 
 void CrashReporter::tick(base::TimePoint now)
@@ -39,6 +44,13 @@
     if (now - m_sharedAt >= shareIntervalPerNode * m_context.view.nodes()) {
         share();
     }
+    writeConvictions(now);
+}
+
+void CrashReporter::applyFleetEvidence(const CrashEvidence &evidence)
+{
+    m_context.crashes.setFleetEvidence(evidence);
+    checkVerdict();
 }
 
 void CrashReporter::recordLostRun(const LostRun &run)
@@ -139,7 +151,6 @@
         m_context.crashes.setPeerEvidence(node, evidence ? &*evidence : nullptr);
     } else if (evidence) {
         m_context.crashes.restore(*evidence);
-        m_sharedRow = row.data;
     }
 }
 
@@ -162,10 +173,6 @@
     if (change.isFullRead) {
         m_context.crashes.beginFullRead();
     }
-    if (change.isNewEra) {
-        // The store may have lost this node's row.
-        m_sharedRow = encodeCrashEvidence({});
-    }
     for (const auto &row : change.rows) {
         applyRow(row);
     }
@@ -185,20 +192,32 @@
 void CrashReporter::share()
 {
     m_sharedAt = base::monotonicNow();
+    // Before the own table is read it isn't known what this node told before it was started again.
+    if (m_hasReadRows) {
+        m_exchange.setOwn(m_context.crashes.evidenceToShare(m_context.storeNow()));
+    }
+}
+
+bool CrashReporter::isTurnToWrite(const Conviction &conviction, base::TimePoint now)
+{
+    const auto since = m_convictionDueSince.try_emplace(poisonGroupId(conviction.group), now).first->second;
+    return m_source.isReader() || now - since >= otherNodesDelay;
+}
+
+void CrashReporter::writeConvictions(base::TimePoint now)
+{
     if (m_writing || !m_table.loaded()) {
         return;
     }
-    const auto now = m_context.storeNow();
     std::vector<ConditionalWrite> rows;
-    auto row = encodeCrashEvidence(m_context.crashes.evidenceToShare(now));
-    if (row != m_sharedRow) {
-        m_sharedRow = row;
-        rows.push_back(
-            {ownTable, std::string(crashEvidencePrefix) + m_context.settings.node.name, std::move(row), std::nullopt});
-    }
-    auto cause = StoreCallCause::CrashEvidence;
-    for (const auto &conviction : m_context.crashes.convictionsToWrite(now)) {
-        cause = StoreCallCause::Conviction;
+    const auto due = m_context.crashes.convictionsToWrite(m_context.storeNow());
+    if (due.empty()) {
+        m_convictionDueSince.clear();
+    }
+    for (const auto &conviction : due) {
+        if (!isTurnToWrite(conviction, now)) {
+            continue;
+        }
         EventLog::state("requests_convicted")
             .field("group", poisonGroupId(conviction.group))
             .field("first_trait", traitText(*conviction.group.begin()))
@@ -211,20 +230,19 @@
         m_context.crashes.setConviction(conviction);
     }
     if (!rows.empty()) {
-        write(cause, rows);
+        write(rows);
     }
 }
 
-void CrashReporter::write(StoreCallCause cause, const std::vector<ConditionalWrite> &rows)
+void CrashReporter::write(const std::vector<ConditionalWrite> &rows)
 {
     m_writing = true;
-    m_store.write(cause, rows, [this](const WriteResult &result) {
+    m_store.write(StoreCallCause::Conviction, rows, [this](const WriteResult &result) {
         m_writing = false;
         if (result.outcome != WriteOutcome::Done) {
-            // Written again at the next interval; until then this node acts on its own evidence.
-            m_sharedRow.clear();
+            // Written again at the next tick; until then this node acts on its own evidence.
             m_context.crashes.recordConvictionsLost();
-            EventLog::state("crash_row_not_written").field("outcome", base::nameOf(writeOutcomeNames, result.outcome));
+            EventLog::state("conviction_not_written").field("outcome", base::nameOf(writeOutcomeNames, result.outcome));
         }
     });
 }
--- a/src/gateway/crashreporter.h
+++ b/src/gateway/crashreporter.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "gateway/context.h"
+#include "gateway/evidence/evidenceexchange.h"
 #include "gateway/storeclient.h"
 #include "gateway/tablewatch.h"
 #include "http/upstreamconnection.h"
@@ -14,14 +15,19 @@
 
 namespace ibisfork::gateway {
 
-/// Connects the node's CrashTracker to engines and to the store: finds out whether an engine that lost a run has ended,
-/// and shares evidence and convictions with other nodes as rows of this system's own table.
+/// Connects the node's CrashTracker to engines and to other nodes: finds out whether an engine that lost a run has
+/// ended, exchanges evidence, and stores convictions as rows of this system's own table.
 class CrashReporter
 {
 public:
     /// @p table: the watch of this system's own table, which knows the store's clock. @p verdictChanged is called when
     /// other requests than before are refused.
-    CrashReporter(Context &context, StoreClient &store, const TableWatch &table, std::function<void()> verdictChanged);
+    CrashReporter(Context &context,
+                  StoreClient &store,
+                  const TableSource &source,
+                  const TableWatch &table,
+                  evidence::EvidenceExchange &exchange,
+                  std::function<void()> verdictChanged);
     CrashReporter(const CrashReporter &) = delete;
     CrashReporter &operator=(const CrashReporter &) = delete;
 
@@ -29,7 +35,9 @@
     void recordLostRun(const LostRun &run);
     /// Takes over rows of the own table.
     void applyRows(const TableChange &change);
-    /// Writes what has changed and was not written yet. To be called a few times a second.
+    /// Takes over the evidence of all other nodes together.
+    void applyFleetEvidence(const CrashEvidence &evidence);
+    /// Tells what has changed and stores convictions. To be called a few times a second.
     void tick(base::TimePoint now);
 
 private:
@@ -56,18 +64,25 @@
     /// Takes over a row of evidence; this node's own only if it was shared before the node was started again.
     void applyEvidence(const Row &row);
     void checkVerdict();
-    /// Writes what has changed, unless a write is in progress.
+    /// Tells other nodes what has changed.
     void share();
-    void write(StoreCallCause cause, const std::vector<ConditionalWrite> &rows);
+    /// Stores convictions that are due, unless a write is in progress.
+    void writeConvictions(base::TimePoint now);
+    /// True if this node is to store @p conviction now; the readers of the store go first.
+    bool isTurnToWrite(const Conviction &conviction, base::TimePoint now);
+    void write(const std::vector<ConditionalWrite> &rows);
 
     Context &m_context;
     StoreClient &m_store;
+    const TableSource &m_source;
     const TableWatch &m_table;
+    evidence::EvidenceExchange &m_exchange;
     std::function<void()> m_verdictChanged;
     unsigned m_verdictSerial = 0;
     std::list<Probe> m_probes;
     base::TimePoint m_sharedAt{};
-    std::string m_sharedRow;
+    /// Since when a conviction has been due that this node leaves to the readers, by its group's id.
+    std::map<std::string, base::TimePoint> m_convictionDueSince;
     bool m_hasReadRows = false;
     bool m_writing = false;
 };
--- a/src/gateway/crashtracker.cpp
+++ b/src/gateway/crashtracker.cpp
@@ -119,6 +119,14 @@
     m_isOutdated = true;
 }
 
+void CrashTracker::setFleetEvidence(const CrashEvidence &evidence)
+{
+    if (m_fleet != evidence) {
+        m_fleet = evidence;
+        m_isOutdated = true;
+    }
+}
+
 void CrashTracker::setConviction(const Conviction &conviction)
 {
     auto &known = m_convictions[poisonGroupId(conviction.group)];
@@ -146,10 +154,9 @@
 {
     CrashVerdict verdict;
     verdict.add(m_own);
+    verdict.add(m_fleet);
     for (const auto &item : m_peers) {
-        CrashEvidence recent = item.second;
-        std::erase_if(recent.reports, [&](const CrashReport &report) { return now - report.at > evidenceLifetime; });
-        verdict.add(recent);
+        verdict.add(item.second);
     }
     for (const auto &item : m_convictions) {
         if (now >= item.second.conviction.until()) {
@@ -170,7 +177,14 @@
 
 void CrashTracker::dropOld(StoreTime now)
 {
-    std::erase_if(m_own.reports, [&](const CrashReport &report) { return now - report.at > evidenceLifetime; });
+    const auto dropReports = [&](CrashEvidence &evidence) {
+        std::erase_if(evidence.reports, [&](const CrashReport &report) { return now - report.at > evidenceLifetime; });
+    };
+    dropReports(m_own);
+    dropReports(m_fleet);
+    for (auto &item : m_peers) {
+        dropReports(item.second);
+    }
     std::erase_if(m_own.soundRuns, [&](const auto &item) { return now - item.second > evidenceLifetime; });
 }
 
@@ -183,6 +197,7 @@
         }
     };
     collect(m_own);
+    collect(m_fleet);
     for (const auto &item : m_peers) {
         collect(item.second);
     }
@@ -220,7 +235,7 @@
 
 bool CrashTracker::hasPoison(StoreTime now)
 {
-    const bool hasEvidence = !m_own.reports.empty() || !m_peers.empty() || !m_convictions.empty();
+    const bool hasEvidence = !m_own.reports.empty() || !m_peers.empty() || !m_fleet.empty() || !m_convictions.empty();
     if (hasEvidence && now - m_updatedAt > (m_isOutdated ? minUpdateInterval : updateInterval)) {
         update(now);
     }
@@ -262,6 +277,7 @@
     // Without this node's sound runs: what they refute still has to be refuted at other nodes.
     CrashVerdict crashes;
     crashes.add(shared);
+    crashes.add(m_fleet);
     for (const auto &item : m_peers) {
         crashes.add(item.second);
     }
--- a/src/gateway/crashtracker.h
+++ b/src/gateway/crashtracker.h
@@ -32,6 +32,8 @@
     void restore(const CrashEvidence &own);
     /// Takes over what another node knows; nullptr if its row is gone.
     void setPeerEvidence(const std::string &node, const CrashEvidence *evidence);
+    /// Takes over what all other nodes that exchange evidence know together, in place of what was known before.
+    void setFleetEvidence(const CrashEvidence &evidence);
     void setConviction(const Conviction &conviction);
     /// Forgets the rows read so far, before a full read. Convictions are kept, for the store may have lost theirs.
     void beginFullRead();
@@ -83,7 +85,9 @@
     std::map<std::string, PendingLoss> m_pending;
     CrashEvidence m_own;
     std::map<RequestTrait, StoreTime> m_sharedSoundRuns;
+    /// Rows of other nodes, by node.
     std::map<std::string, CrashEvidence> m_peers;
+    CrashEvidence m_fleet;
     std::map<std::string, KnownConviction> m_convictions;
     /// Groups of the current verdict, by their id, and when they were first found.
     std::map<std::string, StoreTime> m_foundAt;
--- /dev/null
+++ b/src/gateway/evidence/evidencerows.cpp
@@ -0,0 +1,201 @@
+#include "gateway/evidence/evidencerows.h"
+
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+
+#include "gateway/eventlog.h"
+
+namespace ibisfork::gateway::evidence {
+
+namespace {
+
+/// The store takes 100 rows in one call.
+constexpr std::size_t maxRowsInCall = 90;
+/// Calls that may follow each other at once, so that the first evidence of a fault is stored without delay.
+constexpr double callsAtOnce = 5;
+/// Time that each reader leaves to those before it to store evidence.
+constexpr std::chrono::milliseconds turnTime{600};
+constexpr const char *incarnationField = "incarnation";
+constexpr const char *serialField = "serial";
+
+/// @p text is the JSON object that a row has in earlier builds, which pass over the fields that are added here.
+std::string withProcess(const std::string &text, const NodeEvidence &evidence)
+{
+    auto document = nlohmann::json::parse(text);
+    document[incarnationField] = evidence.incarnation;
+    document[serialField] = evidence.serial;
+    return document.dump();
+}
+
+/// The process that has told what a row says; nothing if it is of an earlier build.
+std::optional<Held> readProcess(const std::string &text)
+{
+    const auto document = nlohmann::json::parse(text, nullptr, false);
+    if (!document.is_object() || !document.contains(incarnationField) || !document.contains(serialField)) {
+        return std::nullopt;
+    }
+    const auto &incarnation = document[incarnationField];
+    const auto &serial = document[serialField];
+    if (!incarnation.is_number_unsigned() || !serial.is_number_unsigned()) {
+        return std::nullopt;
+    }
+    return Held{incarnation.get<Incarnation>(), serial.get<std::uint64_t>()};
+}
+
+bool isEvidence(std::string_view key)
+{
+    return key.starts_with(evidencePrefix) || key.starts_with(crashEvidencePrefix);
+}
+
+} // namespace
+
+EvidenceRows::EvidenceRows(Context &context, StoreClient &store, const TableSource &source, EvidenceExchange &exchange)
+    : m_context(context)
+    , m_store(store)
+    , m_source(source)
+    , m_exchange(exchange)
+    , m_calls(callsAtOnce)
+{ }
+
+void EvidenceRows::applyRows(const TableChange &change)
+{
+    if (change.isFullRead) {
+        m_stored.clear();
+        m_isLoaded = true;
+    }
+    for (const auto &row : change.rows) {
+        if (isEvidence(row.key)) {
+            applyRow(row);
+        }
+    }
+}
+
+void EvidenceRows::applyRow(const Row &row)
+{
+    const auto process = row.removed ? std::nullopt : readProcess(row.data);
+    if (!process) {
+        m_stored.erase(row.key);
+        return;
+    }
+    m_stored[row.key] = {process->incarnation, process->serial};
+    const bool isOfRollout = std::string_view(row.key).starts_with(evidencePrefix);
+    const auto stored = isOfRollout ? decodeEvidence(row.data) : std::nullopt;
+    if (stored && process->incarnation != 0 && process->serial != 0) {
+        NodeEvidence part{stored->node, process->incarnation, process->serial};
+        part.rollouts[stored->service] = stored->evidence;
+        m_exchange.putPart(part);
+    }
+}
+
+bool EvidenceRows::isStored(const std::string &key, const NodeEvidence &evidence) const
+{
+    const auto found = m_stored.find(key);
+    return found != m_stored.end() && found->second.incarnation == evidence.incarnation
+        && found->second.serial >= evidence.serial;
+}
+
+base::Duration EvidenceRows::turnDelay() const
+{
+    const auto &own = m_context.settings.node.name;
+    const auto &readers = m_source.otherReaders();
+    const auto before
+        = std::count_if(readers.begin(), readers.end(), [&](const PeerNode &reader) { return reader.name < own; });
+    return turnTime * before;
+}
+
+std::vector<EvidenceRows::DueRow> EvidenceRows::dueRows(base::TimePoint now) const
+{
+    const bool storesRollouts = m_exchange.isUndelivered()
+        || (m_source.isReader() && m_context.view.hasRowReaders(m_context.settings.node.name));
+    const bool storesCrashes = m_exchange.isUndelivered() || m_source.isReader();
+    std::map<std::string, DueRow> rows;
+    const auto add = [&](const std::string &key, const EvidenceTracker::Entry &entry, const auto &encode) {
+        const auto &evidence = entry.evidence;
+        const auto before = rows.find(key);
+        const bool isOlder = before != rows.end() && before->second.heardAt > entry.heardAt;
+        if (!isOlder && !isStored(key, evidence) && now - entry.heardAt >= turnDelay()) {
+            rows[key] = {key, withProcess(encode(), evidence), entry.heardAt, evidence.incarnation, evidence.serial};
+        }
+    };
+    for (const auto &item : m_exchange.held()) {
+        const auto &evidence = item.second.evidence;
+        if (storesCrashes && !evidence.crashes.empty()) {
+            add(std::string(crashEvidencePrefix) + evidence.node, item.second, [&] {
+                return encodeCrashEvidence(evidence.crashes);
+            });
+        }
+        for (const auto &[service, runs] : evidence.rollouts) {
+            if (storesRollouts) {
+                add(std::string(evidencePrefix) + service + '/' + evidence.node, item.second, [&] {
+                    return encodeEvidence(service, evidence.node, runs);
+                });
+            }
+        }
+    }
+    std::vector<DueRow> due;
+    for (auto &item : rows) {
+        due.push_back(std::move(item.second));
+    }
+    std::sort(
+        due.begin(), due.end(), [](const DueRow &left, const DueRow &right) { return left.heardAt > right.heardAt; });
+    return due;
+}
+
+bool EvidenceRows::takeCall(base::TimePoint now)
+{
+    const auto refill = m_context.settings.bounds.evidenceWritesPerSecond * base::toSeconds(now - m_countedAt);
+    m_calls = std::min(callsAtOnce, m_calls + refill);
+    m_countedAt = now;
+    if (m_calls < 1) {
+        return false;
+    }
+    m_calls -= 1;
+    return true;
+}
+
+void EvidenceRows::tick(base::TimePoint now)
+{
+    if (m_isWriting || !m_isLoaded) {
+        return;
+    }
+    auto due = dueRows(now);
+    if (due.empty()) {
+        return;
+    }
+    if (!takeCall(now)) {
+        EventLog::failure("evidence_writes_limited").field("due", due.size());
+        return;
+    }
+    if (due.size() > maxRowsInCall) {
+        EventLog::state("evidence_writes_limited").field("due", due.size()).field("written", maxRowsInCall);
+        due.resize(maxRowsInCall);
+    }
+    write(std::move(due));
+}
+
+void EvidenceRows::write(std::vector<DueRow> rows)
+{
+    std::vector<ConditionalWrite> writes;
+    bool hasRollouts = false;
+    for (auto &row : rows) {
+        hasRollouts = hasRollouts || std::string_view(row.key).starts_with(evidencePrefix);
+        writes.push_back({ownTable, row.key, std::move(row.data), std::nullopt});
+    }
+    m_isWriting = true;
+    const auto cause = hasRollouts ? StoreCallCause::RolloutEvidence : StoreCallCause::CrashEvidence;
+    m_store.write(cause, writes, [this, rows](const WriteResult &result) {
+        m_isWriting = false;
+        if (result.outcome != WriteOutcome::Done) {
+            EventLog::state("evidence_rows_not_written")
+                .field("rows", rows.size())
+                .field("outcome", base::nameOf(writeOutcomeNames, result.outcome));
+            return;
+        }
+        for (const auto &row : rows) {
+            m_stored[row.key] = {row.incarnation, row.serial};
+        }
+    });
+}
+
+} // namespace ibisfork::gateway::evidence
--- a/src/gateway/fleetview.cpp
+++ b/src/gateway/fleetview.cpp
@@ -224,9 +224,10 @@
     if (row.removed) {
         return;
     }
-    if (const auto stored = decodeEvidence(row.data)) {
+    const auto stored = decodeEvidence(row.data);
+    if (stored && !stored->isExchanged) {
         m_rollouts.setEvidence(*stored);
-    } else {
+    } else if (!stored) {
         EventLog::state("evidence_unreadable").field("key", row.key).field("version", row.version.text());
     }
 }
@@ -264,6 +265,13 @@
     return peers;
 }
 
+bool FleetView::hasRowReaders(const std::string &self) const
+{
+    return std::any_of(m_peers.begin(), m_peers.end(), [&](const auto &item) {
+        return item.first != self && !item.second.exchangesEvidence;
+    });
+}
+
 bool FleetView::hasRowOf(const PeerNode &node) const
 {
     const auto found = m_nodeRows.find(node.name);
--- a/src/gateway/fleetview.h
+++ b/src/gateway/fleetview.h
@@ -52,6 +52,8 @@
     bool nodesKnown() const { return m_nodesKnown; }
     /// Nodes that can be queried for table rows, except @p self.
     std::vector<PeerNode> peersOf(const std::string &self) const;
+    /// True if a node but @p self reads evidence of rollouts from rows only, as earlier versions do.
+    bool hasRowReaders(const std::string &self) const;
     /// Returns true if the store already holds just the row that @p node would write for itself.
     bool hasRowOf(const PeerNode &node) const;
     /// Row version of the rollout status of @p service, 0 if there is none.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include "gateway/eventlog.h"
@@ -111,30 +112,45 @@
                      registerNode();
                      m_source.setPeers(m_context.view.peersOf(m_context.settings.node.name));
                      m_crashes.applyRows(change);
+                     m_evidenceRows.applyRows(change);
+                     m_exchange.update();
                      m_tableServer.update(ownTable, change);
                  })
+    , m_exchange(base,
+                 m_context.settings.node.name,
+                 m_context.view,
+                 m_source,
+                 metrics,
+                 {[this] { applyFleetEvidence(); },
+                  [this] {
+                      m_tableServer.answerForEvidence();
+                  }})
+    , m_evidenceRows(m_context, m_store, m_source, m_exchange)
     , m_crashes(m_context,
                 m_store,
+                m_source,
                 m_ownTable,
+                m_exchange,
                 [this] {
                     m_callers.endPoison();
                     m_forwarded.endPoison();
                 })
-    , m_rollouts(m_context, m_store, m_source, m_operatorTable, m_statusTable)
-    , m_tableServer(base)
+    , m_rollouts(m_context, m_store, m_source, m_operatorTable, m_statusTable, m_exchange)
+    , m_tableServer(base, [this] { return m_exchange.version(); })
     , m_callers(m_context, settings.callers, RequestOrigin::Caller)
     , m_forwarded(m_context, forwardingAddress(settings), RequestOrigin::Peer)
     , m_reachProbe(m_context)
     , m_readiness(
           base,
           settings.readiness,
-          [this](const std::string &target, const InfoPort::Reply &reply) {
-              const bool known = target == platform::readinessPath();
+          [this](const http::Request &request, const InfoPort::Reply &reply) {
+              const bool known = request.head.target == platform::readinessPath();
               reply({known ? (ready() ? http::status::ok : http::status::unavailable) : http::status::notFound, {}});
           })
-    , m_operators(base,
-                  settings.operators,
-                  [this](const std::string &target, const InfoPort::Reply &reply) { answerOperators(target, reply); })
+    , m_operators(
+          base,
+          settings.operators,
+          [this](const http::Request &request, const InfoPort::Reply &reply) { answerOperators(request, reply); })
     , m_tick(base, [this] { tick(); })
     , m_stopTick(base, [this] { stopTick(); })
 {
@@ -144,6 +160,7 @@
     m_context.checkPath = [this](const EngineEntry &engine) {
         m_reachProbe.checkPath(engine);
     };
+    m_source.setOnPeerChanged([this] { m_exchange.update(); });
     m_context.storeNow = [this] {
         return StoreTime(m_ownTable.storeNowMs());
     };
@@ -195,6 +212,7 @@
     auto self = selfOf(m_context.settings);
     self.address = m_operators.address();
     self.forwarding = m_forwarded.address();
+    self.exchangesEvidence = true;
     return self;
 }
 
@@ -230,6 +248,8 @@
     registerNode();
     m_rollouts.tick(now);
     m_crashes.tick(now);
+    m_exchange.update();
+    m_evidenceRows.tick(now);
     m_reachProbe.tick();
     m_context.results.tick(now);
     if (ready() != m_wasReady) {
@@ -276,12 +296,30 @@
     }
 }
 
-void Gateway::answerOperators(const std::string &target, const InfoPort::Reply &reply)
+void Gateway::applyFleetEvidence()
+{
+    const auto others = m_exchange.others();
+    std::map<std::string, std::vector<RolloutEvidence>> sums;
+    for (const auto &item : others.rollouts) {
+        sums[item.service].push_back(item.evidence);
+    }
+    for (const auto &[service, evidence] : sums) {
+        m_context.view.rollouts().setFleetEvidence(service, evidence);
+    }
+    m_crashes.applyFleetEvidence(others.crashes);
+    m_evidenceRows.tick(base::monotonicNow());
+}
+
+void Gateway::answerOperators(const http::Request &request, const InfoPort::Reply &reply)
 {
+    const auto &target = request.head.target;
     if (const auto query = decodeQuery(target)) {
         m_tableServer.handleQuery(*query, [reply](const TableServer::Answer &answer) {
             reply({answer.status, answer.body});
         });
+    } else if (target == evidence::exchangePath) {
+        const auto answer = m_exchange.handle(request.body);
+        reply({answer.status, answer.body});
     } else if (target == "/metrics") {
         updateGauges();
         reply({http::status::ok, m_context.metrics.render()});
@@ -292,6 +330,25 @@
     }
 }
 
+nlohmann::json Gateway::evidenceDocument() const
+{
+    const auto now = base::monotonicNow();
+    auto held = nlohmann::json::array();
+    for (const auto &[incarnation, entry] : m_exchange.held()) {
+        auto services = nlohmann::json::array();
+        for (const auto &item : entry.evidence.rollouts) {
+            services.push_back(item.first);
+        }
+        held.push_back({{"node", entry.evidence.node},
+                        {"incarnation", fmt::format("{:016x}", incarnation)},
+                        {"serial", entry.evidence.serial},
+                        {"age_ms", base::toMilliseconds(now - entry.heardAt)},
+                        {"rollouts", services},
+                        {"engines_ended", entry.evidence.crashes.reports.size()}});
+    }
+    return {{"sums_from", m_exchange.upstream()}, {"undelivered", m_exchange.isUndelivered()}, {"held", held}};
+}
+
 std::string Gateway::statusDocument() const
 {
     const auto now = base::monotonicNow();
@@ -304,6 +361,7 @@
                        {"configuration", view.configuration() ? view.configuration()->version : 0},
                        {"evacuated", view.evacuatedDomains()},
                        {"rollouts", nlohmann::json::object()},
+                       {"evidence", evidenceDocument()},
                        {"engines", nlohmann::json::array()}};
     for (const auto *watch : {&m_operatorTable, &m_engineTable, &m_statusTable, &m_ownTable}) {
         out["age_ms"][watch->table()] = ageMs(*watch, now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -4,10 +4,13 @@
 #include <string>
 
 #include <ibisfork/base/metrics.h>
+#include <nlohmann/json_fwd.hpp>
 
 #include "gateway/callerport.h"
 #include "gateway/context.h"
 #include "gateway/crashreporter.h"
+#include "gateway/evidence/evidenceexchange.h"
+#include "gateway/evidence/evidencerows.h"
 #include "gateway/infoport.h"
 #include "gateway/reachprobe.h"
 #include "gateway/rolloutdriver.h"
@@ -51,8 +54,12 @@
     void stopTick();
     void registerNode();
     void updateGauges() const;
-    void answerOperators(const std::string &target, const InfoPort::Reply &reply);
+    void answerOperators(const http::Request &request, const InfoPort::Reply &reply);
+    /// Acts on the evidence of the other nodes.
+    void applyFleetEvidence();
     std::string statusDocument() const;
+    /// What this node holds of other nodes' evidence, and how old it is.
+    nlohmann::json evidenceDocument() const;
 
     Context m_context;
     StoreClient m_store;
@@ -61,6 +68,8 @@
     TableWatch m_engineTable;
     TableWatch m_statusTable;
     TableWatch m_ownTable;
+    evidence::EvidenceExchange m_exchange;
+    evidence::EvidenceRows m_evidenceRows;
     CrashReporter m_crashes;
     RolloutDriver m_rollouts;
     TableServer m_tableServer;
--- a/src/gateway/infoport.cpp
+++ b/src/gateway/infoport.cpp
@@ -14,7 +14,7 @@
 {
     http::CallerConnection::Handlers handlers;
     handlers.onRequest = [this](http::CallerConnection &connection, const http::Request &request) {
-        handleRequest(connection, request.head.target);
+        handleRequest(connection, request);
     };
     handlers.onCallerLeft = [](http::CallerConnection &) {
     };
@@ -29,10 +29,10 @@
     m_connections[key] = {std::move(connection), ++m_serial};
 }
 
-void InfoPort::handleRequest(http::CallerConnection &connection, const std::string &target)
+void InfoPort::handleRequest(http::CallerConnection &connection, const http::Request &request)
 {
     const auto serial = m_connections.at(&connection).serial;
-    m_handler(target, [this, key = &connection, serial](const InfoAnswer &answer) { reply(key, serial, answer); });
+    m_handler(request, [this, key = &connection, serial](const InfoAnswer &answer) { reply(key, serial, answer); });
 }
 
 void InfoPort::reply(http::CallerConnection *connection, std::uint64_t serial, const InfoAnswer &answer)
--- a/src/gateway/infoport.h
+++ b/src/gateway/infoport.h
@@ -21,7 +21,7 @@
 {
 public:
     using Reply = std::function<void(const InfoAnswer &)>;
-    using Handler = std::function<void(const std::string &target, Reply reply)>;
+    using Handler = std::function<void(const http::Request &request, Reply reply)>;
 
     InfoPort(event_base *base, const net::Address &address, Handler handler);
 
@@ -36,7 +36,7 @@
     };
 
     void accept(evutil_socket_t socket);
-    void handleRequest(http::CallerConnection &connection, const std::string &target);
+    void handleRequest(http::CallerConnection &connection, const http::Request &request);
     void reply(http::CallerConnection *connection, std::uint64_t serial, const InfoAnswer &answer);
     void removeConnection(http::CallerConnection &connection);
 
--- a/src/gateway/noderow.cpp
+++ b/src/gateway/noderow.cpp
@@ -7,6 +7,12 @@
 
 namespace ibisfork::gateway {
 
+namespace {
+
+constexpr const char *evidenceField = "evidence";
+
+} // namespace
+
 std::string encodeNodeRow(const PeerNode &node)
 {
     nlohmann::json row{
@@ -14,6 +20,9 @@
     if (node.forwarding) {
         row["forwarding"] = node.forwarding->text();
     }
+    if (node.exchangesEvidence) {
+        row[evidenceField] = true;
+    }
     return row.dump();
 }
 
@@ -28,6 +37,7 @@
         if (document.contains("forwarding")) {
             node.forwarding = net::Address::parse(document["forwarding"].get<std::string>());
         }
+        node.exchangesEvidence = document.value(evidenceField, false);
         return node;
     } catch (const nlohmann::json::exception &error) {
         EventLog::state("node_row_unreadable").field("name", name).field("reason", error.what());
--- a/src/gateway/rollout.cpp
+++ b/src/gateway/rollout.cpp
@@ -59,6 +59,11 @@
             sum.add(other);
         }
     }
+    for (const auto &other : fleet) {
+        if (other.orderRow == orderRow) {
+            sum.add(other);
+        }
+    }
     return sum;
 }
 
@@ -96,6 +101,11 @@
             other.orderRow = newOrderRow;
         }
     }
+    for (auto &other : fleet) {
+        if (other.orderRow == orderRow) {
+            other.orderRow = newOrderRow;
+        }
+    }
     orderRow = newOrderRow;
     evidence.orderRow = newOrderRow;
     sharedRuns = 0;
--- a/src/gateway/rollout.h
+++ b/src/gateway/rollout.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include <ibisfork/base/clock.h>
 
@@ -48,6 +49,8 @@
     RolloutTimes storedPlan;
     /// Why this node has stopped the new version; empty if it has not.
     std::string stopReason;
+    /// The runs of this node alone have stopped it, so that others may not know.
+    bool isStoppedAlone = false;
     RunCounts newCounts;
     RunCounts oldCounts;
     /// Evidence of this node in the current step.
@@ -56,8 +59,10 @@
     unsigned sharedRuns = 0;
     /// By route and quality.
     std::map<std::pair<std::string, RunQuality>, VersionAlarm> alarms;
-    /// Evidence of the other nodes, by node.
+    /// Evidence of nodes that has been stored by earlier builds, by node.
     std::map<std::string, RolloutEvidence> peers;
+    /// Evidence of all other nodes that exchange it, summed for each order and step.
+    std::vector<RolloutEvidence> fleet;
 
     /// True if the current order's status, as read from the store, is @p state.
     bool hasStatus(RolloutState state) const;
--- a/src/gateway/rolloutdriver.cpp
+++ b/src/gateway/rolloutdriver.cpp
@@ -15,10 +15,6 @@
 /// Time between the decision to move all requests and the move, in which all nodes learn of it: a session whose
 /// requests arrive at several nodes must not go back and forth between versions.
 constexpr std::chrono::milliseconds fullStepNotice{1000};
-/// A node stores its evidence at most once in this time, and the less often the more nodes there are: all nodes
-/// together must leave most of the store's writes to others.
-constexpr std::chrono::milliseconds minEvidenceInterval{200};
-constexpr std::chrono::milliseconds evidenceIntervalPerNode{20};
 constexpr std::chrono::milliseconds logInterval{1000};
 
 } // namespace
@@ -27,12 +23,14 @@
                              StoreClient &store,
                              const TableSource &source,
                              const TableWatch &operatorTable,
-                             const TableWatch &statusTable)
+                             const TableWatch &statusTable,
+                             evidence::EvidenceExchange &exchange)
     : m_context(context)
     , m_store(store)
     , m_source(source)
     , m_operatorTable(operatorTable)
     , m_statusTable(statusTable)
+    , m_exchange(exchange)
 {
     const auto &settings = context.settings;
     auto &rollouts = context.view.rollouts();
@@ -45,7 +43,7 @@
     m_context.view.rollouts().update(now);
     writeDueStatuses(now);
     writeDueFullSteps(now);
-    shareEvidence(now);
+    shareEvidence();
     logRuns(now);
 }
 
@@ -63,8 +61,10 @@
 bool RolloutDriver::mayWriteStatus(const std::string &service, const RolloutStatus &status, base::TimePoint now)
 {
     const auto [since, isNew] = m_statusDueSince.try_emplace(service, now);
-    // A revert rests on evidence that only this node may have, so it must not wait.
-    return status.state == RolloutState::Reverted || mayWrite(since->second, now);
+    // A revert for what only this node has seen must not wait.
+    const bool isOwnRevert
+        = status.state == RolloutState::Reverted && m_context.view.rollouts().isStoppedAlone(service);
+    return isOwnRevert || mayWrite(since->second, now);
 }
 
 void RolloutDriver::writeDueStatuses(base::TimePoint now)
@@ -182,44 +182,17 @@
     });
 }
 
-void RolloutDriver::shareEvidence(base::TimePoint now)
+void RolloutDriver::shareEvidence()
 {
-    const auto interval
-        = std::max<base::Duration>(minEvidenceInterval, evidenceIntervalPerNode * m_context.view.nodes());
-    if (now - m_evidenceSharedAt < interval) {
-        return;
-    }
-    const auto &rollouts = m_context.view.rollouts();
+    auto &rollouts = m_context.view.rollouts();
     for (const auto &service : rollouts.servicesWithOrders()) {
         const auto evidence = rollouts.unsharedEvidence(service);
-        if (evidence && !m_pendingEvidence.contains(service)) {
-            m_evidenceSharedAt = now;
-            writeEvidence(service, *evidence);
+        if (evidence && m_exchange.setOwn(service, *evidence)) {
+            rollouts.recordShared(service, *evidence);
         }
     }
 }
 
-void RolloutDriver::writeEvidence(const std::string &service, const RolloutEvidence &evidence)
-{
-    m_pendingEvidence.insert(service);
-    const auto &node = m_context.settings.node.name;
-    ConditionalWrite row;
-    row.table = ownTable;
-    row.key = std::string(evidencePrefix) + service + '/' + node;
-    row.data = encodeEvidence(service, node, evidence);
-    m_store.write(StoreCallCause::RolloutEvidence, {row}, [this, service, evidence](const WriteResult &result) {
-        m_pendingEvidence.erase(service);
-        if (result.outcome == WriteOutcome::Done) {
-            m_context.view.rollouts().recordShared(service, evidence);
-            return;
-        }
-        // Written again with the next runs' evidence.
-        EventLog::state("evidence_not_written")
-            .field("service", service)
-            .field("outcome", base::nameOf(writeOutcomeNames, result.outcome));
-    });
-}
-
 void RolloutDriver::logRuns(base::TimePoint now)
 {
     if (now - m_runsLoggedAt < logInterval) {
--- a/src/gateway/rolloutdriver.h
+++ b/src/gateway/rolloutdriver.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "gateway/context.h"
+#include "gateway/evidence/evidenceexchange.h"
 #include "gateway/rolloutplan.h"
 #include "gateway/storeclient.h"
 #include "gateway/tablesource.h"
@@ -12,8 +13,8 @@
 
 namespace ibisfork::gateway {
 
-/// Writes what is due in rollouts to the store: statuses, times of steps, and this node's evidence. There is no leader;
-/// every node may write, and conditional writes decide which one succeeds.
+/// Writes what is due in rollouts to the store, statuses and times of steps, and tells other nodes this node's
+/// evidence. There is no leader; every node may write, and conditional writes decide which one succeeds.
 class RolloutDriver
 {
 public:
@@ -22,7 +23,8 @@
                   StoreClient &store,
                   const TableSource &source,
                   const TableWatch &operatorTable,
-                  const TableWatch &statusTable);
+                  const TableWatch &statusTable,
+                  evidence::EvidenceExchange &exchange);
 
     /// Judges open runs and writes what is due; must be called regularly.
     void tick(base::TimePoint now);
@@ -45,8 +47,7 @@
     void writePlan(const std::string &service, const RolloutPlan &plan);
     /// The plan of a rollout whose requests move at @p fullAt, by the store's clock.
     RolloutPlan planOf(const std::string &service, std::optional<base::TimePoint> fullAt, base::TimePoint now) const;
-    void shareEvidence(base::TimePoint now);
-    void writeEvidence(const std::string &service, const RolloutEvidence &evidence);
+    void shareEvidence();
     /// Logs the runs of services with a rollout in progress, at most once in a while.
     void logRuns(base::TimePoint now);
 
@@ -55,13 +56,12 @@
     const TableSource &m_source;
     const TableWatch &m_operatorTable;
     const TableWatch &m_statusTable;
+    evidence::EvidenceExchange &m_exchange;
     std::set<std::string> m_pendingStatuses;
     std::set<std::string> m_pendingPlans;
-    std::set<std::string> m_pendingEvidence;
     /// Since when a status or a step has been due that this node leaves to the nodes that read the store, by service.
     std::map<std::string, base::TimePoint> m_statusDueSince;
     std::map<std::string, base::TimePoint> m_stepDueSince;
-    base::TimePoint m_evidenceSharedAt{};
     base::TimePoint m_runsLoggedAt{};
 };
 
--- a/src/gateway/rolloutevidence.h
+++ b/src/gateway/rolloutevidence.h
@@ -39,6 +39,8 @@
     unsigned bad() const { return late + failed; }
     /// Number of runs of @p quality, which must be Late or Failed.
     unsigned of(RunQuality quality) const { return quality == RunQuality::Late ? late : failed; }
+
+    bool operator==(const RunTally &) const = default;
 };
 
 /// Qualities that speak against a version. They are tested each by itself: where many runs of both versions are late
@@ -76,6 +78,8 @@
     bool showsBadVersion() const;
     /// The runs are enough, and good enough on each route, to go on after this step.
     bool showsGoodVersion() const;
+
+    bool operator==(const RolloutEvidence &) const = default;
 };
 
 /// Encodes the evidence of @p node about @p service as the JSON text that is stored.
@@ -87,6 +91,8 @@
     std::string service;
     std::string node;
     RolloutEvidence evidence;
+    /// It is also exchanged between nodes, which then go by that.
+    bool isExchanged = false;
 };
 
 /// Decodes stored evidence; nothing if @p text is not valid.
--- a/src/gateway/rollouttracker.cpp
+++ b/src/gateway/rollouttracker.cpp
@@ -74,6 +74,7 @@
     next.plan = rollout.plan;
     next.storedPlan = rollout.storedPlan;
     next.peers = rollout.peers;
+    next.fleet = rollout.fleet;
     next.order = order;
     next.orderRow = orderRow;
     next.evidence.orderRow = orderRow;
@@ -149,6 +150,21 @@
     }
 }
 
+void RolloutTracker::setFleetEvidence(const std::string &service, const std::vector<RolloutEvidence> &sums)
+{
+    auto &rollout = m_rollouts[service];
+    rollout.fleet = sums;
+    if (rollout.orderRow != RowVersion()) {
+        stopIfBad(rollout, rollout.pooled());
+    }
+}
+
+bool RolloutTracker::isStoppedAlone(const std::string &service) const
+{
+    const auto *rollout = find(service);
+    return rollout != nullptr && rollout->isStoppedAlone;
+}
+
 const Rollout *RolloutTracker::find(const std::string &service) const
 {
     const auto found = m_rollouts.find(service);
@@ -319,6 +335,7 @@
         if (alarm.raised() && rollout->isOpen()) {
             const auto name = base::nameOf(runQualityNames, quality);
             rollout->stopReason = fmt::format("runs_of_{}_turned_{}_here", run.kind.route, name);
+            rollout->isStoppedAlone = true;
         }
     }
     if (verdict->quality != RunQuality::Good) {
@@ -424,7 +441,7 @@
     const auto pooled = rollout->pooled();
     const auto next = pooled.allNew();
     const auto old = pooled.allOld();
-    return fmt::format("{},new:{}/{}/{},old:{}/{}/{},nodes:{},stopped:{}",
+    return fmt::format("{},new:{}/{}/{},old:{}/{}/{},rows:{},stopped:{}",
                        base::nameOf(rolloutStepNames, pooled.step),
                        next.judged,
                        next.late,
@@ -432,7 +449,7 @@
                        old.judged,
                        old.late,
                        old.failed,
-                       rollout->peers.size() + 1,
+                       rollout->peers.size(),
                        rollout->stopReason.empty() ? "no" : rollout->stopReason);
 }
 
--- a/src/gateway/rollouttracker.h
+++ b/src/gateway/rollouttracker.h
@@ -69,6 +69,10 @@
     void setStatus(const std::string &service, const RolloutStatus &status, RowVersion statusRow);
     /// Takes the evidence that a node has stored; it replaces that node's earlier evidence.
     void setEvidence(const StoredEvidence &stored);
+    /// Takes the sums of all other nodes' evidence for each order and step of @p service, in place of those before.
+    void setFleetEvidence(const std::string &service, const std::vector<RolloutEvidence> &sums);
+    /// True if the version on trial was stopped by runs of this node alone.
+    bool isStoppedAlone(const std::string &service) const;
     /// Row version of the current order, 0 if there is none.
     RowVersion orderRow(const std::string &service) const;
     /// When the order was first seen by any node, as far as this node knows.
--- a/src/gateway/rows.h
+++ b/src/gateway/rows.h
@@ -35,6 +35,8 @@
     std::int64_t storeNowMs = 0;
     /// Time since the store confirmed these rows; not zero if another node passed them on.
     std::chrono::milliseconds age{0};
+    /// Version of the evidence of the node that passed them on; 0 if there is none.
+    std::uint64_t evidenceVersion = 0;
 };
 
 /// A write of one row on condition that the row still has the expected version.
--- a/src/gateway/storecallcause.h
+++ b/src/gateway/storecallcause.h
@@ -12,7 +12,7 @@
     TableFeed, ///< Changes of a table.
     NodeRegistration,
     CrashEvidence,
-    Conviction, ///< Also if the transaction has the node's crash evidence too.
+    Conviction,
     RolloutStatus,
     RolloutPlan,
     RolloutEvidence,
--- a/src/gateway/tablequery.cpp
+++ b/src/gateway/tablequery.cpp
@@ -39,6 +39,9 @@
     if (query.wait.count() > 0) {
         head.target += fmt::format("&wait_ms={}", query.wait.count());
     }
+    if (query.evidenceVersion) {
+        head.target += fmt::format("&evidence={}", *query.evidenceVersion);
+    }
     head.headers.add("Host", host);
     return head;
 }
@@ -55,6 +58,7 @@
         query.after = RowVersion(*after, static_cast<std::uint32_t>(era));
     }
     query.wait = std::chrono::milliseconds(number(parameter(target, "&wait_ms=")).value_or(0));
+    query.evidenceVersion = number(parameter(target, "&evidence="));
     return query;
 }
 
@@ -73,6 +77,7 @@
     answer.set_era(batch.version.era());
     answer.set_store_now_ms(batch.storeNowMs);
     answer.set_age_ms(static_cast<std::uint32_t>(batch.age.count()));
+    answer.set_evidence_version(batch.evidenceVersion);
     return answer.SerializeAsString();
 }
 
@@ -89,6 +94,7 @@
     batch.version = {answer.version(), answer.era()};
     batch.storeNowMs = answer.store_now_ms();
     batch.age = std::chrono::milliseconds(answer.age_ms());
+    batch.evidenceVersion = answer.evidence_version();
     return batch;
 }
 
--- a/src/gateway/tablequery.h
+++ b/src/gateway/tablequery.h
@@ -16,6 +16,9 @@
     std::optional<RowVersion> after;
     /// How long the other node may hold the query until there is a change, or until it has read the table.
     std::chrono::milliseconds wait{0};
+    /// Version of the evidence that the asking node knows the other one to have; that one does not hold the query once
+    /// it has another. Not set: it doesn't matter.
+    std::optional<std::uint64_t> evidenceVersion{};
 };
 
 /// HTTP path of these queries; the parameters are in the query string.
--- a/src/gateway/tableserver.cpp
+++ b/src/gateway/tableserver.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "gateway/fleetview.h"
 #include "http/status.h"
 #include "net/deletelater.h"
 
@@ -14,8 +15,9 @@
 
 } // namespace
 
-TableServer::TableServer(event_base *base)
+TableServer::TableServer(event_base *base, std::function<std::uint64_t()> evidenceVersion)
     : m_base(base)
+    , m_evidenceVersion(std::move(evidenceVersion))
 { }
 
 void TableServer::add(const std::string &table, const TableWatch &watch, TableCache::IsUnchanged isUnchanged)
@@ -79,8 +81,17 @@
     item->timer->startOnce(std::min(query.wait, maxWait));
 }
 
-bool TableServer::shouldWait(const Table &table, const TableQuery &query)
+void TableServer::answerForEvidence()
 {
+    // One query tells the asking node; those for the other tables go on.
+    answerWaiting(ownTable);
+}
+
+bool TableServer::shouldWait(const Table &table, const TableQuery &query) const
+{
+    if (query.table == ownTable && query.evidenceVersion && *query.evidenceVersion != m_evidenceVersion()) {
+        return false;
+    }
     // Right after the start of this node the query waits too: an error would send every querying node to the store.
     if (!table.cache.filled() || !table.watch->confirmedAt()) {
         return true;
@@ -107,6 +118,7 @@
     // The watch's version may be newer than the cache's, as it also advances with changes to other tables.
     batch.version = table.watch->version();
     batch.storeNowMs = table.watch->storeNowMs();
+    batch.evidenceVersion = m_evidenceVersion();
     batch.age = std::chrono::duration_cast<std::chrono::milliseconds>(base::monotonicNow() - *confirmed);
     reply({200, encodeRowBatch(batch)});
 }
--- a/src/gateway/tableserver.h
+++ b/src/gateway/tableserver.h
@@ -25,7 +25,8 @@
 
     using Reply = std::function<void(const Answer &)>;
 
-    explicit TableServer(event_base *base);
+    /// @p evidenceVersion: version of this node's evidence.
+    TableServer(event_base *base, std::function<std::uint64_t()> evidenceVersion);
 
     /// Adds a table to serve. @p watch must outlive this object. Rows for which @p isUnchanged holds are not passed
     /// on as changes.
@@ -34,6 +35,8 @@
     void update(const std::string &table, const TableChange &change);
     /// Calls @p reply at once, or when the table changes or the query's wait has passed.
     void handleQuery(const TableQuery &query, Reply reply);
+    /// Answers the queries that know another version of the evidence.
+    void answerForEvidence();
 
 private:
     struct Table
@@ -49,11 +52,12 @@
         std::unique_ptr<net::Timer> timer;
     };
 
-    static bool shouldWait(const Table &table, const TableQuery &query);
+    bool shouldWait(const Table &table, const TableQuery &query) const;
     void answerNow(const TableQuery &query, const Reply &reply) const;
     void answerWaiting(const std::string &table);
 
     event_base *m_base;
+    std::function<std::uint64_t()> m_evidenceVersion;
     std::map<std::string, Table> m_tables;
     std::list<Waiting> m_waiting;
 };
--- a/src/gateway/tablesource.cpp
+++ b/src/gateway/tablesource.cpp
@@ -101,13 +101,13 @@
     m_sources.insert(isSeed ? m_sources.begin() : m_sources.end(), {storeName, {}});
 }
 
-std::vector<std::string> TableSource::regionReaders(const Domains &domains) const
+std::vector<std::string> TableSource::regionReaders(const Domains &domains, const std::string &region)
 {
     std::vector<std::string> relays;
     std::map<std::string, std::string> firstRelays;
     std::vector<std::string> names;
     for (const auto &[domain, members] : domains) {
-        if (members.front().region == m_self.region) {
+        if (members.front().region == region) {
             const auto own = relaysOf(domain, members);
             appendNew(relays, own);
             firstRelays[domain] = own.front();
@@ -119,7 +119,7 @@
     }
     // Readers are in different domains, so that the loss of a domain leaves one of them.
     std::vector<std::string> readers;
-    for (const auto &domain : coord::rendezvousChoose("facts/" + m_self.region, names, readersOfLargeRegion)) {
+    for (const auto &domain : coord::rendezvousChoose("facts/" + region, names, readersOfLargeRegion)) {
         readers.push_back(firstRelays[domain]);
     }
     return readers;
@@ -131,7 +131,7 @@
     if (!m_isRelay) {
         order = spread(relaysOf(m_self.failureDomain, domains.at(m_self.failureDomain)), m_self.name);
     } else if (!m_isReader) {
-        order = spread(regionReaders(domains), m_self.name);
+        order = spread(regionReaders(domains, m_self.region), m_self.name);
     }
     order.emplace_back(storeName);
     for (const auto &[domain, members] : domains) {
@@ -142,6 +142,37 @@
     return order;
 }
 
+std::vector<PeerNode> TableSource::otherReaders(const Domains &domains) const
+{
+    std::set<std::string> regions;
+    for (const auto &[domain, members] : domains) {
+        regions.insert(members.front().region);
+    }
+    std::vector<std::string> names;
+    for (const auto &region : regions) {
+        appendNew(names, regionReaders(domains, region));
+    }
+    std::vector<PeerNode> readers;
+    for (const auto &[domain, members] : domains) {
+        std::copy_if(members.begin(), members.end(), std::back_inserter(readers), [&](const PeerNode &node) {
+            return node.name != m_self.name && contains(names, node.name);
+        });
+    }
+    return readers;
+}
+
+void TableSource::setLastPeer(std::optional<Peer> peer)
+{
+    const auto isSame = [&] {
+        return m_lastPeer->name == peer->name && m_lastPeer->evidenceVersion == peer->evidenceVersion;
+    };
+    const bool hasChanged = peer.has_value() != m_lastPeer.has_value() || (peer && !isSame());
+    m_lastPeer = std::move(peer);
+    if (hasChanged && m_onPeerChanged) {
+        m_onPeerChanged();
+    }
+}
+
 void TableSource::setPeers(const std::vector<PeerNode> &peers)
 {
     Domains domains;
@@ -152,11 +183,12 @@
         addresses[peer.name] = peer.address;
     }
     m_isRelay = contains(relaysOf(m_self.failureDomain, domains[m_self.failureDomain]), m_self.name);
-    const bool reader = m_isRelay && contains(regionReaders(domains), m_self.name);
+    const bool reader = m_isRelay && contains(regionReaders(domains, m_self.region), m_self.name);
     if (reader != m_isReader) {
         EventLog::state("reads_store").field("reader", reader).field("nodes", peers.size() + 1);
     }
     m_isReader = reader;
+    m_otherReaders = reader ? otherReaders(domains) : std::vector<PeerNode>();
     m_sources.clear();
     for (const auto &name : sourceOrder(domains)) {
         m_sources.push_back({name, addresses[name]});
@@ -232,6 +264,8 @@
         const auto *failure = std::get_if<StoreFailure>(&result);
         if (failure != nullptr && *failure != StoreFailure::HistoryGone) {
             recordFailure(storeName, "-", std::chrono::milliseconds(0), storeBackoff);
+        } else {
+            setLastPeer(std::nullopt);
         }
         done(result, true);
     });
@@ -243,21 +277,27 @@
                             const Done &done)
 {
     m_peerCalls.add();
-    const auto head = encodeQuery(query, peer.address.text());
+    auto known = query;
+    if (m_lastPeer && m_lastPeer->name == peer.name && m_lastPeer->evidenceVersion != 0) {
+        known.evidenceVersion = m_lastPeer->evidenceVersion;
+    }
+    const auto head = encodeQuery(known, peer.address.text());
     const auto timeout = query.wait + peerAnswerTimeout;
-    const auto answered = [this, name = peer.name, table = query.table, maxAge, done](const http::CallAnswer &answer) {
-        const auto status = answer.head.status;
-        const auto batch = status == http::status::ok ? decodeRowBatch(answer.body) : std::nullopt;
-        if (status == http::status::gone) {
-            done(StoreFailure::HistoryGone, false);
-        } else if (!batch || batch->age > maxAge || batch->version.era() < era()) {
-            recordFailure(name, table, batch ? batch->age : std::chrono::milliseconds(0), peerBackoff);
-            done(StoreFailure::NoAnswer, false);
-        } else {
-            m_peersEra = std::max(m_peersEra, batch->version.era());
-            done(*batch, false);
-        }
-    };
+    const auto answered
+        = [this, peer, name = peer.name, table = query.table, maxAge, done](const http::CallAnswer &answer) {
+              const auto status = answer.head.status;
+              const auto batch = status == http::status::ok ? decodeRowBatch(answer.body) : std::nullopt;
+              if (status == http::status::gone) {
+                  done(StoreFailure::HistoryGone, false);
+              } else if (!batch || batch->age > maxAge || batch->version.era() < era()) {
+                  recordFailure(name, table, batch ? batch->age : std::chrono::milliseconds(0), peerBackoff);
+                  done(StoreFailure::NoAnswer, false);
+              } else {
+                  m_peersEra = std::max(m_peersEra, batch->version.era());
+                  setLastPeer(Peer{name, peer.address, batch->evidenceVersion});
+                  done(*batch, false);
+              }
+          };
     m_client.send(peer.address, http::serializeRequest(head, {}), timeout, answered);
 }
 
--- a/src/gateway/tablesource.h
+++ b/src/gateway/tablesource.h
@@ -24,6 +24,8 @@
     net::Address address;
     /// Where the node accepts forwarded requests; nodes of earlier versions don't.
     std::optional<net::Address> forwarding{};
+    /// The node exchanges evidence with others; those of earlier versions only read rows.
+    bool exchangesEvidence = false;
 };
 
 /// Selects where this node reads the store's tables: from the store itself or from another node.
@@ -35,6 +37,15 @@
 class TableSource
 {
 public:
+    /// Another node from which this one has read a table.
+    struct Peer
+    {
+        std::string name;
+        net::Address address;
+        /// Version of the evidence of all nodes there; see evidence::EvidenceExchange.
+        std::uint64_t evidenceVersion = 0;
+    };
+
     /// @p seeds: nodes to query while no peers are known; the store is queried if none of them answers.
     TableSource(event_base *base,
                 StoreClient &store,
@@ -45,6 +56,9 @@
     /// Sets the known nodes, without this one, and recomputes relays and readers.
     void setPeers(const std::vector<PeerNode> &peers);
 
+    /// Called when lastPeer() has changed.
+    void setOnPeerChanged(std::function<void()> changed) { m_onPeerChanged = std::move(changed); }
+
     /// Receives the result of a query. @p fromStore: the store itself was queried, not another node.
     using Done = std::function<void(const ReadResult &, bool fromStore)>;
 
@@ -63,6 +77,10 @@
     std::uint32_t era() const;
     /// True if this node reads the store on behalf of other nodes.
     bool isReader() const { return m_isReader; }
+    /// The node that has answered the latest query; nullopt if the store has, or a seed whose name is not known.
+    const std::optional<Peer> &lastPeer() const { return m_lastPeer; }
+    /// For a reader: the nodes of all regions that read the store on behalf of others, but itself.
+    const std::vector<PeerNode> &otherReaders() const { return m_otherReaders; }
 
 private:
     static constexpr const char *storeName = "store";
@@ -76,8 +94,10 @@
 
     using Domains = std::map<std::string, std::vector<PeerNode>>;
 
-    /// Names of the nodes of this region that read the store on behalf of the others.
-    std::vector<std::string> regionReaders(const Domains &domains) const;
+    /// Names of the nodes of @p region that read the store on behalf of the others.
+    static std::vector<std::string> regionReaders(const Domains &domains, const std::string &region);
+    std::vector<PeerNode> otherReaders(const Domains &domains) const;
+    void setLastPeer(std::optional<Peer> peer);
     std::vector<std::string> sourceOrder(const Domains &domains) const;
     Source selectSource(base::TimePoint now) const;
     void queryPeer(const Source &peer, const TableQuery &query, std::chrono::milliseconds maxAge, const Done &done);
@@ -98,6 +118,9 @@
     std::uint32_t m_peersEra = 0;
     bool m_isReader = true;
     bool m_isRelay = true;
+    std::optional<Peer> m_lastPeer;
+    std::vector<PeerNode> m_otherReaders;
+    std::function<void()> m_onPeerChanged;
 };
 
 } // namespace ibisfork::gateway
--- a/src/settings/gatewaysettings.cpp
+++ b/src/settings/gatewaysettings.cpp
@@ -17,6 +17,8 @@
 constexpr const char *storeField = "store";
 constexpr double mostRatio = 100;
 constexpr double mostCount = 1e9;
+constexpr double leastWritesPerSecond = 0.1;
+constexpr double mostWritesPerSecond = 100;
 
 FleetBounds boundsFrom(YamlFields fields)
 {
@@ -28,6 +30,8 @@
     bounds.coldTolerance = fields.optionalInRange("cold_tolerance", bounds.coldTolerance, 0, mostCount);
     bounds.exposureShare = fields.optionalInRange("exposure_share", bounds.exposureShare, 0, 1);
     bounds.exposureTolerance = fields.optionalInRange("exposure_tolerance", bounds.exposureTolerance, 0, mostCount);
+    bounds.evidenceWritesPerSecond = fields.optionalInRange(
+        "evidence_writes_per_second", bounds.evidenceWritesPerSecond, leastWritesPerSecond, mostWritesPerSecond);
     bounds.engineHeartbeat = fields.optionalMilliseconds("engine_heartbeat", bounds.engineHeartbeat);
     bounds.shutdownGrace = fields.optionalMilliseconds("shutdown_grace", bounds.shutdownGrace);
     fields.refuseUnknown();
--- a/src/settings/gatewaysettings.h
+++ b/src/settings/gatewaysettings.h
@@ -21,6 +21,8 @@
     /// the order, and exposureTolerance more.
     double exposureShare = 0.15;
     double exposureTolerance = 30;
+    /// Calls a second, at most, in which one node stores evidence that links between nodes don't carry.
+    double evidenceWritesPerSecond = 2;
     /// Time between two renewals of an engine's entry in the platform's list. An entry lapses after three.
     std::chrono::milliseconds engineHeartbeat{1000};
     /// Time from the request to stop until the process is killed.
