Readings may be older, and take longer, the more nodes there are

Large fleet: members left their relays for the store, four tables each, at the start and when a roll-out doubled the list of engines. fact_source_lost names tables op and servers with ages of 1,504 to 1,932 ms, of 1,500 allowed, and relays that did not answer in 250 ms: machines with 0.12 of a core decode hundreds of entries. Ages add up even without load: 1.0 s at the reader, 0.25 s at the relay, for engines 1.4 s and 0.25 s.

Readers now wait 0.7 s for operators' rows and 0.3 s for engines', tables that are not urgent may be 8 s old, and each known node adds 3 ms, up to 1 s, to the age and the time allowed.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -27,23 +27,25 @@
 constexpr int cutOffMarginPart = 8;
 /// Rollout orders and configurations must take effect at once; a longer wait would delay the detection of a dead
 /// connection.
-constexpr WatchTiming operatorTiming{std::chrono::milliseconds(1000), std::chrono::milliseconds(0)};
-/// Engines renew their entries continuously; the gap batches the changes.
-constexpr std::chrono::milliseconds engineWait{700};
+constexpr WatchTiming operatorTiming{std::chrono::milliseconds(700), std::chrono::milliseconds(0)};
+/// Engines renew their entries continuously; the gap batches the changes. Both together leave time for the nodes that
+/// pass the rows on.
+constexpr std::chrono::milliseconds engineWait{300};
+constexpr std::chrono::milliseconds engineGap{700};
 /// The status table and this system's own table rarely change, and their changes are not urgent.
 constexpr WatchTiming statusTiming{std::chrono::milliseconds(3000),
                                    std::chrono::milliseconds(300),
-                                   std::chrono::milliseconds(5000)};
+                                   std::chrono::milliseconds(8000)};
 constexpr WatchTiming ownTiming{std::chrono::milliseconds(3000),
                                 std::chrono::milliseconds(300),
-                                std::chrono::milliseconds(5000)};
+                                std::chrono::milliseconds(8000)};
 
 /// An entry lapses after three heartbeat intervals, of which one may have passed when an outage begins.
 constexpr int renewalHeartbeats = 2;
 
 WatchTiming engineTiming(const settings::FleetBounds &bounds)
 {
-    WatchTiming timing{engineWait, engineWait};
+    WatchTiming timing{engineWait, engineGap};
     timing.renewalTime = bounds.engineHeartbeat * renewalHeartbeats;
     return timing;
 }
--- a/src/gateway/tablesource.cpp
+++ b/src/gateway/tablesource.cpp
@@ -28,6 +28,10 @@
 constexpr std::chrono::milliseconds startWait{100};
 /// Time for an answer beyond the time that the other node holds the query.
 constexpr std::chrono::milliseconds peerAnswerTimeout{250};
+/// Large fleets have large tables, which small machines take longer to pass on: so much more time and age is allowed
+/// for each node that is known, up to a bound.
+constexpr std::chrono::milliseconds slackPerNode{3};
+constexpr std::chrono::milliseconds longestSlack{1000};
 /// A node, or the store, that failed to answer is not queried again for this time unless every source has failed.
 constexpr std::chrono::milliseconds peerBackoff{2000};
 constexpr std::chrono::milliseconds storeBackoff{1000};
@@ -188,6 +192,7 @@
         EventLog::state("reads_store").field("reader", reader).field("nodes", peers.size() + 1);
     }
     m_isReader = reader;
+    m_nodes = static_cast<unsigned>(peers.size());
     m_otherReaders = reader ? otherReaders(domains) : std::vector<PeerNode>();
     m_sources.clear();
     for (const auto &name : sourceOrder(domains)) {
@@ -282,14 +287,16 @@
         known.evidenceVersion = m_lastPeer->evidenceVersion;
     }
     const auto head = encodeQuery(known, peer.address.text());
-    const auto timeout = query.wait + peerAnswerTimeout;
+    const auto slack = std::min(slackPerNode * m_nodes, longestSlack);
+    const auto timeout = query.wait + peerAnswerTimeout + slack;
+    const auto oldest = maxAge + slack;
     const auto answered
-        = [this, peer, name = peer.name, table = query.table, maxAge, done](const http::CallAnswer &answer) {
+        = [this, peer, name = peer.name, table = query.table, oldest, done](const http::CallAnswer &answer) {
               const auto status = answer.head.status;
               const auto batch = status == http::status::ok ? decodeRowBatch(answer.body) : std::nullopt;
               if (status == http::status::gone) {
                   done(StoreFailure::HistoryGone, false);
-              } else if (!batch || batch->age > maxAge || batch->version.era() < era()) {
+              } else if (!batch || batch->age > oldest || batch->version.era() < era()) {
                   recordFailure(name, table, batch ? batch->age : std::chrono::milliseconds(0), peerBackoff);
                   done(StoreFailure::NoAnswer, false);
               } else {
--- a/src/gateway/tablesource.h
+++ b/src/gateway/tablesource.h
@@ -63,7 +63,7 @@
     using Done = std::function<void(const ReadResult &, bool fromStore)>;
 
     /// Reads the rows of @p table, from key @p from on if the store is queried. Answers of other nodes that are older
-    /// than @p maxAge are rejected as StoreFailure::NoAnswer.
+    /// than @p maxAge, and what large fleets need more, are rejected as StoreFailure::NoAnswer.
     void read(const std::string &table, const std::string &from, std::chrono::milliseconds maxAge, const Done &done);
     /// Reads the changes of @p table after @p version. The store holds the query for up to @p wait if there are none;
     /// other nodes hold it for a time of their own. @p maxAge: as for read().
@@ -118,6 +118,8 @@
     std::uint32_t m_peersEra = 0;
     bool m_isReader = true;
     bool m_isRelay = true;
+    /// Number of other nodes known.
+    unsigned m_nodes = 0;
     std::optional<Peer> m_lastPeer;
     std::vector<PeerNode> m_otherReaders;
     std::function<void()> m_onPeerChanged;
