--- a/src/gateway/evidence/evidencerows.cpp
+++ b/src/gateway/evidence/evidencerows.cpp
@@ -125,10 +125,10 @@
                 return encodeCrashEvidence(evidence.crashes);
             });
         }
-        for (const auto &[service, runs] : evidence.rollouts) {
+        for (const auto &rollout : evidence.rollouts) {
             if (storesRollouts) {
-                add(std::string(evidencePrefix) + service + '/' + evidence.node, item.second, [&] {
-                    return encodeEvidence(service, evidence.node, runs);
+                add(std::string(evidencePrefix) + rollout.first + '/' + evidence.node, item.second, [&] {
+                    return encodeEvidence(rollout.first, evidence.node, rollout.second);
                 });
             }
         }
