Rows of evidence: few of roll-outs in a call, encoded only when written

By reading: while a reader is lost, or its row outlives it, the other one holds 295 processes' evidence of roll-outs as due. 180 rows a second would go to all nodes, and all were encoded at each tick. Now 20 of roll-outs every 2 s, the newest first, and only those are encoded.

--- a/src/gateway/evidence/evidencerows.cpp
+++ b/src/gateway/evidence/evidencerows.cpp
@@ -11,7 +11,10 @@
 namespace {
 
 /// The store takes 100 rows in one call.
-constexpr std::size_t maxRowsInCall = 90;
+constexpr std::size_t maxCrashRowsInCall = 70;
+/// Each row goes to all nodes, and a lost reader makes all evidence of rollouts due.
+constexpr std::size_t maxRolloutRowsInCall = 20;
+constexpr std::chrono::milliseconds rolloutRowsInterval{2000};
 /// Calls that may follow each other at once, so that the first evidence of a fault is stored without delay.
 constexpr double callsAtOnce = 5;
 /// Time that each reader leaves to those before it to store evidence.
@@ -78,7 +81,7 @@
         m_stored.erase(row.key);
         return;
     }
-    m_stored[row.key] = {process->incarnation, process->serial};
+    m_stored[row.key] = *process;
     const bool isOfRollout = std::string_view(row.key).starts_with(evidencePrefix);
     const auto stored = isOfRollout ? decodeEvidence(row.data) : std::nullopt;
     if (stored && process->incarnation != 0 && process->serial != 0) {
@@ -104,44 +107,67 @@
     return turnTime * before;
 }
 
-std::vector<EvidenceRows::DueRow> EvidenceRows::dueRows(base::TimePoint now) const
+std::vector<EvidenceRows::DueRow> EvidenceRows::newestFirst(Rows rows)
 {
-    const bool storesRollouts = m_exchange.isUndelivered()
-        || (m_source.isReader() && m_context.view.hasRowReaders(m_context.settings.node.name));
-    const bool storesCrashes = m_exchange.isUndelivered() || m_source.isReader();
-    std::map<std::string, DueRow> rows;
-    const auto add = [&](const std::string &key, const EvidenceTracker::Entry &entry, const auto &encode) {
-        const auto &evidence = entry.evidence;
-        const auto before = rows.find(key);
-        const bool isOlder = before != rows.end() && before->second.heardAt > entry.heardAt;
-        if (!isOlder && !isStored(key, evidence) && now - entry.heardAt >= turnDelay()) {
-            rows[key] = {key, withProcess(encode(), evidence), entry.heardAt, evidence.incarnation, evidence.serial};
-        }
-    };
-    for (const auto &item : m_exchange.held()) {
-        const auto &evidence = item.second.evidence;
-        if (storesCrashes && !evidence.crashes.empty()) {
-            add(std::string(crashEvidencePrefix) + evidence.node, item.second, [&] {
-                return encodeCrashEvidence(evidence.crashes);
-            });
-        }
-        for (const auto &rollout : evidence.rollouts) {
-            if (storesRollouts) {
-                add(std::string(evidencePrefix) + rollout.first + '/' + evidence.node, item.second, [&] {
-                    return encodeEvidence(rollout.first, evidence.node, rollout.second);
-                });
-            }
-        }
-    }
     std::vector<DueRow> due;
     for (auto &item : rows) {
         due.push_back(std::move(item.second));
     }
-    std::sort(
-        due.begin(), due.end(), [](const DueRow &left, const DueRow &right) { return left.heardAt > right.heardAt; });
+    std::sort(due.begin(), due.end(), [](const DueRow &left, const DueRow &right) {
+        return left.entry->heardAt > right.entry->heardAt;
+    });
     return due;
 }
 
+void EvidenceRows::addIfDue(Rows &rows, DueRow row, base::TimePoint now) const
+{
+    const auto before = rows.find(row.key);
+    const bool isOlder = before != rows.end() && before->second.entry->heardAt > row.entry->heardAt;
+    if (!isOlder && !isStored(row.key, row.entry->evidence) && now - row.entry->heardAt >= turnDelay()) {
+        rows[row.key] = std::move(row);
+    }
+}
+
+std::vector<EvidenceRows::DueRow> EvidenceRows::dueCrashRows(base::TimePoint now) const
+{
+    Rows rows;
+    if (m_exchange.isUndelivered() || m_source.isReader()) {
+        for (const auto &item : m_exchange.held()) {
+            const auto &evidence = item.second.evidence;
+            if (!evidence.crashes.empty()) {
+                addIfDue(rows, {std::string(crashEvidencePrefix) + evidence.node, &item.second, {}}, now);
+            }
+        }
+    }
+    return newestFirst(std::move(rows));
+}
+
+std::vector<EvidenceRows::DueRow> EvidenceRows::dueRolloutRows(base::TimePoint now) const
+{
+    Rows rows;
+    const bool hasRowReaders = m_context.view.hasRowReaders(m_context.settings.node.name);
+    const bool isNeeded = m_exchange.isUndelivered() || (m_source.isReader() && hasRowReaders);
+    if (isNeeded && now - m_rolloutsWrittenAt >= rolloutRowsInterval) {
+        for (const auto &item : m_exchange.held()) {
+            const auto &evidence = item.second.evidence;
+            for (const auto &rollout : evidence.rollouts) {
+                const auto key = std::string(evidencePrefix) + rollout.first + '/' + evidence.node;
+                addIfDue(rows, {key, &item.second, rollout.first}, now);
+            }
+        }
+    }
+    return newestFirst(std::move(rows));
+}
+
+std::string EvidenceRows::encode(const DueRow &row)
+{
+    const auto &evidence = row.entry->evidence;
+    const auto text = row.service.empty()
+        ? encodeCrashEvidence(evidence.crashes)
+        : encodeEvidence(row.service, evidence.node, evidence.rollouts.at(row.service));
+    return withProcess(text, evidence);
+}
+
 bool EvidenceRows::takeCall(base::TimePoint now)
 {
     const auto refill = m_context.settings.bounds.evidenceWritesPerSecond * base::toSeconds(now - m_countedAt);
@@ -159,41 +185,52 @@
     if (m_isWriting || !m_isLoaded) {
         return;
     }
-    auto due = dueRows(now);
-    if (due.empty()) {
+    auto due = dueCrashRows(now);
+    limit(due, maxCrashRowsInCall);
+    auto rollouts = dueRolloutRows(now);
+    limit(rollouts, maxRolloutRowsInCall);
+    if (due.empty() && rollouts.empty()) {
         return;
     }
     if (!takeCall(now)) {
-        EventLog::failure("evidence_writes_limited").field("due", due.size());
+        EventLog::failure("evidence_writes_limited").field("due", due.size() + rollouts.size()).field("written", 0);
         return;
     }
-    if (due.size() > maxRowsInCall) {
-        EventLog::state("evidence_writes_limited").field("due", due.size()).field("written", maxRowsInCall);
-        due.resize(maxRowsInCall);
+    if (!rollouts.empty()) {
+        m_rolloutsWrittenAt = now;
+    }
+    const auto cause = rollouts.empty() ? StoreCallCause::CrashEvidence : StoreCallCause::RolloutEvidence;
+    due.insert(due.end(), rollouts.begin(), rollouts.end());
+    write(cause, due);
+}
+
+void EvidenceRows::limit(std::vector<DueRow> &rows, std::size_t most)
+{
+    if (rows.size() > most) {
+        EventLog::failure("evidence_writes_limited").field("due", rows.size()).field("written", most);
+        rows.resize(most);
     }
-    write(std::move(due));
 }
 
-void EvidenceRows::write(std::vector<DueRow> rows)
+void EvidenceRows::write(StoreCallCause cause, const std::vector<DueRow> &rows)
 {
     std::vector<ConditionalWrite> writes;
-    bool hasRollouts = false;
-    for (auto &row : rows) {
-        hasRollouts = hasRollouts || std::string_view(row.key).starts_with(evidencePrefix);
-        writes.push_back({ownTable, row.key, std::move(row.data), std::nullopt});
+    std::map<std::string, Held> written;
+    for (const auto &row : rows) {
+        writes.push_back({ownTable, row.key, encode(row), std::nullopt});
+        written[row.key] = {row.entry->evidence.incarnation, row.entry->evidence.serial};
     }
     m_isWriting = true;
-    const auto cause = hasRollouts ? StoreCallCause::RolloutEvidence : StoreCallCause::CrashEvidence;
-    m_store.write(cause, writes, [this, rows](const WriteResult &result) {
+    m_store.write(cause, writes, [this, written](const WriteResult &result) {
         m_isWriting = false;
         if (result.outcome != WriteOutcome::Done) {
             EventLog::state("evidence_rows_not_written")
-                .field("rows", rows.size())
+                .field("rows", written.size())
                 .field("outcome", base::nameOf(writeOutcomeNames, result.outcome));
             return;
         }
-        for (const auto &row : rows) {
-            m_stored[row.key] = {row.incarnation, row.serial};
+        for (const auto &[key, process] : written) {
+            m_stored[key] = process;
         }
     });
 }
--- a/src/gateway/evidence/evidencerows.h
+++ b/src/gateway/evidence/evidencerows.h
@@ -32,25 +32,24 @@
     struct DueRow
     {
         std::string key;
-        std::string data;
-        base::TimePoint heardAt{};
-        Incarnation incarnation = 0;
-        std::uint64_t serial = 0;
-    };
-
-    /// What the store has of one process.
-    struct Stored
-    {
-        Incarnation incarnation = 0;
-        std::uint64_t serial = 0;
+        const EvidenceTracker::Entry *entry = nullptr;
+        /// Of a rollout; empty for a row about crashes.
+        std::string service;
     };
+    using Rows = std::map<std::string, DueRow>;
 
     void applyRow(const Row &row);
     bool isStored(const std::string &key, const NodeEvidence &evidence) const;
     /// How long this node leaves rows to the readers before it.
     base::Duration turnDelay() const;
-    std::vector<DueRow> dueRows(base::TimePoint now) const;
-    void write(std::vector<DueRow> rows);
+    static std::vector<DueRow> newestFirst(Rows rows);
+    static void limit(std::vector<DueRow> &rows, std::size_t most);
+    static std::string encode(const DueRow &row);
+    /// Adds @p row unless the store has it, a later process of the node has told more, or it is another reader's turn.
+    void addIfDue(Rows &rows, DueRow row, base::TimePoint now) const;
+    std::vector<DueRow> dueCrashRows(base::TimePoint now) const;
+    std::vector<DueRow> dueRolloutRows(base::TimePoint now) const;
+    void write(StoreCallCause cause, const std::vector<DueRow> &rows);
     /// Takes one call from the limit; false if none is left.
     bool takeCall(base::TimePoint now);
 
@@ -58,13 +57,14 @@
     StoreClient &m_store;
     const TableSource &m_source;
     EvidenceExchange &m_exchange;
-    /// By row key.
-    std::map<std::string, Stored> m_stored;
+    /// What the store has of one process, by row key.
+    std::map<std::string, Held> m_stored;
     bool m_isLoaded = false;
     bool m_isWriting = false;
     /// Calls that may be made at once, as of m_countedAt.
     double m_calls;
     base::TimePoint m_countedAt{};
+    base::TimePoint m_rolloutsWrittenAt{};
 };
 
 } // namespace ibisfork::gateway::evidence
