Evidence goes out in fewer waves, and in fewer and smaller pieces

Every end of an engine woke all members of a relay at once, each for a sum of up to 150 ends with their suspects, and readers stored 140 rows a second that went to all nodes; machines with 0.12 of a core answered queries for tables late, and members went to the store or went on with old tables.

--- a/src/gateway/crashevidence.cpp
+++ b/src/gateway/crashevidence.cpp
@@ -17,7 +17,7 @@
 constexpr std::chrono::minutes firstPeriod{10};
 constexpr unsigned maxPeriodDoublings = 7;
 /// Ends of engines that are kept of all nodes together.
-constexpr std::size_t maxReports = 150;
+constexpr std::size_t maxReports = 24;
 
 json encodeTraits(const std::set<RequestTrait> &traits)
 {
--- a/src/gateway/evidence/evidenceexchange.cpp
+++ b/src/gateway/evidence/evidenceexchange.cpp
@@ -24,9 +24,12 @@
 /// Time between two times that a node tells how its own runs went.
 constexpr Interval ownInterval{Milliseconds(5), Milliseconds(200), Milliseconds(1500)};
 /// Time between two times that it passes on what it was told.
-constexpr Interval passInterval{Milliseconds(1), Milliseconds(100), Milliseconds(300)};
+constexpr Interval passInterval{Milliseconds(3), Milliseconds(100), Milliseconds(900)};
 /// The same for what speaks against a version or a request.
-constexpr Interval urgentInterval{Milliseconds(1), Milliseconds(50), Milliseconds(300)};
+constexpr Interval urgentInterval{Milliseconds(4), Milliseconds(50), Milliseconds(1200)};
+/// In larger fleets nodes learn of changes by their next queries only: all members of a relay at one moment would keep it
+/// from answering in time.
+constexpr unsigned mostNodesToldAtOnce = 40;
 /// Time in which several changes become one.
 constexpr std::chrono::milliseconds gatherTime{10};
 constexpr std::chrono::milliseconds answerTimeout{500};
@@ -144,7 +147,7 @@
     // Begins at a number of this process, so that nodes that knew an earlier one see a change.
     m_version = m_version == 0 ? m_incarnation : m_version + 1;
     m_handlers.onChanged();
-    if (std::exchange(m_tellsAtOnce, false)) {
+    if (std::exchange(m_tellsAtOnce, false) && m_view.nodes() <= mostNodesToldAtOnce) {
         m_handlers.onUrgentChange();
     }
 }
--- a/src/gateway/evidence/evidencerows.cpp
+++ b/src/gateway/evidence/evidencerows.cpp
@@ -10,9 +10,9 @@
 
 namespace {
 
-/// The store takes 100 rows in one call.
-constexpr std::size_t maxCrashRowsInCall = 70;
-/// Each row goes to all nodes, and a lost reader makes all evidence of rollouts due.
+/// Each row goes to all nodes. The newest tell enough of a cause that goes on.
+constexpr std::size_t maxCrashRowsInCall = 5;
+/// A lost reader makes all evidence of rollouts due.
 constexpr std::size_t maxRolloutRowsInCall = 20;
 constexpr std::chrono::milliseconds rolloutRowsInterval{2000};
 /// Calls that may follow each other at once, so that the first evidence of a fault is stored without delay.
--- a/src/gateway/tablesource.cpp
+++ b/src/gateway/tablesource.cpp
@@ -30,8 +30,8 @@
 constexpr std::chrono::milliseconds peerAnswerTimeout{250};
 /// Large fleets have large tables, which small machines take longer to pass on: so much more time and age is allowed
 /// for each node that is known, up to a bound.
-constexpr std::chrono::milliseconds slackPerNode{3};
-constexpr std::chrono::milliseconds longestSlack{1000};
+constexpr std::chrono::milliseconds slackPerNode{2};
+constexpr std::chrono::milliseconds longestSlack{400};
 /// A node, or the store, that failed to answer is not queried again for this time unless every source has failed.
 constexpr std::chrono::milliseconds peerBackoff{2000};
 constexpr std::chrono::milliseconds storeBackoff{1000};
