--- a/src/gateway/evidence/evidenceexchange.cpp
+++ b/src/gateway/evidence/evidenceexchange.cpp
@@ -27,8 +27,8 @@
 constexpr Interval passInterval{Milliseconds(3), Milliseconds(100), Milliseconds(900)};
 /// The same for what speaks against a version or a request.
 constexpr Interval urgentInterval{Milliseconds(4), Milliseconds(50), Milliseconds(1200)};
-/// In larger fleets nodes learn of changes by their next queries only: all members of a relay at one moment would keep it
-/// from answering in time.
+/// In larger fleets nodes learn of changes by their next queries only: all members of a relay at one moment would keep
+/// it from answering in time.
 constexpr unsigned mostNodesToldAtOnce = 40;
 /// Time in which several changes become one.
 constexpr std::chrono::milliseconds gatherTime{10};
