--- a/tests/settings/gatewaysettings_test.cpp
+++ b/tests/settings/gatewaysettings_test.cpp
@@ -54,6 +54,16 @@
     EXPECT_EQ(parseGatewaySettings(text("shutdown_grace: 6.5s"), "file.yaml").bounds.shutdownGrace, 6500ms);
 }
 
+TEST_F(GatewaySettingsTest, evidenceWrites_areBounded)
+{
+    const auto read = [](const std::string &bounds) {
+        return parseGatewaySettings(text(bounds), "file.yaml").bounds.evidenceWritesPerSecond;
+    };
+    EXPECT_EQ(read("evidence_writes_per_second: 0.5"), 0.5);
+    EXPECT_THROW(read("evidence_writes_per_second: 0"), SettingsError);
+    EXPECT_THROW(read("evidence_writes_per_second: 1000"), SettingsError);
+}
+
 TEST_F(GatewaySettingsTest, unknownField_isRefusedWithTheNearestName)
 {
     const auto error = errorOf(text("resend_ration: 1"));
