Ends of engines and sound runs are merged in one place

CrashEvidence::add, new for sums between nodes, repeated the merge of CrashVerdict::add. CrashReport::add and addSoundRuns serve both, and the verdict keeps reports instead of a type of the same fields.

No behaviour is meant to change.

--- a/src/gateway/crashevidence.cpp
+++ b/src/gateway/crashevidence.cpp
@@ -50,6 +50,20 @@
 
 } // namespace
 
+void CrashReport::add(const CrashReport &other)
+{
+    at = std::min(at, other.at);
+    suspects.insert(other.suspects.begin(), other.suspects.end());
+}
+
+void addSoundRuns(SoundRuns &to, const SoundRuns &from)
+{
+    for (const auto &[trait, beganAt] : from) {
+        auto &latest = to.try_emplace(trait, beganAt).first->second;
+        latest = std::max(latest, beganAt);
+    }
+}
+
 void CrashEvidence::add(const CrashEvidence &other)
 {
     for (const auto &report : other.reports) {
@@ -58,8 +72,7 @@
         if (found == reports.end()) {
             reports.push_back(report);
         } else {
-            found->at = std::min(found->at, report.at);
-            found->suspects.insert(report.suspects.begin(), report.suspects.end());
+            found->add(report);
         }
     }
     if (reports.size() > maxReports) {
@@ -69,10 +82,7 @@
         });
         reports.erase(reports.begin(), reports.begin() + excess);
     }
-    for (const auto &[trait, beganAt] : other.soundRuns) {
-        auto &latest = soundRuns.try_emplace(trait, beganAt).first->second;
-        latest = std::max(latest, beganAt);
-    }
+    addSoundRuns(soundRuns, other.soundRuns);
 }
 
 std::string encodeCrashEvidence(const CrashEvidence &evidence)
--- a/src/gateway/crashevidence.h
+++ b/src/gateway/crashevidence.h
@@ -24,15 +24,22 @@
     /// does so as its answer begins, so the others are not suspected.
     std::set<RequestTrait> suspects;
 
+    /// Adds what another node has seen of the same end.
+    void add(const CrashReport &other);
+
     bool operator==(const CrashReport &) const = default;
 };
 
+/// When the latest run with a trait that went well began to be answered.
+using SoundRuns = std::map<RequestTrait, StoreTime>;
+/// Keeps the later run of each trait.
+void addSoundRuns(SoundRuns &to, const SoundRuns &from);
+
 /// What one node knows about crashes. Nodes share it as a row of the store.
 struct CrashEvidence
 {
     std::vector<CrashReport> reports{};
-    /// When the latest run with the trait that went well began to be answered.
-    std::map<RequestTrait, StoreTime> soundRuns{};
+    SoundRuns soundRuns{};
 
     bool empty() const { return reports.empty() && soundRuns.empty(); }
     /// Adds what another node, or several, know. Of the ends of engines the latest are kept if there are many.
--- a/src/gateway/crashverdict.cpp
+++ b/src/gateway/crashverdict.cpp
@@ -17,14 +17,9 @@
 void CrashVerdict::add(const CrashEvidence &evidence)
 {
     for (const auto &report : evidence.reports) {
-        const auto [found, isNew] = m_crashes.try_emplace(report.engine, Crash{report.at, {}});
-        found->second.at = std::min(found->second.at, report.at);
-        found->second.suspects.insert(report.suspects.begin(), report.suspects.end());
-    }
-    for (const auto &[trait, beganAt] : evidence.soundRuns) {
-        auto &latest = m_soundRuns.try_emplace(trait, beganAt).first->second;
-        latest = std::max(latest, beganAt);
+        m_crashes.try_emplace(report.engine, report).first->second.add(report);
     }
+    addSoundRuns(m_soundRuns, evidence.soundRuns);
 }
 
 void CrashVerdict::addExpired(const PoisonGroup &group)
--- a/src/gateway/crashverdict.h
+++ b/src/gateway/crashverdict.h
@@ -35,13 +35,6 @@
     std::optional<StoreTime> soundRunOf(const RequestTrait &trait) const;
 
 private:
-    /// The end of one engine, as all nodes together saw it.
-    struct Crash
-    {
-        StoreTime at{0};
-        std::set<RequestTrait> suspects;
-    };
-
     using EngineSet = std::set<std::string>;
     using EnginesByTrait = std::map<RequestTrait, EngineSet>;
 
@@ -50,8 +43,9 @@
     std::size_t separateCrashes(const EngineSet &engines) const;
     PoisonGroup groupWith(const EngineSet &engines, const EnginesByTrait &all) const;
 
-    std::map<std::string, Crash> m_crashes;
-    std::map<RequestTrait, StoreTime> m_soundRuns;
+    /// Ends of engines, by engine, as all nodes together saw them.
+    std::map<std::string, CrashReport> m_crashes;
+    SoundRuns m_soundRuns;
     std::set<RequestTrait> m_expired;
 };
 
