One rule says whose turn it is to write what is due at all nodes

Convictions repeated the rule of statuses and its 1.5 s: readers of the store first, the others later. It is TableSource::isTurnToWrite now, beside the knowledge of who reads. The id of a conviction is worked out once.

No behaviour is meant to change.

--- a/src/gateway/crashreporter.cpp
+++ b/src/gateway/crashreporter.cpp
@@ -12,8 +12,6 @@
 constexpr std::chrono::milliseconds probeTime{250};
 /// What is known of sound runs changes with each request; it is told less often the more nodes there are.
 constexpr std::chrono::milliseconds shareIntervalPerNode{5};
-/// Nodes that don't read the store leave convictions to those that do for this time.
-constexpr std::chrono::milliseconds otherNodesDelay{1500};
 /// After a longer cut, an engine may have ended for other reasons than the run that was lost there.
 constexpr std::chrono::milliseconds longestDoubt{10000};
 
@@ -198,12 +196,6 @@
     }
 }
 
-bool CrashReporter::isTurnToWrite(const Conviction &conviction, base::TimePoint now)
-{
-    const auto since = m_convictionDueSince.try_emplace(poisonGroupId(conviction.group), now).first->second;
-    return m_source.isReader() || now - since >= otherNodesDelay;
-}
-
 void CrashReporter::writeConvictions(base::TimePoint now)
 {
     if (m_writing || !m_table.loaded()) {
@@ -215,18 +207,17 @@
         m_convictionDueSince.clear();
     }
     for (const auto &conviction : due) {
-        if (!isTurnToWrite(conviction, now)) {
+        const auto id = poisonGroupId(conviction.group);
+        const auto since = m_convictionDueSince.try_emplace(id, now).first->second;
+        if (!m_source.isTurnToWrite(since, now)) {
             continue;
         }
         EventLog::state("requests_convicted")
-            .field("group", poisonGroupId(conviction.group))
+            .field("group", id)
             .field("first_trait", traitText(*conviction.group.begin()))
             .field("traits", conviction.group.size())
             .field("count", conviction.count);
-        rows.push_back({ownTable,
-                        std::string(convictionPrefix) + poisonGroupId(conviction.group),
-                        encodeConviction(conviction),
-                        std::nullopt});
+        rows.push_back({ownTable, std::string(convictionPrefix) + id, encodeConviction(conviction), std::nullopt});
         m_context.crashes.setConviction(conviction);
     }
     if (!rows.empty()) {
--- a/src/gateway/crashreporter.h
+++ b/src/gateway/crashreporter.h
@@ -68,8 +68,6 @@
     void share();
     /// Stores convictions that are due, unless a write is in progress.
     void writeConvictions(base::TimePoint now);
-    /// True if this node is to store @p conviction now; the readers of the store go first.
-    bool isTurnToWrite(const Conviction &conviction, base::TimePoint now);
     void write(const std::vector<ConditionalWrite> &rows);
 
     Context &m_context;
@@ -81,7 +79,7 @@
     unsigned m_verdictSerial = 0;
     std::list<Probe> m_probes;
     base::TimePoint m_sharedAt{};
-    /// Since when a conviction has been due that this node leaves to the readers, by its group's id.
+    /// Since when convictions have been due, by their groups' ids.
     std::map<std::string, base::TimePoint> m_convictionDueSince;
     bool m_hasReadRows = false;
     bool m_writing = false;
--- a/src/gateway/rolloutdriver.cpp
+++ b/src/gateway/rolloutdriver.cpp
@@ -9,9 +9,6 @@
 
 namespace {
 
-/// What is due is written by the nodes that read the store. The other nodes write it only after this delay, so that not
-/// all nodes write at the same time.
-constexpr std::chrono::milliseconds otherNodesDelay{1500};
 /// Time between the decision to move all requests and the move, in which all nodes learn of it: a session whose
 /// requests arrive at several nodes must not go back and forth between versions.
 constexpr std::chrono::milliseconds fullStepNotice{1000};
@@ -47,11 +44,6 @@
     logRuns(now);
 }
 
-bool RolloutDriver::mayWrite(base::TimePoint since, base::TimePoint now) const
-{
-    return m_source.isReader() || now - since >= otherNodesDelay;
-}
-
 bool RolloutDriver::knowsStoredRows(const std::string &service) const
 {
     const auto era = m_context.view.rollouts().orderRow(service).era();
@@ -64,7 +56,7 @@
     // A revert for what only this node has seen must not wait.
     const bool isOwnRevert
         = status.state == RolloutState::Reverted && m_context.view.rollouts().isStoppedAlone(service);
-    return isOwnRevert || mayWrite(since->second, now);
+    return isOwnRevert || m_source.isTurnToWrite(since->second, now);
 }
 
 void RolloutDriver::writeDueStatuses(base::TimePoint now)
@@ -130,7 +122,7 @@
             continue;
         }
         const auto [since, isNew] = m_stepDueSince.try_emplace(service, now);
-        if (m_pendingPlans.contains(service) || !mayWrite(since->second, now)) {
+        if (m_pendingPlans.contains(service) || !m_source.isTurnToWrite(since->second, now)) {
             continue;
         }
         if (isStepDue) {
--- a/src/gateway/rolloutdriver.h
+++ b/src/gateway/rolloutdriver.h
@@ -32,9 +32,6 @@
     void writeDueStatuses(base::TimePoint now);
 
 private:
-    /// Returns true if this node may write what has been due since @p since, false if that is left to the nodes that
-    /// read the store.
-    bool mayWrite(base::TimePoint since, base::TimePoint now) const;
     /// The tables that conditions of a write rest on have been read since the store last came back from a copy.
     bool knowsStoredRows(const std::string &service) const;
     bool mayWriteStatus(const std::string &service, const RolloutStatus &status, base::TimePoint now);
--- a/src/gateway/tablesource.cpp
+++ b/src/gateway/tablesource.cpp
@@ -28,6 +28,8 @@
 constexpr std::chrono::milliseconds startWait{100};
 /// Time for an answer beyond the time that the other node holds the query.
 constexpr std::chrono::milliseconds peerAnswerTimeout{250};
+/// Time that nodes which don't read the store leave to those that do, to write what is due.
+constexpr std::chrono::milliseconds otherNodesDelay{1500};
 /// Large fleets have large tables, which small machines take longer to pass on: so much more time and age is allowed
 /// for each node that is known, up to a bound.
 constexpr std::chrono::milliseconds slackPerNode{2};
@@ -200,6 +202,11 @@
     }
 }
 
+bool TableSource::isTurnToWrite(base::TimePoint dueSince, base::TimePoint now) const
+{
+    return m_isReader || now - dueSince >= otherNodesDelay;
+}
+
 std::uint32_t TableSource::era() const
 {
     return std::max(m_peersEra, m_store.era());
--- a/src/gateway/tablesource.h
+++ b/src/gateway/tablesource.h
@@ -77,6 +77,9 @@
     std::uint32_t era() const;
     /// True if this node reads the store on behalf of other nodes.
     bool isReader() const { return m_isReader; }
+    /// True if this node is to write what has been due at all nodes since @p dueSince: the readers go first, so that
+    /// not all nodes write at the same time.
+    bool isTurnToWrite(base::TimePoint dueSince, base::TimePoint now) const;
     /// The node that has answered the latest query; nullopt if the store has, or a seed whose name is not known.
     const std::optional<Peer> &lastPeer() const { return m_lastPeer; }
     /// For a reader: the nodes of all regions that read the store on behalf of others, but itself.
