Log lines and rows of evidence are limited by the same token bucket

EvidenceRows had written again the bucket that was private to the event log. With it: the field that names a row's process is named once, where rows are decoded.

No behaviour is meant to change.

--- a/src/gateway/eventlog.cpp
+++ b/src/gateway/eventlog.cpp
@@ -12,6 +12,8 @@
 
 #include <ibisfork/base/clock.h>
 
+#include "gateway/tokenbucket.h"
+
 namespace ibisfork::gateway {
 
 namespace {
@@ -22,32 +24,6 @@
 /// Limit for lines buffered while standard output cannot be written.
 constexpr std::size_t maxBufferedBytes = 64UL * 1024;
 
-/// Token bucket that limits the rate of log lines.
-class TokenBucket
-{
-public:
-    explicit TokenBucket(double rate)
-        : m_rate(rate)
-        , m_left(rate)
-    { }
-
-    bool consume(base::TimePoint now)
-    {
-        m_left = std::min(m_rate, m_left + base::toSeconds(now - m_last) * m_rate);
-        m_last = now;
-        if (m_left < 1) {
-            return false;
-        }
-        m_left -= 1;
-        return true;
-    }
-
-private:
-    double m_rate;
-    double m_left;
-    base::TimePoint m_last = base::monotonicNow();
-};
-
 /// Buffered, non-blocking standard output.
 class Output
 {
@@ -65,9 +41,9 @@
         const auto now = base::monotonicNow();
         bool admitted = true;
         if (importance == Importance::Routine) {
-            admitted = m_routine.consume(now);
+            admitted = m_routine.consume(now, routineRate);
         } else if (importance == Importance::Failure) {
-            admitted = m_failure.consume(now);
+            admitted = m_failure.consume(now, failureRate);
         }
         m_suppressed += admitted ? 0 : 1;
         return admitted;
--- a/src/gateway/evidence/evidencerows.cpp
+++ b/src/gateway/evidence/evidencerows.cpp
@@ -19,7 +19,6 @@
 constexpr double callsAtOnce = 5;
 /// Time that each reader leaves to those before it to store evidence.
 constexpr std::chrono::milliseconds turnTime{600};
-constexpr const char *incarnationField = "incarnation";
 constexpr const char *serialField = "serial";
 
 /// @p text is the JSON object that a row has in earlier builds, which pass over the fields that are added here.
@@ -168,18 +167,6 @@
     return withProcess(text, evidence);
 }
 
-bool EvidenceRows::takeCall(base::TimePoint now)
-{
-    const auto refill = m_context.settings.bounds.evidenceWritesPerSecond * base::toSeconds(now - m_countedAt);
-    m_calls = std::min(callsAtOnce, m_calls + refill);
-    m_countedAt = now;
-    if (m_calls < 1) {
-        return false;
-    }
-    m_calls -= 1;
-    return true;
-}
-
 void EvidenceRows::tick(base::TimePoint now)
 {
     if (m_isWriting || !m_isLoaded) {
@@ -192,7 +179,7 @@
     if (due.empty() && rollouts.empty()) {
         return;
     }
-    if (!takeCall(now)) {
+    if (!m_calls.consume(now, m_context.settings.bounds.evidenceWritesPerSecond)) {
         EventLog::failure("evidence_writes_limited").field("due", due.size() + rollouts.size()).field("written", 0);
         return;
     }
--- a/src/gateway/evidence/evidencerows.h
+++ b/src/gateway/evidence/evidencerows.h
@@ -8,6 +8,7 @@
 #include "gateway/evidence/evidenceexchange.h"
 #include "gateway/storeclient.h"
 #include "gateway/tablewatch.h"
+#include "gateway/tokenbucket.h"
 
 namespace ibisfork::gateway::evidence {
 
@@ -50,8 +51,6 @@
     std::vector<DueRow> dueCrashRows(base::TimePoint now) const;
     std::vector<DueRow> dueRolloutRows(base::TimePoint now) const;
     void write(StoreCallCause cause, const std::vector<DueRow> &rows);
-    /// Takes one call from the limit; false if none is left.
-    bool takeCall(base::TimePoint now);
 
     Context &m_context;
     StoreClient &m_store;
@@ -61,9 +60,7 @@
     std::map<std::string, Held> m_stored;
     bool m_isLoaded = false;
     bool m_isWriting = false;
-    /// Calls that may be made at once, as of m_countedAt.
-    double m_calls;
-    base::TimePoint m_countedAt{};
+    TokenBucket m_calls;
     base::TimePoint m_rolloutsWrittenAt{};
 };
 
--- a/src/gateway/rolloutevidence.cpp
+++ b/src/gateway/rolloutevidence.cpp
@@ -219,7 +219,7 @@
              decodeTallies(document.at("old")),
              document.at("engines").get<std::set<std::string>>(),
              document.at("bad_engines").get<std::set<std::string>>()},
-            document.contains("incarnation")};
+            document.contains(incarnationField)};
     } catch (const json::exception &) {
         // The caller logs the row.
         return std::nullopt;
--- a/src/gateway/rolloutevidence.h
+++ b/src/gateway/rolloutevidence.h
@@ -82,6 +82,9 @@
     bool operator==(const RolloutEvidence &) const = default;
 };
 
+/// Field of a stored row that says which start of the node's process has told it; rows of earlier builds lack it.
+inline constexpr const char *incarnationField = "incarnation";
+
 /// Encodes the evidence of @p node about @p service as the JSON text that is stored.
 std::string encodeEvidence(const std::string &service, const std::string &node, const RolloutEvidence &evidence);
 
