One sum serves this node and those that ask it

others() and sumFor() added the upstream sum and the held entries each by itself. The list of readers is no longer copied at each update, and an accessor that nobody calls is gone.

No behaviour is meant to change.

--- a/src/gateway/evidence/evidenceexchange.cpp
+++ b/src/gateway/evidence/evidenceexchange.cpp
@@ -1,6 +1,7 @@
 #include "gateway/evidence/evidenceexchange.h"
 
 #include <algorithm>
+#include <random>
 #include <utility>
 
 #include "gateway/eventlog.h"
@@ -214,7 +215,7 @@
 
 void EvidenceExchange::updateReaders()
 {
-    const auto readers = m_source.otherReaders();
+    const auto &readers = m_source.otherReaders();
     std::erase_if(m_readers, [&](const auto &item) {
         return std::none_of(readers.begin(), readers.end(), [&](const PeerNode &reader) {
             return reader.name == item.first && reader.address.text() == item.second.address.text();
@@ -464,23 +465,18 @@
     if (!isLinked()) {
         // A node that waits for its first sum has none to pass on.
         const bool waits = m_upstream && !m_withoutLinkSince;
-        return waits ? std::nullopt : std::optional(m_tracker.sum(held));
+        return waits ? std::nullopt : std::optional(sumWithout(held));
     }
-    if (!containsAll(m_covered, held)) {
-        return std::nullopt;
-    }
-    auto sum = *m_sum;
-    sum.add(m_tracker.sum(m_covered, held));
-    return sum;
+    return containsAll(m_covered, held) ? std::optional(sumWithout(held)) : std::nullopt;
 }
 
-FleetEvidence EvidenceExchange::others() const
+FleetEvidence EvidenceExchange::sumWithout(const std::set<Incarnation> &excluded) const
 {
     if (!isLinked()) {
-        return m_tracker.sum({m_incarnation});
+        return m_tracker.sum(excluded);
     }
     auto sum = *m_sum;
-    sum.add(m_tracker.sum(m_covered, {m_incarnation}));
+    sum.add(m_tracker.sum(m_covered, excluded));
     return sum;
 }
 
--- a/src/gateway/evidence/evidenceexchange.h
+++ b/src/gateway/evidence/evidenceexchange.h
@@ -2,7 +2,6 @@
 
 #include <functional>
 #include <optional>
-#include <random>
 
 #include <ibisfork/base/metrics.h>
 
@@ -69,11 +68,10 @@
     Reply handle(const std::string &body);
 
     /// Evidence of all other processes, as far as this node knows.
-    FleetEvidence others() const;
+    FleetEvidence others() const { return sumWithout({m_incarnation}); }
     /// Changes when sums for other nodes may have changed; 0 while nobody has told anything.
     std::uint64_t version() const { return m_version; }
     const EvidenceTracker::Entries &held() const { return m_tracker.entries(); }
-    Incarnation incarnation() const { return m_incarnation; }
     /// True if what this node holds may not reach all other nodes by links.
     bool isUndelivered() const;
     /// Node that sums come from; empty for readers of the store and for a node without such a link.
@@ -133,6 +131,8 @@
     ExchangeAnswer answerTo(const ExchangeRequest &request) const;
     /// Sum for a node that holds @p held; nullopt while this node can't tell.
     std::optional<FleetEvidence> sumFor(const std::set<Incarnation> &held) const;
+    /// What is known of all processes but those in @p excluded.
+    FleetEvidence sumWithout(const std::set<Incarnation> &excluded) const;
     void refuse(Refusal refusal, const std::string &from, const std::string &reason);
     void tellOwn(bool isUrgent);
     void recordChange(bool isUrgent);
