An answer of another node is told from its engine's failure once

onPeerAnswered asked twice for the status; the runs for another node need no minimum of one and themselves.

No behaviour is meant to change.

--- a/src/gateway/exchangeforward.cpp
+++ b/src/gateway/exchangeforward.cpp
@@ -85,7 +85,7 @@
     head.headers = withoutForwardHeaders(head.headers);
     // One run is kept back where there are more, since a node that is lost may have used all that it was given.
     const auto left = maxRuns() - m_runs;
-    m_peerRuns = std::max(1U, left - std::min(left, 1U));
+    m_peerRuns = left > 1 ? left - 1 : 1;
     m_runs += m_peerRuns;
     m_peerRunsUsed.reset();
     addForwardState(head.headers, {m_peerRuns, m_isCounted});
@@ -149,13 +149,15 @@
 
 void Exchange::onPeerAnswered()
 {
-    if (m_answer.status >= http::status::firstServerError) {
-        settlePeerRuns(m_peerRuns);
+    if (m_answer.status < http::status::firstServerError) {
+        endWithPeerAnswer("answered");
+        return;
     }
-    // An engine has failed, not the node, so it may be asked again if it is the only one.
-    const bool mayRepeat = m_answer.status >= http::status::firstServerError && !m_streamBegun && mayRetry(true);
+    settlePeerRuns(m_peerRuns);
+    const bool mayRepeat = !m_streamBegun && mayRetry(true);
     auto next = mayRepeat ? choosePeer() : std::nullopt;
     if (mayRepeat && !next) {
+        // An engine has failed, not the node, so it may be asked again if it is the only one.
         m_triedPeers.pop_back();
         next = choosePeer();
     }
