--- a/tests/gateway/evidencecalls_test.cpp
+++ b/tests/gateway/evidencecalls_test.cpp
@@ -12,7 +12,7 @@
 using test::FakeCaller;
 
 /// Fleets of different sizes in this process, with the same load, that learn from their runs.
-class EvidenceCallsTest : public test::LoopTest
+class EvidenceCallsTest : public test::GatewayTest
 {
 protected:
     static constexpr unsigned smallFleet = 7;
@@ -49,39 +49,15 @@
         base::TimePoint at;
     };
 
-    static nlohmann::json configuration()
-    {
-        const nlohmann::json route{{"name", "read"},
-                                   {"hostname", "h.example"},
-                                   {"pathPrefix", "/read/"},
-                                   {"routeType", "idempotent"},
-                                   {"timeoutMs", 2000},
-                                   {"goalMs", 300},
-                                   {"priority", 1},
-                                   {"service", "s"},
-                                   {"maxAttempts", 2},
-                                   {"public", true},
-                                   {"resumable", false},
-                                   {"itlTargetMs", 300}};
-        return {
-            {"version", 7},
-            {"routes", {route}},
-            {"services", {{{"name", "s"}, {"healthPath", "/healthz"}, {"maxConns", 900}}}},
-            {"limits",
-             {{"maxHeaderBytes", 4096}, {"maxBodyBytes", 10000}, {"headerTimeoutMs", 900}, {"idleTimeoutMs", 15000}}}};
-    }
-
     std::unique_ptr<Fleet> startFleet(unsigned nodes)
     {
         auto fleet = std::make_unique<Fleet>(m_base.get());
-        fleet->store.put("op", "config", configuration().dump());
+        fleet->store.put("op", "config", m_configuration.dump());
         addEngines(*fleet, "v1", 200);
         for (unsigned i = 0; i < nodes; ++i) {
-            settings::GatewaySettings settings;
+            auto settings = m_settings;
             settings.node = {fmt::format("n{}", i), fmt::format("d{}", i % domains), "r1"};
-            settings.callers = settings.readiness = settings.operators = {"127.0.0.1", 0};
             settings.store = fleet->store.address();
-            settings.bounds.resendRatio = 0.9;
             settings.bounds.resendExtra = 500;
             // So much that no fleet is held back by it.
             settings.bounds.exposureTolerance = 10000;
@@ -123,8 +99,9 @@
     {
         const auto &node = *fleet.nodes[fleet.serial % fleet.nodes.size()];
         auto caller = std::make_unique<FakeCaller>(m_base.get(), node.callers());
-        caller->send(
-            fmt::format("GET /read/x HTTP/1.1\r\nHost: h.example\r\nIbisfork-Attempt-Id: a{}\r\n\r\n", fleet.serial++));
+        caller->send(fmt::format("GET /read/x HTTP/1.1\r\nHost: h.example\r\nIbisfork-Attempt-Id: a{}\r\n"
+                                 "Ibisfork-Credential: key1\r\n\r\n",
+                                 fleet.serial++));
         sent.push_back({std::move(caller), base::monotonicNow()});
     }
 
