no_peer is logged wherever the search for a node ends, with the failure domains asked

Now each end of a search says how many nodes are known, refuse and were tried, and in how many failure domains. No decision is changed.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -110,6 +110,8 @@
     bool tryForward();
     /// The node that tryForward() would hand it to.
     std::optional<PeerNode> choosePeer();
+    /// Logs that none of the @p known nodes is asked, or asked next.
+    void logNoPeer(const std::vector<PeerNode> &known, base::TimePoint now) const;
     /// True if another node has forwarded the request, and may try a third one: the request has not run here, or may be
     /// repeated.
     bool mayRefuseForwarded() const;
--- a/src/gateway/exchangeforward.cpp
+++ b/src/gateway/exchangeforward.cpp
@@ -1,6 +1,7 @@
 #include "gateway/exchange.h"
 
 #include <algorithm>
+#include <set>
 
 #include "gateway/enginepause.h"
 #include "gateway/eventlog.h"
@@ -38,26 +39,43 @@
 
 std::optional<PeerNode> Exchange::choosePeer()
 {
-    const auto now = base::monotonicNow();
     const bool mayRunElsewhere = (!m_mayHaveRun || repeatable()) && m_runs < maxRuns();
-    if (m_origin == RequestOrigin::Peer || !mayRunElsewhere || m_triedPeers.size() >= maxPeers) {
+    if (m_origin == RequestOrigin::Peer || !mayRunElsewhere) {
         return std::nullopt;
     }
+    const auto now = base::monotonicNow();
     const auto &node = m_context.settings.node;
     const PeerNode self{node.name, node.region, node.failureDomain, {}};
     const auto known = m_context.view.peersOf(node.name);
-    auto peer = m_context.peers.choose(known, self, m_service, m_triedPeers, now);
+    auto peer = m_triedPeers.size() >= maxPeers
+        ? std::nullopt
+        : m_context.peers.choose(known, self, m_service, m_triedPeers, now);
     if (!peer) {
-        EventLog::failure("no_peer")
-            .field("id", m_call.id)
-            .field("service", m_service)
-            .field("known", known.size())
-            .field("refusing", m_context.peers.refusing(known, m_service, now))
-            .field("tried", m_triedPeers.size());
+        logNoPeer(known, now);
     }
     return peer;
 }
 
+void Exchange::logNoPeer(const std::vector<PeerNode> &known, base::TimePoint now) const
+{
+    std::set<std::string> domains;
+    std::set<std::string> triedDomains;
+    for (const auto &peer : known) {
+        domains.insert(peer.failureDomain);
+        if (std::find(m_triedPeers.begin(), m_triedPeers.end(), peer.name) != m_triedPeers.end()) {
+            triedDomains.insert(peer.failureDomain);
+        }
+    }
+    EventLog::failure("no_peer")
+        .field("id", m_call.id)
+        .field("service", m_service)
+        .field("known", known.size())
+        .field("refusing", m_context.peers.refusing(known, m_service, now))
+        .field("tried", m_triedPeers.size())
+        .field("domains", domains.size())
+        .field("tried_domains", triedDomains.size());
+}
+
 bool Exchange::tryForward()
 {
     const auto peer = choosePeer();
