A stream whose engine sends bytes but ends no event is treated as stalled

Callers saw a stream stand still until its route's timeout and break off, though other engines had room. Operators of similar systems report it as stalled streams that send a byte now and then; looked for here, and found. Cause: each byte of an answer counted as progress, also those of an event that never ends, of which the caller gets nothing. Change: in streams only whole events count. The way out is as for a silent engine: the stream is left only for an engine that has granted a reservation, so a slow but sound one goes on where nobody does (...IsSlowButSound_noOtherTakesIt_streamStays).

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -164,6 +164,8 @@
     http::HeaderList headersToPassOn() const;
     bool wantsSecondRun() const;
     void beginSecondRun();
+    /// Records that the engine or node of the current attempt goes on with its answer.
+    void recordProgress();
     void recordEventTime();
     void forwardEvent(const StreamEvent &event);
     void completeStream();
--- a/src/gateway/exchangeanswer.cpp
+++ b/src/gateway/exchangeanswer.cpp
@@ -149,9 +149,8 @@
 
 void Exchange::onBody(std::string_view bytes)
 {
-    m_lastProgress = base::monotonicNow();
-    m_move.reset();
     if (!m_answer.isStream()) {
+        recordProgress();
         m_answerBody.append(bytes);
         return;
     }
@@ -166,6 +165,12 @@
     }
 }
 
+void Exchange::recordProgress()
+{
+    m_lastProgress = base::monotonicNow();
+    m_move.reset();
+}
+
 void Exchange::recordEventTime()
 {
     const auto now = base::monotonicNow();
@@ -181,6 +186,8 @@
     if (m_phase != Phase::Reading) {
         return;
     }
+    // Bytes of an event that never ends are no progress: the caller gets whole events.
+    recordProgress();
     if (!m_streamBegun) {
         m_streamBegun = true;
         m_caller.beginStream(m_answer.status, headersToPassOn(), m_context.stopping);
--- a/tests/gateway/silentengine_test.cpp
+++ b/tests/gateway/silentengine_test.cpp
@@ -112,6 +112,35 @@
     EXPECT_TRUE(until([&] { return m_engines[m_firstEngine]->open() == 0; }));
 }
 
+TEST_F(SilentEngineTest, streamHasBegunAndItsEngineSendsAByteNowAndThen_streamGoesOnAtAnother)
+{
+    allowReservations();
+    auto stalled = test::pausingStream(1, 2, 4, 50ms);
+    // An event that does not end before the route's timeout.
+    stalled.rest = "ff\r\n" + std::string(255, 'x');
+    stalled.isRestByteByByte = true;
+    addEngines(stalled, test::refusal(503), test::streamReply(3, 4));
+    replyToReservations(test::reservationReply("h7"));
+    start();
+    const auto answer = ask(request("POST", "/chat/x", {}, "abc"));
+    EXPECT_TRUE(answer.complete);
+    EXPECT_EQ(answer.body, test::streamBody(1, 4));
+    EXPECT_EQ(m_resumed.head.headers.find("Last-Event-Id"), "2");
+}
+
+TEST_F(SilentEngineTest, streamHasBegunAndItsEngineIsSlowButSound_noOtherTakesIt_streamStays)
+{
+    allowReservations();
+    auto slow = test::pausingStream(1, 2, 3, 20ms);
+    slow.isRestByteByByte = true;
+    addEngines(slow, test::refusal(503), test::refusal(503));
+    start();
+    const auto answer = ask(request("POST", "/chat/x", {}, "abc"));
+    EXPECT_TRUE(answer.complete);
+    EXPECT_EQ(answer.body, test::streamBody(1, 3));
+    EXPECT_EQ(requests(), 1U);
+}
+
 TEST_F(SilentEngineTest, engineGoesOnWhileAReservationIsUnderWay_streamStays)
 {
     allowReservations();
--- a/tests/gateway/standins.cpp
+++ b/tests/gateway/standins.cpp
@@ -184,7 +184,7 @@
     {
         if (!m_reply.bytes.empty()) {
             bufferevent_write(m_events, m_reply.bytes.data(), m_reply.bytes.size());
-            m_reply.bytes = std::exchange(m_reply.rest, {});
+            takeRest();
             if (!m_reply.bytes.empty()) {
                 m_delay.startOnce(m_reply.pause);
             }
@@ -193,6 +193,14 @@
         }
     }
 
+    void takeRest()
+    {
+        const auto size
+            = m_reply.isRestByteByByte ? std::min<std::size_t>(1, m_reply.rest.size()) : m_reply.rest.size();
+        m_reply.bytes = m_reply.rest.substr(0, size);
+        m_reply.rest.erase(0, size);
+    }
+
     void end()
     {
         if (m_reply.reset) {
--- a/tests/gateway/standins.h
+++ b/tests/gateway/standins.h
@@ -48,6 +48,8 @@
     /// Bytes sent after a pause that follows @c bytes, in the same way; empty sends nothing more.
     std::string rest{};
     std::chrono::milliseconds pause{0};
+    /// Sends one byte of @c rest after each pause.
+    bool isRestByteByByte = false;
 };
 
 /// A response with a body of known length, signed unless @p moreHeaders says otherwise.
