Nodes without a path look beyond five others and their own failure domain, and keep those that served

Cause: a request asked five nodes at most, those of the own failure domain first, so in a domain without paths all five refused. A refusal was kept for 1 s and a success not at all, so at one request a second and node each began anew. Change: nodes that served are remembered for 10 s and asked first, with others looked for while few are known; unknown ones are drawn from the domain with the fewest refusals; a refusal is remembered for 10 s, too, and puts a node behind the unknown ones. A request asks on while it has time; beyond five questions they are limited to 20 a second and node.

--- a/src/gateway/exchangeforward.cpp
+++ b/src/gateway/exchangeforward.cpp
@@ -15,8 +15,6 @@
 
 namespace {
 
-/// Nodes that one request is forwarded to at most, one after the other. Most refuse within a millisecond.
-constexpr std::size_t maxPeers = 5;
 /// A node answers for its engines, which it gives up by itself, so it gets this multiple of an engine's time.
 constexpr int peerSilenceFactor = 2;
 
@@ -47,9 +45,7 @@
     const auto &node = m_context.settings.node;
     const PeerNode self{node.name, node.region, node.failureDomain, {}};
     const auto known = m_context.view.peersOf(node.name);
-    auto peer = m_triedPeers.size() >= maxPeers
-        ? std::nullopt
-        : m_context.peers.choose(known, self, m_service, m_triedPeers, now);
+    auto peer = m_context.peers.choose(known, self, m_service, m_triedPeers, now);
     if (!peer) {
         logNoPeer(known, now);
     }
@@ -121,7 +117,7 @@
         return;
     }
     if (m_answer.status < http::status::firstServerError) {
-        m_context.peers.recordServed(m_peer->name, m_service);
+        m_context.peers.recordServed(m_peer->name, m_service, base::monotonicNow());
     }
     if (const auto engine = readLeavingEngine(m_answerHead.headers)) {
         m_context.recordEngineLeaving(m_service, *engine, m_call.id);
--- a/src/gateway/peerselector.h
+++ b/src/gateway/peerselector.h
@@ -1,29 +1,37 @@
 #pragma once
 
+#include <array>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <random>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include <ibisfork/base/clock.h>
 
 #include "gateway/tablesource.h"
+#include "gateway/tokenbucket.h"
 
 namespace ibisfork::gateway {
 
-/// Chooses the node that serves a request which this node can't serve.
+/// Chooses the node that serves a request which this node can't serve, by what others have answered lately.
 class PeerSelector
 {
 public:
-    explicit PeerSelector(std::uint64_t seed)
-        : m_random(seed)
-    { }
-
-    /// Returns a node of the region of @p self that accepts forwarded requests, is not in @p tried and has not refused
-    /// one of @p service lately; nodes of the same failure domain go first. Nodes that have failed lately are returned
-    /// only if there is no other, and those that have refused, if all have, now and then: their paths may be back.
-    /// Returns nullopt if there is none.
+    explicit PeerSelector(std::uint64_t seed);
+
+    /// Returns the next node to ask for a request of @p service, after those in @p tried. It is of the region of @p
+    /// self and accepts forwarded requests. In this order:
+    /// 1. one that has served @p service lately; but a request that has asked none asks one of 2 first, while few are
+    /// known
+    ///    to serve or more of them than don't;
+    /// 2. one of which nothing is known, in a failure domain with the fewest nodes that refuse or fail, the own one
+    /// first;
+    /// 3. one that has refused @p service, but not just now; one that has failed lately;
+    /// 4. one that has refused just now, each of them now and then: its path may be back.
+    /// Returns nullopt if there is none, or if the request has asked several nodes and too many are being asked.
     std::optional<PeerNode> choose(const std::vector<PeerNode> &peers,
                                    const PeerNode &self,
                                    const std::string &service,
@@ -33,7 +41,7 @@
     std::size_t refusing(const std::vector<PeerNode> &peers, const std::string &service, base::TimePoint now) const;
 
     /// Records that @p peer has served a request of @p service.
-    void recordServed(const std::string &peer, const std::string &service);
+    void recordServed(const std::string &peer, const std::string &service, base::TimePoint now);
     /// Records that @p peer can't serve requests of @p service at present.
     void recordRefused(const std::string &peer, const std::string &service, base::TimePoint now);
     /// Records that @p peer takes no requests at present.
@@ -44,32 +52,69 @@
     void recordUnreachable(const std::string &peer, base::TimePoint now);
 
 private:
-    /// How long a node is left alone, for all services or for one.
-    struct Backoff
+    /// How a node has last answered requests of one service.
+    enum class Standing {
+        Serves,
+        Unknown, ///< It was not asked lately.
+        HasRefused, ///< Not just now.
+        Fails,
+        Refuses,
+    };
+
+    static constexpr std::size_t standings = 5;
+
+    using MaybeTime = std::optional<base::TimePoint>;
+    using Nodes = std::vector<const PeerNode *>;
+    /// The nodes that a request has not asked, by standing.
+    class Candidates
+    {
+    public:
+        Nodes &operator[](Standing standing) { return m_nodes[static_cast<std::size_t>(standing)]; }
+        const Nodes &operator[](Standing standing) const { return m_nodes[static_cast<std::size_t>(standing)]; }
+
+    private:
+        std::array<Nodes, standings> m_nodes;
+    };
+
+    struct ServiceRecord
     {
-        base::TimePoint ofNode{};
-        std::map<std::string, base::TimePoint> byService;
-        /// When the node was last asked for a service, or refused it.
-        std::map<std::string, base::TimePoint> askedAt;
+        MaybeTime servedAt;
+        MaybeTime refusedAt;
+        MaybeTime failedAt;
+        /// When the node was last asked after it had refused, or refused.
+        MaybeTime askedAt;
+    };
 
-        bool isActive(const std::string &service, base::TimePoint now) const;
+    struct PeerRecord
+    {
+        MaybeTime refusedAllAt;
+        MaybeTime unreachableAt;
+        std::map<std::string, ServiceRecord> byService;
     };
-    using Backoffs = std::map<std::string, Backoff>;
 
-    static bool isActive(const Backoffs &backoffs,
-                         const std::string &peer,
-                         const std::string &service,
-                         base::TimePoint now);
+    /// Nodes that refuse, have refused or fail.
+    struct UnfitCounts
+    {
+        std::size_t all = 0;
+        std::map<std::string, std::size_t> byDomain;
+    };
 
+    Standing standing(const std::string &peer, const std::string &service, base::TimePoint now) const;
+    /// The best of @p candidates, but of those that refuse. @p hasAsked: the request has asked a node already.
+    const PeerNode *pick(const Candidates &candidates,
+                         const std::string &ownDomain,
+                         const UnfitCounts &unfit,
+                         bool hasAsked);
+    const PeerNode *draw(const Nodes &nodes);
+    /// Draws one of @p nodes in the domains with the fewest @p unfit nodes.
+    const PeerNode *drawByDomain(const Nodes &nodes, const std::string &ownDomain, const UnfitCounts &unfit);
     /// The one of @p refusing that was asked longest ago, if any may be asked again.
-    const PeerNode *chooseRefusing(const std::vector<const PeerNode *> &refusing,
-                                   const std::string &service,
-                                   base::TimePoint now);
+    const PeerNode *pickRefusing(const Nodes &refusing, const std::string &service, base::TimePoint now) const;
 
     std::mt19937_64 m_random;
+    TokenBucket m_furtherAsks;
     /// By node.
-    Backoffs m_refusals;
-    Backoffs m_failures;
+    std::unordered_map<std::string, PeerRecord> m_records;
 };
 
 } // namespace ibisfork::gateway
--- a/tests/gateway/peernodesfixture.h
+++ b/tests/gateway/peernodesfixture.h
@@ -72,8 +72,19 @@
         }
     }
 
-    /// Starts one node for each entry of @p cuts; all know of each other.
+    /// Starts one node for each entry of @p cuts, each in a failure domain of its own, as nodes of one would read the
+    /// table of engines from each other; all know of each other.
     void startNodes(const std::vector<Cut> &cuts)
+    {
+        std::vector<std::string> domains;
+        for (std::size_t i = 0; i < cuts.size(); ++i) {
+            domains.push_back("d" + std::to_string(i));
+        }
+        startNodes(cuts, domains);
+    }
+
+    /// As above, with the failure domains @p domains of the nodes. Nodes of one domain should be cut alike.
+    void startNodes(const std::vector<Cut> &cuts, const std::vector<std::string> &domains)
     {
         for (std::size_t i = 0; i < cuts.size(); ++i) {
             auto &node = m_nodes.emplace_back(std::make_unique<Node>());
@@ -82,8 +93,7 @@
             listEngines(*node->store, cuts[i]);
             auto settings = m_settings;
             settings.node.name = nameOf(i);
-            // Nodes of one domain would read the table of engines from each other.
-            settings.node.failureDomain = "d" + std::to_string(i);
+            settings.node.failureDomain = domains[i];
             settings.store = node->store->address();
             node->gateway = std::make_unique<Gateway>(m_base.get(), settings, node->metrics);
             node->gateway->start();
