--- a/src/gateway/peerselector.cpp
+++ b/src/gateway/peerselector.cpp
@@ -81,15 +81,15 @@
         }
     }
     const auto *picked = pick(candidates, self.failureDomain, unfit, !tried.empty());
-    const bool wasRefused = picked == nullptr;
-    if (wasRefused) {
+    const bool allRefuse = picked == nullptr;
+    if (allRefuse) {
         picked = pickRefusing(candidates[Standing::Refuses], service, now);
     }
     const bool isFurther = tried.size() >= asksPerRequest;
     if (picked == nullptr || (isFurther && !m_furtherAsks.consume(now, furtherAsksPerSecond))) {
         return std::nullopt;
     }
-    if (wasRefused) {
+    if (allRefuse) {
         m_records[picked->name].byService[service].askedAt = now;
     }
     return *picked;
@@ -103,9 +103,9 @@
     const auto &serving = candidates[Standing::Serves];
     const auto &unknown = candidates[Standing::Unknown];
     // Otherwise all requests of this node would go to the first one that has served, however busy it is.
-    const bool mayServe = serving.size() < enoughServing || serving.size() >= unfit.all;
-    const bool asksUnknown = !hasAsked && !unknown.empty() && mayServe;
-    if (!serving.empty() && !asksUnknown) {
+    const bool seeksMore = serving.size() < enoughServing || serving.size() >= unfit.all;
+    const bool beginsWithUnknown = !hasAsked && !unknown.empty() && seeksMore;
+    if (!serving.empty() && !beginsWithUnknown) {
         return draw(serving);
     }
     for (const auto standing : {Standing::Unknown, Standing::HasRefused}) {
--- a/src/gateway/peerselector.h
+++ b/src/gateway/peerselector.h
@@ -22,16 +22,14 @@
 public:
     explicit PeerSelector(std::uint64_t seed);
 
-    /// Returns the next node to ask for a request of @p service, after those in @p tried. It is of the region of @p
-    /// self and accepts forwarded requests. In this order:
-    /// 1. one that has served @p service lately; but a request that has asked none asks one of 2 first, while few are
-    /// known
-    ///    to serve or more of them than don't;
-    /// 2. one of which nothing is known, in a failure domain with the fewest nodes that refuse or fail, the own one
-    /// first;
-    /// 3. one that has refused @p service, but not just now; one that has failed lately;
-    /// 4. one that has refused just now, each of them now and then: its path may be back.
-    /// Returns nullopt if there is none, or if the request has asked several nodes and too many are being asked.
+    /// Returns the next node to ask for a request of @p service that has asked those in @p tried, or nullopt if there
+    /// is none or too many are being asked. It is of the region of @p self and accepts forwarded requests.
+    ///
+    /// Nodes that have served the service lately go first, then those of which nothing is known, in a failure domain
+    /// with as few others that refuse or fail as possible, those that have refused some time ago, and those that have
+    /// failed. Those that have just refused are asked now and then if there are no others: their paths may be back.
+    /// While few nodes are known to serve, or more than are known not to, a request begins with one of which nothing is
+    /// known.
     std::optional<PeerNode> choose(const std::vector<PeerNode> &peers,
                                    const PeerNode &self,
                                    const std::string &service,
@@ -56,9 +54,9 @@
     enum class Standing {
         Serves,
         Unknown, ///< It was not asked lately.
-        HasRefused, ///< Not just now.
+        HasRefused, ///< Some time ago; it may be asked again.
         Fails,
-        Refuses,
+        Refuses, ///< It has just refused.
     };
 
     static constexpr std::size_t standings = 5;
