--- a/tests/gateway/faultproxy.cpp
+++ b/tests/gateway/faultproxy.cpp
@@ -1,13 +1,10 @@
 #include "faultproxy.h"
 
-#include <netinet/in.h>
-#include <sys/socket.h>
-
-#include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 
 #include "net/deletelater.h"
+#include "socketaddress.h"
 
 namespace ibisfork::gateway::test {
 
@@ -34,10 +31,7 @@
         , m_mode(proxy.m_mode)
         , m_later(proxy.m_base, [this] { passBoth(); })
     {
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_port = htons(proxy.m_target.port);
-        inet_pton(AF_INET, proxy.m_target.ip.c_str(), &address.sin_addr);
+        auto address = ibisfork::test::socketAddress(proxy.m_target);
         bufferevent_setcb(m_caller, &onRead, &onWritten, &onEvent, this);
         bufferevent_setcb(m_target, &onRead, &onWritten, &onEvent, this);
         bufferevent_enable(m_caller, EV_READ | EV_WRITE);
--- a/tests/gateway/hangingport.cpp
+++ b/tests/gateway/hangingport.cpp
@@ -1,32 +1,22 @@
 #include "hangingport.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include <cerrno>
 #include <system_error>
 
+#include "socketaddress.h"
+
 namespace ibisfork::gateway::test {
 
 namespace {
 
-sockaddr_in socketAddress(const net::Address &address)
-{
-    sockaddr_in out{};
-    out.sin_family = AF_INET;
-    out.sin_port = htons(address.port);
-    inet_pton(AF_INET, address.ip.c_str(), &out.sin_addr);
-    return out;
-}
-
 evutil_socket_t bindTo(const net::Address &address)
 {
     const auto bound = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
     const int on = 1;
     setsockopt(bound, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-    const auto target = socketAddress(address);
+    const auto target = ibisfork::test::socketAddress(address);
     if (bind(bound, reinterpret_cast<const sockaddr *>(&target), sizeof target) != 0) {
         throw std::system_error(errno, std::generic_category(), "cannot bind");
     }
@@ -57,7 +47,7 @@
 std::vector<evutil_socket_t> fillQueue(const net::Address &address)
 {
     constexpr int connections = 3;
-    const auto target = socketAddress(address);
+    const auto target = ibisfork::test::socketAddress(address);
     std::vector<evutil_socket_t> sockets;
     for (int i = 0; i < connections; ++i) {
         sockets.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
--- a/tests/gateway/pausableengine.cpp
+++ b/tests/gateway/pausableengine.cpp
@@ -1,11 +1,11 @@
 #include "pausableengine.h"
 
-#include <arpa/inet.h>
 #include <unistd.h>
 
 #include <algorithm>
 
 #include "net/deletelater.h"
+#include "socketaddress.h"
 
 namespace ibisfork::gateway::test {
 
@@ -20,11 +20,7 @@
     {
         bufferevent_setcb(m_node, &onNodeRead, &onNodeWritten, &onNodeEvent, this);
         bufferevent_setcb(m_engine, &onEngineRead, nullptr, &onEngineEvent, this);
-        const auto address = owner.m_engine.address();
-        sockaddr_in target{};
-        target.sin_family = AF_INET;
-        target.sin_port = htons(address.port);
-        inet_pton(AF_INET, address.ip.c_str(), &target.sin_addr);
+        const auto target = ibisfork::test::socketAddress(owner.m_engine.address());
         bufferevent_socket_connect(m_engine, reinterpret_cast<const sockaddr *>(&target), sizeof target);
         setPaused(owner.m_paused);
     }
--- a/tests/gateway/reachprobe_test.cpp
+++ b/tests/gateway/reachprobe_test.cpp
@@ -1,5 +1,3 @@
-#include <arpa/inet.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include <array>
@@ -9,6 +7,7 @@
 #include "gateway/noderow.h"
 #include "gateway/reachprobe.h"
 #include "gatewayfixture.h"
+#include "socketaddress.h"
 
 #include <gtest/gtest.h>
 
@@ -23,9 +22,7 @@
     ThreadEngine()
         : m_listener(socket(AF_INET, SOCK_STREAM, 0))
     {
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+        const auto address = ibisfork::test::socketAddress({"127.0.0.1", 0});
         EXPECT_EQ(bind(m_listener, reinterpret_cast<const sockaddr *>(&address), sizeof address), 0);
         EXPECT_EQ(listen(m_listener, 1), 0);
         m_thread = std::thread([this] { answerOne(); });
@@ -39,13 +36,7 @@
     ThreadEngine(const ThreadEngine &) = delete;
     ThreadEngine &operator=(const ThreadEngine &) = delete;
 
-    net::Address address() const
-    {
-        sockaddr_in bound{};
-        socklen_t size = sizeof bound;
-        getsockname(m_listener, reinterpret_cast<sockaddr *>(&bound), &size);
-        return {"127.0.0.1", ntohs(bound.sin_port)};
-    }
+    net::Address address() const { return ibisfork::test::boundAddress(m_listener); }
 
 private:
     void answerOne() const
--- a/tests/gateway/socketcaller.h
+++ b/tests/gateway/socketcaller.h
@@ -2,12 +2,9 @@
 
 #include <string>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
-#include "net/address.h"
+#include "socketaddress.h"
 
 namespace ibisfork::gateway::test {
 
@@ -21,10 +18,7 @@
         // A bounded window, so that what is not read stays at the node.
         const int window = 256 * 1024;
         setsockopt(m_socket, SOL_SOCKET, SO_RCVBUF, &window, sizeof window);
-        sockaddr_in target{};
-        target.sin_family = AF_INET;
-        target.sin_port = htons(address.port);
-        inet_pton(AF_INET, address.ip.c_str(), &target.sin_addr);
+        const auto target = ibisfork::test::socketAddress(address);
         m_connected = connect(m_socket, reinterpret_cast<const sockaddr *>(&target), sizeof target) == 0;
     }
     ~SocketCaller() { ::close(m_socket); }
--- a/tests/gateway/stoppedport.cpp
+++ b/tests/gateway/stoppedport.cpp
@@ -1,12 +1,12 @@
 #include "stoppedport.h"
 
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <event2/event.h>
 
 #include "hangingport.h"
+#include "socketaddress.h"
 
 namespace ibisfork::gateway::test {
 
@@ -14,10 +14,7 @@
     : m_base(base)
     , m_listener(listenWithShortestQueue({"127.0.0.1", 0}))
 {
-    sockaddr_in address{};
-    socklen_t size = sizeof address;
-    getsockname(m_listener, reinterpret_cast<sockaddr *>(&address), &size);
-    m_address = {"127.0.0.1", ntohs(address.sin_port)};
+    m_address = ibisfork::test::boundAddress(m_listener);
     m_acceptable.reset(event_new(base, m_listener, EV_READ, &onAcceptable, this));
     event_add(m_acceptable.get(), nullptr);
 }
--- a/tests/process/stallingproxy.cpp
+++ b/tests/process/stallingproxy.cpp
@@ -3,28 +3,19 @@
 #include <array>
 #include <stdexcept>
 
-#include <arpa/inet.h>
 #include <fmt/format.h>
 #include <poll.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
-#include "net/address.h"
+#include "socketaddress.h"
 
 namespace ibisfork::process {
 
 namespace {
 
-constexpr int pollMilliseconds = 10;
+using test::socketAddress;
 
-sockaddr_in socketAddress(const net::Address &address)
-{
-    sockaddr_in out{};
-    out.sin_family = AF_INET;
-    out.sin_port = htons(address.port);
-    inet_pton(AF_INET, address.ip.c_str(), &out.sin_addr);
-    return out;
-}
+constexpr int pollMilliseconds = 10;
 
 } // namespace
 
@@ -33,12 +24,11 @@
     , m_listener(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
 {
     auto address = socketAddress({"127.0.0.1", 0});
-    socklen_t length = sizeof(address);
-    if (bind(m_listener, reinterpret_cast<sockaddr *>(&address), length) != 0 || listen(m_listener, SOMAXCONN) != 0) {
+    if (bind(m_listener, reinterpret_cast<sockaddr *>(&address), sizeof address) != 0
+        || listen(m_listener, SOMAXCONN) != 0) {
         throw std::runtime_error("the proxy can't listen");
     }
-    getsockname(m_listener, reinterpret_cast<sockaddr *>(&address), &length);
-    m_port = ntohs(address.sin_port);
+    m_port = test::boundAddress(m_listener).port;
     m_thread = std::thread([this] { run(); });
 }
 
