--- a/tests/gateway/peersearch_test.cpp
+++ b/tests/gateway/peersearch_test.cpp
@@ -19,6 +19,7 @@
 
 struct Size
 {
+    /// Number of nodes of each failure domain.
     std::vector<std::size_t> domains;
     /// Requests a second and node.
     double rate = 0;
@@ -61,6 +62,7 @@
     PeerSearchFleet m_fleet{GetParam().domains, 1};
 };
 
+/// As above; played at the sizes at which questions in vain take little time.
 class PeerSearchInVainTest : public PeerSearchTest
 {
 };
