--- a/tests/gateway/manypeers_test.cpp
+++ b/tests/gateway/manypeers_test.cpp
@@ -37,7 +37,7 @@
 
 TEST_F(ManyPeersTest, allButOneNodeHaveNoPath_theOneIsFoundAndKept)
 {
-    std::vector<Cut> cuts(3 * cutNodes, Cut::Refused);
+    std::vector<Cut> cuts(cutNodes + cutNodes / 2, Cut::Refused);
     cuts.push_back(Cut::None);
     startNodes(cuts);
     EXPECT_EQ(servedOfThree(), 3);
