--- a/tests/gateway/peerselector_test.cpp
+++ b/tests/gateway/peerselector_test.cpp
@@ -55,6 +55,7 @@
 {
     m_peers = {peer("a", "d1"), peer("b", "d1")};
     m_selector.recordRefused("a", "s", at(0s));
+    EXPECT_EQ(chosen(900ms), "b");
     EXPECT_EQ(chosen(900ms, {"b"}), "-a");
     EXPECT_EQ(chosen(1s, {"b"}), "a");
 }
