--- a/review/1/main.cpp
+++ b/review/1/main.cpp
@@ -86,8 +86,7 @@
         }
         const auto last = request.header("last-event-id");
         for (auto event = last.empty() ? 1 : std::stoul(last) + 1; event <= eventsOfStream; ++event) {
-            const auto number = std::to_string(event);
-            if (!connection.write(chunk("id: " + number + "\ndata: " + id + '-' + number + "\n\n"))) {
+            if (!connection.write(chunk(eventText(event, id)))) {
                 return false;
             }
             sleepFor(betweenEvents);
--- /dev/null
+++ b/review/4/run.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Runs the case: exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+set -euo pipefail
+here=$(cd "$(dirname "$0")" && pwd)
+cd "$here/../.."
+if [ ! -x target/ibisforkd ] || [ ! -x "review/bin/case-${here##*/}" ]; then
+    echo "build with the command of deploy/system.toml and with review/build.sh first" >&2
+    exit 2
+fi
+folder=$(mktemp -d)
+status=0
+timeout -k 1 115 "review/bin/case-${here##*/}" "$folder" "$here/record.txt" || status=$?
+rm -rf "$folder"
+case $status in 0 | 1) exit "$status" ;; *) exit 2 ;; esac
--- a/review/stand/http.cpp
+++ b/review/stand/http.cpp
@@ -296,6 +296,13 @@
     return size.data() + bytes + "\r\n";
 }
 
+std::string eventText(unsigned long number, const std::string &id)
+{
+    const auto text = std::to_string(number);
+    std::string out = "id: ";
+    return out.append(text).append("\ndata: ").append(id).append("-").append(text).append("\n\n");
+}
+
 int freePort()
 {
     const int listener = listenOn(0);
--- a/review/stand/http.h
+++ b/review/stand/http.h
@@ -100,6 +100,8 @@
 /// A whole response with a length.
 std::string response(int status, const Headers &headers, const std::string &body);
 std::string chunk(const std::string &bytes);
+/// An event of a stream.
+std::string eventText(unsigned long number, const std::string &id);
 /// A port of 127.0.0.1 that was free a moment ago.
 int freePort();
 
