--- a/review/4/main.cpp
+++ b/review/4/main.cpp
@@ -136,10 +136,10 @@
     std::atomic<double> orderedAt = 0;
 };
 
-int pickNode(Traffic &traffic, std::mt19937 &random)
+/// The platform picks a node by a hash of the requester, so that each keeps its node.
+int nodeOf(Traffic &traffic, std::size_t requester)
 {
-    std::uniform_int_distribution<std::size_t> draw(0, nodeCount - 1);
-    return traffic.nodes[draw(random)]->callers();
+    return traffic.nodes[requester % nodeCount]->callers();
 }
 
 void callShort(Traffic &traffic, std::size_t index)
@@ -149,7 +149,7 @@
     for (unsigned number = 1; traffic.goesOn; ++number) {
         const auto id = "short" + std::to_string(index) + '-' + std::to_string(number);
         ++traffic.asked;
-        traffic.served += request(pickNode(traffic, random), "/short/", id, {}) ? 1 : 0;
+        traffic.served += request(nodeOf(traffic, index), "/short/", id, {}) ? 1 : 0;
         sleepFor(pause(random));
     }
 }
@@ -168,7 +168,7 @@
         const auto id = session + '-' + std::to_string(number);
         const auto sentAt = secondsNow();
         ++traffic.asked;
-        traffic.served += request(pickNode(traffic, random), "/reports/", id, session) ? 1 : 0;
+        traffic.served += request(nodeOf(traffic, index), "/reports/", id, session) ? 1 : 0;
         const auto version = runs.versionOf(id);
         const double ordered = traffic.orderedAt;
         const bool follows = !before.empty() && sentAt - endedAt < sessionTime;
--- a/review/stand/http.cpp
+++ b/review/stand/http.cpp
@@ -49,14 +49,6 @@
     return listener;
 }
 
-int portOf(int socket)
-{
-    sockaddr_in address{};
-    socklen_t size = sizeof address;
-    getsockname(socket, reinterpret_cast<sockaddr *>(&address), &size);
-    return ntohs(address.sin_port);
-}
-
 std::string trimmed(const std::string &text)
 {
     const auto from = text.find_first_not_of(" \t");
@@ -222,7 +214,7 @@
 
 Server::Server(Handler handler, int port)
     : m_handler(std::move(handler))
-    , m_port(port)
+    , m_port(port == 0 ? freePort() : port)
 {
     start();
 }
@@ -231,7 +223,6 @@
 {
     const std::lock_guard lock(m_mutex);
     m_listener = listenOn(m_port);
-    m_port = m_port == 0 ? portOf(m_listener) : m_port;
     std::thread([this, listener = m_listener] { acceptAll(listener); }).detach();
 }
 
@@ -305,10 +296,20 @@
 
 int freePort()
 {
-    const int listener = listenOn(0);
-    const int port = portOf(listener);
-    close(listener);
-    return port;
+    // Ports below those that the kernel gives to outgoing connections, which could take a port before its server does.
+    constexpr int firstPort = 15000;
+    constexpr int ports = 15000;
+    constexpr int portsPerProcess = 64;
+    static std::atomic<int> next = getpid() % (ports / portsPerProcess) * portsPerProcess;
+    for (int tries = 0; tries < ports; ++tries) {
+        const int port = firstPort + next++ % ports;
+        const int listener = listenOn(port);
+        if (listener >= 0) {
+            close(listener);
+            return port;
+        }
+    }
+    return 0;
 }
 
 } // namespace ibisfork::review
--- a/review/stand/http.h
+++ b/review/stand/http.h
@@ -102,7 +102,7 @@
 std::string chunk(const std::string &bytes);
 /// An event of a stream.
 std::string eventText(unsigned long number, const std::string &id);
-/// A port of 127.0.0.1 that was free a moment ago.
+/// A port of 127.0.0.1 that nothing listens on.
 int freePort();
 
 } // namespace ibisfork::review
