--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -8,7 +8,18 @@
     exit 2
 fi
 folder=$(mktemp -d)
+case_process=
+# The nodes end with the case, whose limit of time ends it otherwise.
+end() {
+    [ -z "$case_process" ] || kill "$case_process" 2>/dev/null || true
+    [ -z "$case_process" ] || wait "$case_process" 2>/dev/null || true
+    rm -rf "$folder"
+}
+trap end EXIT
+trap 'exit 2' INT TERM HUP
+timeout -k 1 115 "review/bin/case-${here##*/}" "$folder" "$here/record.txt" &
+case_process=$!
 status=0
-timeout -k 1 115 "review/bin/case-${here##*/}" "$folder" "$here/record.txt" || status=$?
-rm -rf "$folder"
+wait "$case_process" || status=$?
+case_process=
 case $status in 0 | 1) exit "$status" ;; *) exit 2 ;; esac
