An engine's status is believed from 100 to 599 in three digits only

Cause: the parser library takes any number of digits, so an engine in trouble that answers "HTTP/1.1 000" was passed on to the caller as its answer. The same held for 20, 0200 and 600, and for several spaces before the status. Change: the status line is checked before the library reads it; another one is a malformed answer, as bytes that are none. A reset while the upload is still being written was tried on the code as it was: an answer without a length is not taken as whole on a kept connection, for an HTTP/1.0 caller, and on a stream without and with such a caller. These tests pass before and after. Forwarded requests were not tried.

--- a/src/http/messageparser.cpp
+++ b/src/http/messageparser.cpp
@@ -43,9 +43,31 @@
         && std::all_of(line.begin() + static_cast<std::ptrdiff_t>(colon), line.end(), isValueCharacter);
 }
 
+bool isDigit(char c)
+{
+    return c >= '0' && c <= '9';
+}
+
+/// True for a version, one space and a status of three digits from 100 to 599. The library takes any number of digits
+/// and of spaces, so that an upstream in trouble could hand on a status that no caller knows.
+bool isStatusLine(std::string_view line)
+{
+    constexpr std::string_view version = "HTTP/1.";
+    constexpr std::size_t statusAt = version.size() + 2;
+    constexpr std::size_t statusEnd = statusAt + 3;
+    if (line.size() < statusEnd || !line.starts_with(version) || !isDigit(line[version.size()])
+        || line[version.size() + 1] != ' ') {
+        return false;
+    }
+    const auto status = line.substr(statusAt, statusEnd - statusAt);
+    const bool isNumber = std::all_of(status.begin(), status.end(), isDigit);
+    const bool isKnownClass = status.front() >= '1' && status.front() <= '5';
+    return isNumber && isKnownClass && (line.size() == statusEnd || line[statusEnd] == ' ');
+}
+
 /// The library takes a bare line feed, a folded line and white space before a colon. Two readers of such a head can
 /// disagree about where the message ends, so none of them is taken.
-bool headIsStrict(std::string_view head)
+bool headIsStrict(std::string_view head, MessageKind kind)
 {
     bool startLine = true;
     while (!head.empty()) {
@@ -57,6 +79,9 @@
         if (!startLine && !line.empty() && !isHeaderLine(line)) {
             return false;
         }
+        if (startLine && kind == MessageKind::Response && !isStatusLine(line)) {
+            return false;
+        }
         startLine = false;
         head.remove_prefix(end + lineEnd.size());
     }
@@ -133,7 +158,7 @@
     }
     m_headBytes.resize(end + headEnd.size());
     const auto used = m_headBytes.size() + dropped - before;
-    if (!headIsStrict(m_headBytes)) {
+    if (!headIsStrict(m_headBytes, m_kind)) {
         m_state = ParseState::Malformed;
         return used;
     }
--- a/tests/gateway/engineanswers_test.cpp
+++ b/tests/gateway/engineanswers_test.cpp
@@ -25,26 +25,51 @@
         return reply;
     }
 
-    /// Sends a long body to an engine that writes @p answer and closes the connection before it has read the body. The
+    /// A request that an engine answers before it has read the long body.
+    struct EarlyAnswer
+    {
+        std::string answer;
+        const char *path = "/book/x";
+        const char *version = "HTTP/1.1";
+        /// The engine has answered another request on the connection before.
+        bool isKept = false;
+    };
+
+    /// Sends a long body to an engine that writes an answer and closes the connection before it has read the body. The
     /// node sees both at once.
     const test::Answer &askResettingEngine(const std::string &answer)
+    {
+        return askResettingEngine(EarlyAnswer{answer});
+    }
+    const test::Answer &askResettingEngine(const EarlyAnswer &early)
     {
         m_configuration["limits"]["maxBodyBytes"] = longBody;
-        m_configuration["routes"][1]["timeoutMs"] = 5000;
+        for (auto &route : m_configuration["routes"]) {
+            route["timeoutMs"] = 5000;
+            route["goalMs"] = 4000;
+        }
         std::atomic<bool> headRead = false;
         std::atomic<bool> mayAnswer = false;
         const ThreadEngine engine([&](int socket) {
+            if (early.isKept && !ThreadEngine::readRequest(socket).empty()) {
+                ThreadEngine::write(socket, ThreadEngine::answer(200, "a1", "first"));
+            }
             if (ThreadEngine::readHead(socket).empty()) {
                 return;
             }
             headRead = true;
             wait(mayAnswer);
-            ThreadEngine::write(socket, answer);
+            ThreadEngine::write(socket, early.answer);
         });
         m_store.put("servers", "t1", test::engineEntry(engine.address()).dump());
         start();
+        if (early.isKept) {
+            EXPECT_EQ(ask(request("POST", early.path, {}, "a")).status, 200);
+        }
         m_caller = std::make_unique<FakeCaller>(m_base.get(), m_gateway->callers());
-        m_caller->send(request("POST", "/book/x", {}, std::string(longBody, 'b')));
+        auto bytes = request("POST", early.path, {}, std::string(longBody, 'b'));
+        const std::string usual = "HTTP/1.1";
+        m_caller->send(bytes.replace(bytes.find(usual), usual.size(), early.version));
         until([&] { return headRead.load(); });
         runFor(300ms);
         mayAnswer = true;
@@ -53,6 +78,20 @@
         return m_caller->answer();
     }
 
+    /// The head of a success without a length, which ends with its connection.
+    static std::string headWithoutLength(const std::string &fields = {})
+    {
+        return "HTTP/1.1 200 OK\r\nIbisfork-Attempt-Id: a1\r\nIbisfork-Response-Seal: s\r\n" + fields + "\r\n";
+    }
+
+    static test::EngineReply statusReply(const std::string &status)
+    {
+        return {"HTTP/1.1 " + status
+                + " X\r\nIbisfork-Attempt-Id: ID\r\nIbisfork-Response-Seal: s\r\nContent-Length: 2\r\n\r\nok"};
+    }
+
+    static std::string wholeEvents() { return "id: 1\ndata: t1\n\nid: 2\ndata: t2\n\n"; }
+
     static void wait(const std::atomic<bool> &until)
     {
         while (!until) {
@@ -152,4 +191,51 @@
     EXPECT_EQ(answer.status, 502);
 }
 
+TEST_F(EngineAnswersTest, answerWithoutLength_onAKeptConnection_ofAnEngineThatThenResets_isNotTakenAsWhole)
+{
+    const auto &answer = askResettingEngine({headWithoutLength() + "part", "/book/x", "HTTP/1.1", true});
+    EXPECT_EQ(answer.status, 502);
+}
+
+TEST_F(EngineAnswersTest, answerWithoutLength_toAnHttp10Caller_ofAnEngineThatThenResets_isNotTakenAsWhole)
+{
+    const auto &answer = askResettingEngine({headWithoutLength() + "part", "/book/x", "HTTP/1.0"});
+    EXPECT_EQ(answer.status, 502);
+}
+
+TEST_F(EngineAnswersTest, streamWithoutLength_ofAnEngineThatThenResets_isNotTakenAsWhole)
+{
+    const auto head = headWithoutLength("Content-Type: text/event-stream\r\n");
+    const auto &answer = askResettingEngine({head + wholeEvents(), "/chat/x"});
+    EXPECT_FALSE(answer.complete && answer.status == 200);
+}
+
+TEST_F(EngineAnswersTest, streamWithoutLength_toAnHttp10Caller_ofAnEngineThatThenResets_isNotTakenAsWhole)
+{
+    const auto head = headWithoutLength("Content-Type: text/event-stream\r\n");
+    const auto &answer = askResettingEngine({head + wholeEvents(), "/chat/x", "HTTP/1.0"});
+    EXPECT_FALSE(answer.complete && answer.status == 200);
+}
+
+TEST_F(EngineAnswersTest, status000_ofOneEngine_anotherOneServes)
+{
+    addEngine("e1").willReply({statusReply("000")});
+    addEngine("e2").willReply({test::plainReply(200, "two")});
+    start();
+    for (int i = 0; i < mostRequests && m_engines["e1"]->requests().empty(); ++i) {
+        EXPECT_EQ(ask(request("GET", "/read/x")).status, 200);
+    }
+    EXPECT_FALSE(m_engines["e1"]->requests().empty());
+}
+
+TEST_F(EngineAnswersTest, status000_toARequestThatMayRunOnce_isAFailure)
+{
+    auto &engine = addEngine("e1");
+    start();
+    for (const auto *status : {"000", "099", "600", "0200"}) {
+        engine.willReply({statusReply(status)});
+        EXPECT_EQ(ask(request("POST", "/book/x", {}, "a")).status, 502) << status;
+    }
+}
+
 } // namespace ibisfork::gateway
