Clients that nobody controls: all ports of a node are bounded, and slow clients keep nobody out

Cause: the readiness and the operators' port kept bodies of up to 1 MB a connection outside of any budget; answers to requests sent ahead piled up unread; connections with half a request held a port's share until their time limits. Change: the readiness port drops bodies, and both ports have budgets of their own. No further request is taken from a client that leaves more than 64 kB of its answers. A full port refuses the requests that have been coming for over a second, the oldest first; the readiness port lets a new connection replace the oldest one.

--- a/src/gateway/connectionroom.cpp
+++ b/src/gateway/connectionroom.cpp
@@ -1,5 +1,9 @@
 #include "gateway/connectionroom.h"
 
+#include <algorithm>
+#include <functional>
+#include <utility>
+
 #include "gateway/eventlog.h"
 
 namespace ibisfork::gateway {
@@ -8,6 +12,10 @@
 
 /// How often a full port looks for a connection that has become idle.
 constexpr std::chrono::milliseconds roomInterval{50};
+/// At a full port, a request that has been coming for longer than this makes room for others.
+constexpr std::chrono::milliseconds slowRequestTime{1000};
+/// One of this many connections may be asked to make room at a time.
+constexpr std::size_t slowRequestsDivisor = 16;
 
 } // namespace
 
@@ -36,8 +44,8 @@
 
 void ConnectionRoom::accept(evutil_socket_t socket)
 {
-    if (isFull()) {
-        closeLongestIdle();
+    if (isFull() && !closeLongestIdle() && m_share.replacesOldest) {
+        closeOldest();
     }
     const bool isSurplus = isFull();
     auto connection = m_accept(socket);
@@ -88,12 +96,54 @@
     return m_connections.size() < before;
 }
 
+void ConnectionRoom::closeOldest()
+{
+    const Entry *oldest = nullptr;
+    for (const auto &item : m_connections) {
+        const auto &entry = item.second;
+        const bool isOlder = oldest == nullptr || entry.usedAt < oldest->usedAt;
+        if (isOlder && !entry.connection->answering()) {
+            oldest = &entry;
+        }
+    }
+    if (oldest != nullptr) {
+        EventLog::failure("slow_connection_closed").field("address", address().text()).field("open", size());
+        oldest->connection->abort();
+    }
+}
+
+void ConnectionRoom::refuseSlowest()
+{
+    const auto now = base::monotonicNow();
+    std::vector<std::pair<base::Duration, http::CallerConnection *>> slow;
+    for (const auto &item : m_connections) {
+        const auto age = item.second.connection->unfinishedFor(now);
+        if (age >= slowRequestTime) {
+            slow.emplace_back(age, item.second.connection.get());
+        }
+    }
+    const auto most = std::max<std::size_t>(1, m_share.served / slowRequestsDivisor);
+    const auto count = std::min(most, slow.size());
+    const auto end = slow.begin() + static_cast<std::ptrdiff_t>(count);
+    std::partial_sort(slow.begin(), end, slow.end(), std::greater<>());
+    std::for_each(slow.begin(), end, [](const auto &item) { item.second->refuseUnfinished(); });
+    if (count > 0) {
+        EventLog::failure("slow_requests_refused")
+            .field("address", address().text())
+            .field("refused", count)
+            .field("open", size());
+    }
+}
+
 void ConnectionRoom::makeRoom()
 {
     bool closed = true;
     while (needsRoom() && closed) {
         closed = closeLongestIdle();
     }
+    if (needsRoom()) {
+        refuseSlowest();
+    }
     update();
 }
 
--- a/src/gateway/connectionroom.h
+++ b/src/gateway/connectionroom.h
@@ -49,11 +49,16 @@
 
     void accept(evutil_socket_t socket);
     bool isFull() const { return m_connections.size() >= m_share.served; }
-    bool accepts() const { return m_connections.size() < m_share.served + m_share.refused; }
+    bool accepts() const { return m_share.replacesOldest || m_connections.size() < m_share.served + m_share.refused; }
     /// True if a client may be waiting for another one's connection.
     bool needsRoom() const { return m_connections.size() > m_share.served || !accepts(); }
     /// False if none has been idle for a while.
     bool closeLongestIdle();
+    /// Closes the connection that has gone unused longest, unless its request is being answered.
+    void closeOldest();
+    /// Refuses requests that have been coming for long and are not whole, the longest first. Their connections count as
+    /// idle once their clients have the refusal.
+    void refuseSlowest();
     void makeRoom();
     void update();
 
--- a/src/gateway/connectionshares.cpp
+++ b/src/gateway/connectionshares.cpp
@@ -49,7 +49,7 @@
     return {{shareOf(sockets, callerParts), shareOf(sockets, refusedParts)},
             {shareOf(sockets, forwardedParts), 0},
             {shareOf(sockets, operatorsParts), 0},
-            {shareOf(sockets, readinessParts), 0}};
+            {shareOf(sockets, readinessParts), 0, true}};
 }
 
 std::size_t raiseDescriptorLimit(const settings::ProcessLimits &limits)
--- a/src/gateway/connectionshares.h
+++ b/src/gateway/connectionshares.h
@@ -13,6 +13,9 @@
     std::size_t served = std::numeric_limits<std::size_t>::max() / 2;
     /// Further ones, of which each is only told to come back later.
     std::size_t refused = 0;
+    /// A new connection replaces the one that has gone unused longest, also if a request is coming on it. For ports
+    /// whose requests come with their connections, so that slow clients keep nobody out.
+    bool replacesOldest = false;
 };
 
 /// How many connections each port may hold, so that engines, the store, other nodes and files have descriptors left.
--- a/src/gateway/infoport.cpp
+++ b/src/gateway/infoport.cpp
@@ -4,17 +4,14 @@
 
 namespace ibisfork::gateway {
 
-namespace {
-
-/// Evidence of all nodes is the longest that is sent here. It is not counted in the node's memory budget: callers must
-/// not be able to keep a node from the others or from its operators.
-constexpr std::size_t maxBodyBytes = 1024UL * 1024;
-
-} // namespace
-
-InfoPort::InfoPort(event_base *base, const net::Address &address, Handler handler, const ConnectionShare &share)
+InfoPort::InfoPort(event_base *base,
+                   const net::Address &address,
+                   Handler handler,
+                   InfoPortLimits limits,
+                   const ConnectionShare &share)
     : m_base(base)
     , m_handler(std::move(handler))
+    , m_limits(std::move(limits))
     , m_room(base, address, share, [this](evutil_socket_t socket) { return accept(socket); })
 { }
 
@@ -29,12 +26,14 @@
     handlers.onClosed = [this](http::CallerConnection &connection) {
         removeConnection(connection);
     };
-    const auto bounds = [] {
+    const auto bounds = [this] {
         http::CallerBounds all;
-        all.maxBodyBytes = maxBodyBytes;
+        all.maxBodyBytes = m_limits.maxBodyBytes;
+        all.keepsBodies = m_limits.keepsBodies;
         return all;
     };
-    auto connection = std::make_unique<http::CallerConnection>(m_base, socket, bounds, std::move(handlers));
+    auto connection
+        = std::make_unique<http::CallerConnection>(m_base, socket, bounds, std::move(handlers), m_limits.budget);
     m_serials[connection.get()] = ++m_serial;
     return connection;
 }
--- a/src/http/bodycollector.cpp
+++ b/src/http/bodycollector.cpp
@@ -19,6 +19,7 @@
 void BodyCollector::reset()
 {
     m_bytes = {};
+    m_droppedBytes = 0;
     m_reservation.resize(0);
     m_refusal = BodyRefusal::None;
 }
@@ -49,6 +50,14 @@
     }
 }
 
+void BodyCollector::drop(std::size_t bytes, std::size_t maxBytes)
+{
+    m_droppedBytes += bytes;
+    if (m_refusal == BodyRefusal::None && m_droppedBytes > maxBytes) {
+        refuse(BodyRefusal::TooLong);
+    }
+}
+
 bool BodyCollector::reserve(std::size_t length)
 {
     return length <= m_reservation.size() || grow(length);
--- a/src/http/bodycollector.h
+++ b/src/http/bodycollector.h
@@ -26,6 +26,8 @@
     /// Makes room for a body that is said to have @p length bytes, of at most @p maxBytes.
     void expect(std::size_t length, std::size_t maxBytes);
     void append(std::string_view bytes, std::size_t maxBytes);
+    /// As append(), for a body that nobody needs: its bytes are counted and dropped.
+    void drop(std::size_t bytes, std::size_t maxBytes);
 
     /// Makes room for @p length bytes in all. False, and without a change, if the budget has none.
     bool reserve(std::size_t length);
@@ -44,6 +46,7 @@
     memory::BudgetPtr m_budget;
     memory::Reservation m_reservation;
     std::string m_bytes;
+    std::size_t m_droppedBytes = 0;
     BodyRefusal m_refusal = BodyRefusal::None;
 };
 
--- a/src/http/callerbounds.h
+++ b/src/http/callerbounds.h
@@ -11,6 +11,8 @@
 {
     std::size_t maxHeadBytes = 16384;
     std::size_t maxBodyBytes = 4UL * 1024 * 1024;
+    /// False where no request needs a body: bodies are read, dropped and not handed on.
+    bool keepsBodies = true;
     std::chrono::milliseconds headTimeout{3000};
     std::chrono::milliseconds bodyTimeout{15000};
     std::chrono::milliseconds idleTimeout{15000};
--- a/src/http/callerconnection.cpp
+++ b/src/http/callerconnection.cpp
@@ -18,6 +18,9 @@
 /// Bytes of later requests that are read ahead while one is answered. Reading goes on so that a caller that leaves is
 /// noticed.
 constexpr std::size_t readAheadBytes = 64UL * 1024;
+/// A caller that has left more bytes of its answers than this gets no further one. Requests are shorter than their
+/// answers, so that what is read ahead would not bound these.
+constexpr std::size_t mostUntakenBytes = 64UL * 1024;
 /// Time that a caller gets to close its side after the last answer.
 constexpr std::chrono::milliseconds lingerTimeout{2000};
 /// Bytes that the kernel keeps for a connection that is not read; they count as memory of the process.
@@ -45,7 +48,7 @@
     , m_parser(
           MessageKind::Request,
           m_bounds.maxHeadBytes,
-          [this](std::string_view bytes) { m_body.append(bytes, m_bounds.maxBodyBytes); },
+          [this](std::string_view bytes) { collectBody(bytes); },
           [this] { expectBody(); })
     , m_body(budget)
     , m_read(budget)
@@ -148,6 +151,7 @@
     countBacklog();
     if (m_wait == Wait::AnswerTaken && !m_answering) {
         answerSent();
+        readNextRequest();
     } else if (m_answering && m_handlers.onDrained) {
         m_handlers.onDrained(*this);
     }
@@ -204,15 +208,37 @@
         m_drained = true;
         return;
     }
-    if (m_answering && !m_read.resize(m_requestBytes + unreadBytes())) {
+    const bool mustWait = m_answering || isBehind();
+    if (mustWait && !m_read.resize(m_requestBytes + unreadBytes())) {
         // The answer under way goes on; what follows stays with the caller.
         pauseReading(true);
     }
-    if (!m_answering && !m_closed) {
+    if (!mustWait && !m_closed) {
         parse();
     }
 }
 
+bool CallerConnection::isBehind() const
+{
+    return backlog() > mostUntakenBytes;
+}
+
+void CallerConnection::readNextRequest()
+{
+    if (!m_closed && !m_closeWhenWritten && !isBehind() && unreadBytes() > 0) {
+        bufferevent_trigger(m_bufferEvent.get(), EV_READ, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
+    }
+}
+
+void CallerConnection::collectBody(std::string_view bytes)
+{
+    if (m_bounds.keepsBodies) {
+        m_body.append(bytes, m_bounds.maxBodyBytes);
+    } else {
+        m_body.drop(bytes.size(), m_bounds.maxBodyBytes);
+    }
+}
+
 bool CallerConnection::countRequest()
 {
     m_requestBytes = m_parser.untouched() ? 0 : requestSize(m_parser.request(), m_parser.headBytes());
@@ -249,6 +275,7 @@
         const auto used = m_parser.feed({bytes, contiguous});
         evbuffer_drain(input, used);
         if (fresh && !m_parser.untouched()) {
+            m_requestBegan = base::monotonicNow();
             await(Wait::Head);
         }
     }
@@ -293,7 +320,9 @@
 
 void CallerConnection::expectBody()
 {
-    m_body.expect(contentLength(m_parser.request().headers).value_or(0), m_bounds.maxBodyBytes);
+    if (m_bounds.keepsBodies) {
+        m_body.expect(contentLength(m_parser.request().headers).value_or(0), m_bounds.maxBodyBytes);
+    }
 }
 
 void CallerConnection::refuseBody()
@@ -402,10 +431,7 @@
     } else {
         await(Wait::AnswerTaken);
     }
-    if (!closeAfter && unreadBytes() > 0) {
-        // The next request may be here already; the loop reads it, so that the stack does not grow.
-        bufferevent_trigger(m_bufferEvent.get(), EV_READ, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
-    }
+    readNextRequest();
 }
 
 void CallerConnection::abort()
@@ -430,6 +456,12 @@
     }
 }
 
+base::Duration CallerConnection::unfinishedFor(base::TimePoint now) const
+{
+    const bool isUnfinished = !m_answering && !m_closeWhenWritten && !m_parser.untouched();
+    return isUnfinished ? now - m_requestBegan : base::Duration::zero();
+}
+
 void CallerConnection::refuseUnfinished()
 {
     if (!m_answering && !m_closeWhenWritten && !m_parser.untouched()) {
--- a/src/http/callerconnection.h
+++ b/src/http/callerconnection.h
@@ -75,6 +75,8 @@
     bool mayCloseIdle(CloseCause cause) const;
     /// Closes the connection if mayCloseIdle().
     void closeIfIdle(CloseCause cause);
+    /// How long a request has been coming that is not whole yet; zero if none is.
+    base::Duration unfinishedFor(base::TimePoint now) const;
     /// Refuses a request that is not whole yet, with status 503.
     void refuseUnfinished();
 
@@ -116,7 +118,12 @@
     bool takesBytes() const;
 
     void readMore();
+    /// True while the caller leaves so much of its answers that no further request is taken from it.
+    bool isBehind() const;
+    /// Lets the loop read the request that may be here already, so that the stack does not grow.
+    void readNextRequest();
     void parse();
+    void collectBody(std::string_view bytes);
     /// Makes room for the body that the head announces.
     void expectBody();
     void refuse(int status);
@@ -149,6 +156,8 @@
     net::Timer m_readAgain;
     Wait m_wait = Wait::Request;
     base::TimePoint m_waitBegan;
+    /// When the first byte of the request under way came.
+    base::TimePoint m_requestBegan;
     /// What the caller still sends on a connection that will be closed is read until then, if it goes on sending.
     base::TimePoint m_drainUntil;
     bool m_drained = false;
--- a/src/memory/memorybudget.cpp
+++ b/src/memory/memorybudget.cpp
@@ -16,6 +16,9 @@
 /// The budget is at least the limit divided by this, so that a small process still serves.
 constexpr std::size_t leastDivisor = 8;
 constexpr std::size_t smallItemsDivisor = 4;
+/// Parts of the limit for the ports of operators and other nodes, and of readiness checks.
+constexpr std::size_t operatorsDivisor = 16;
+constexpr std::size_t readinessDivisor = 64;
 
 } // namespace
 
@@ -41,4 +44,14 @@
     return std::max(left - left / marginDivisor, whole / leastDivisor);
 }
 
+std::size_t operatorsBudgetCapacity(std::optional<std::size_t> limit)
+{
+    return limit.value_or(assumedLimit) / operatorsDivisor;
+}
+
+std::size_t readinessBudgetCapacity(std::optional<std::size_t> limit)
+{
+    return limit.value_or(assumedLimit) / readinessDivisor;
+}
+
 } // namespace ibisfork::memory
--- a/src/memory/memorybudget.h
+++ b/src/memory/memorybudget.h
@@ -39,5 +39,9 @@
 
 /// Capacity of the budget of a process that may use @p limit bytes of memory.
 std::size_t budgetCapacity(std::optional<std::size_t> limit);
+/// As above, of the budgets of the operators' and of the readiness port. They lie in the margin that budgetCapacity()
+/// leaves.
+std::size_t operatorsBudgetCapacity(std::optional<std::size_t> limit);
+std::size_t readinessBudgetCapacity(std::optional<std::size_t> limit);
 
 } // namespace ibisfork::memory
