--- a/src/settings/gatewaysettings.cpp
+++ b/src/settings/gatewaysettings.cpp
@@ -62,6 +62,14 @@
     return limits;
 }
 
+HedgingSettings hedgingFrom(YamlFields &fields)
+{
+    HedgingSettings hedging;
+    hedging.requestShare = fields.optionalInRange("request_share", hedging.requestShare, 0, 1);
+    hedging.timeShare = fields.optionalInRange("time_share", hedging.timeShare, 0, 1);
+    return hedging;
+}
+
 /// The address in field "forwarding". Where it or its IP is empty it is that of @p operators, where its port is, a free
 /// one.
 net::Address forwardingFrom(YamlFields &listen, const net::Address &operators)
@@ -99,6 +107,7 @@
         m_settings.seeds = seedsFrom(m_document);
         readMap("bounds", [this](YamlFields &fields) { m_settings.bounds = boundsFrom(fields); });
         readMap("limits", [this](YamlFields &fields) { m_settings.limits = limitsFrom(fields); });
+        readMap("hedging", [this](YamlFields &fields) { m_settings.hedging = hedgingFrom(fields); });
         m_settings.logLevel = readLogLevel(m_document, m_settings.logLevel);
         checkUnknown(m_document);
         return m_settings;
--- a/src/settings/gatewaysettings.h
+++ b/src/settings/gatewaysettings.h
@@ -30,6 +30,15 @@
     std::chrono::milliseconds shutdownGrace{8000};
 };
 
+/// How much extra work second copies of slow requests may cause; none by default.
+struct HedgingSettings
+{
+    /// Copies for each request that may be repeated, 0 to 1.
+    double requestShare = 0;
+    /// Time of engines for copies, for each time that they spend on such requests, 0 to 1.
+    double timeShare = 0;
+};
+
 /// Settings of a daemon that takes its configuration and its list of engines from the platform's store.
 struct GatewaySettings
 {
@@ -44,6 +53,7 @@
     std::vector<net::Address> seeds;
     FleetBounds bounds;
     ProcessLimits limits;
+    HedgingSettings hedging;
     base::LogLevel logLevel = base::LogLevel::Info;
     /// A message for each field that this build does not know.
     std::vector<std::string> unknownFields;
