Engines are compared by expected time, nodes share load reports, and slow requests get a second copy

Cause: on the deployment whose engines say how long work takes on their machines, no load report was read at all: the decoder took three figures or nothing. Sixty nodes see each engine about once in ten seconds, so their own reports are old. Change: figures after the third no longer hide the others; bad ones are counted and logged. src/load has the model of a service's first bytes, the pace of an engine (what it says, fading within a second, times what its answers have shown) and the board of newest reports. Where engines say their pace, EnginePlacement compares expected times, and nodes exchange reports over the links by which they read tables (src/gateway/loads, proto/loads.proto); elsewhere both stay as they were. The gateway sends second copies of idempotent requests by src/hedging, if settings allow any.

--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -70,6 +70,8 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint32_t slots = 0;
+    /// How long work takes on the upstream's machine now, as a multiple of the usual time, if it says so.
+    std::optional<double> slowdown{};
 };
 
 /// Metadata of an upstream's response, decoded from its head.
@@ -87,6 +89,8 @@
     /// The body is a stream of events that may be passed on one by one.
     bool isStream() const { return eventStream && status < http::status::firstRedirect; }
     std::optional<EngineLoad> load;
+    /// The response names a load that cannot be read, or a part of it.
+    bool hasUnreadableLoad = false;
     /// Confidence of the model in its response, from 0 to 100.
     std::optional<int> confidence;
     /// Time in which the engine wants no request from this node, if it says so.
--- a/src/gateway/context.cpp
+++ b/src/gateway/context.cpp
@@ -39,6 +39,7 @@
     , pool(eventBase, registry)
     , placement(random())
     , resends(resendBound(gatewaySettings.bounds))
+    , hedges({gatewaySettings.hedging.requestShare, gatewaySettings.hedging.timeShare})
     , peerPool(eventBase, registry)
     , peers(random())
     , reserver(eventBase)
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -19,6 +19,8 @@
 #include "gateway/peerselector.h"
 #include "gateway/placement.h"
 #include "gateway/resendbudget.h"
+#include "hedging/hedgebudget.h"
+#include "hedging/recenttimes.h"
 #include "memory/memorybudget.h"
 #include "settings/gatewaysettings.h"
 
@@ -64,6 +66,7 @@
     ConnectionPool pool;
     EnginePlacement placement;
     ResendBudget resends;
+    hedging::HedgeBudget hedges;
     ModelPolicy models;
     CrashTracker crashes;
     EngineReach reach;
@@ -76,12 +79,16 @@
     std::function<void(const EngineEntry &)> checkPath;
     /// Called with each run that was lost before it had begun to be answered.
     std::function<void(const LostRun &)> reportLostRun;
+    /// Called with what an engine says of its load, for the other nodes.
+    std::function<void(const load::Report &)> shareReport;
     /// The store's steady clock, as far as it is known.
     std::function<StoreTime()> storeNow;
     /// Average time to the first byte of an answer in seconds, by route.
     std::map<std::string, MovingAverage> firstByteTimes;
     /// Average time to the first byte as a share of the route's objective, by route; 0 before the first answer.
     std::map<std::string, MovingAverage> latencyRatios;
+    /// Times from the sending of a request to its whole answer, by route; kept while second copies are allowed.
+    std::map<std::string, hedging::RecentTimes> wholeAnswerTimes;
     /// The node is shutting down; connections are closed after their answers.
     bool stopping = false;
     /// So late in the shutdown that a stream started now may not end in time.
--- a/src/gateway/enginetracker.cpp
+++ b/src/gateway/enginetracker.cpp
@@ -61,6 +61,11 @@
     return std::max(left, static_cast<double>(inFlight));
 }
 
+load::EngineState Engine::loadState(base::TimePoint now, unsigned nodes) const
+{
+    return {expectedLoad(now, nodes), std::max(1U, entry.slots), unansweredTokens, pace.at(now)};
+}
+
 void Engine::beginRest(base::TimePoint until)
 {
     restUntil = std::max(restUntil, until);
@@ -190,9 +195,10 @@
     }
 }
 
-void EngineTracker::recordSent(const std::string &id, std::uint32_t promptTokens)
+void EngineTracker::recordSent(const std::string &id, std::uint32_t promptTokens, base::TimePoint now)
 {
     if (auto *engine = find(id)) {
+        engine->lastSentAt = now;
         engine->unansweredTokens += promptTokens;
         ++engine->inFlight;
         ++engine->sentSinceReport;
@@ -211,13 +217,68 @@
 void EngineTracker::recordLoad(const std::string &id, const EngineLoad &load, base::TimePoint now)
 {
     if (auto *engine = find(id)) {
-        engine->reported = load;
-        engine->reportedAt = now;
+        takeLoad(*engine, load, now);
         engine->sentSinceReport = 0;
         engine->doneSinceReport = 0;
     }
 }
 
+void EngineTracker::recordLoadOfPeer(const load::Report &report, base::TimePoint now)
+{
+    auto *engine = find(report.engine);
+    const bool isCurrent = engine != nullptr && engine->entry.startTimeMs == report.startTimeMs;
+    if (!isCurrent || report.saidAt <= engine->reportedAt || report.saidAt > now) {
+        return;
+    }
+    takeLoad(*engine, {report.running, report.waiting, report.slots, report.slowdown}, report.saidAt);
+    // Which of this node's requests the report counts is known only if none has been sent since.
+    engine->sentSinceReport
+        = engine->lastSentAt > report.saidAt ? std::min(engine->sentSinceReport, engine->inFlight) : 0;
+    engine->doneSinceReport = 0;
+}
+
+void EngineTracker::takeLoad(Engine &engine, const EngineLoad &load, base::TimePoint saidAt)
+{
+    engine.reported = load;
+    engine.reportedAt = saidAt;
+    if (load.slowdown) {
+        engine.pace.recordReported(*load.slowdown, saidAt);
+        m_latency[engine.entry.service].isPaceReported = true;
+        m_isPaceReported = true;
+    }
+}
+
+std::optional<base::Duration> EngineTracker::recordFirstByte(const std::string &id,
+                                                             std::uint64_t tokens,
+                                                             const load::EngineState &before,
+                                                             base::Duration seen,
+                                                             base::TimePoint now)
+{
+    auto *engine = find(id);
+    if (engine == nullptr || seen <= base::Duration::zero()) {
+        return std::nullopt;
+    }
+    auto &model = m_latency[engine->entry.service].model;
+    std::optional<base::Duration> expected;
+    if (model.isLearned()) {
+        expected = model.firstByte(tokens, before);
+        auto usual = before;
+        // What the engine says with the answer is how its machine was while it worked.
+        usual.pace = engine->pace.reportedAt(now);
+        const auto atUsual = model.firstByte(tokens, usual);
+        engine->pace.recordSeen(base::toSeconds(seen) / std::max(base::toSeconds(atUsual), 1e-4));
+    }
+    model.record(tokens, before, seen);
+    return expected;
+}
+
+const load::LatencyModel *EngineTracker::latencyOf(const std::string &service) const
+{
+    const auto found = m_latency.find(service);
+    const bool isUsable = found != m_latency.end() && found->second.isPaceReported && found->second.model.isLearned();
+    return isUsable ? &found->second.model : nullptr;
+}
+
 void EngineTracker::recordRest(const EngineProcess &process, base::Duration rest, base::TimePoint now)
 {
     auto *engine = find(process.id);
--- a/src/gateway/enginetracker.h
+++ b/src/gateway/enginetracker.h
@@ -10,6 +10,9 @@
 
 #include "gateway/call.h"
 #include "gateway/engine.h"
+#include "load/latencymodel.h"
+#include "load/pace.h"
+#include "load/reportboard.h"
 
 namespace ibisfork::gateway {
 
@@ -101,11 +104,16 @@
     base::TimePoint reportedAt{};
     unsigned sentSinceReport = 0;
     unsigned doneSinceReport = 0;
+    /// When this node last sent a request there, or a request of it ended; reports of before may count it or not.
+    base::TimePoint lastSentAt{};
     /// Prompt tokens of this node's requests whose responses have not begun.
     std::uint64_t unansweredTokens = 0;
+    load::Pace pace;
 
     /// Estimated number of requests, running and waiting, at the engine now. @p nodes: number of nodes that send to it.
     double expectedLoad(base::TimePoint now, unsigned nodes) const;
+    /// What the time of an answer is estimated from.
+    load::EngineState loadState(base::TimePoint now, unsigned nodes) const;
     bool isCold(base::TimePoint now) const { return now < coldUntil || now < suspectedColdUntil; }
     bool isResting(base::TimePoint now) const { return now < restUntil; }
     /// Takes over that the engine wants nothing from this node before @p until.
@@ -143,13 +151,29 @@
     const std::map<std::string, Engine> &all() const { return m_engines; }
 
     /// Records that a request with a prompt of @p promptTokens was sent to the engine.
-    void recordSent(const std::string &id, std::uint32_t promptTokens);
+    void recordSent(const std::string &id, std::uint32_t promptTokens, base::TimePoint now);
     /// Records that a prompt of @p promptTokens is no longer pending: its response has begun, or the attempt has ended.
     void recordPromptRead(const std::string &id, std::uint32_t promptTokens);
     /// Records that an attempt sent to the engine has ended, with whatever result.
     void recordEnded(const std::string &id);
     /// Records a load report of the engine; counts since the previous report restart.
     void recordLoad(const std::string &id, const EngineLoad &load, base::TimePoint now);
+    /// Records a load report that the engine has made to another node, if none as new is known and it is of the
+    /// engine's current process.
+    void recordLoadOfPeer(const load::Report &report, base::TimePoint now);
+    /// True once an engine of any service has said how long work takes on its machine.
+    bool isPaceReported() const { return m_isPaceReported; }
+    /// Records that an answer of the engine, to a prompt of which @p tokens had to be read, began @p seen after it was
+    /// sent. @p before: the engine's state when it was sent. Returns the time that was expected, once enough answers
+    /// of the service have been seen.
+    std::optional<base::Duration> recordFirstByte(const std::string &id,
+                                                  std::uint64_t tokens,
+                                                  const load::EngineState &before,
+                                                  base::Duration seen,
+                                                  base::TimePoint now);
+    /// The times of the answers of @p service; null while too few have been seen, or if its engines don't say how long
+    /// work takes on their machines.
+    const load::LatencyModel *latencyOf(const std::string &service) const;
     /// Records that a process of an engine has said in an answer that it leaves; later processes of the engine are not
     /// concerned. True if that is new.
     bool recordLeaving(const EngineProcess &process, base::TimePoint now);
@@ -191,9 +215,20 @@
 
     /// The process of @p entry, if it was listed before and is not now.
     const UnlistedProcess *findUnlisted(const EngineEntry &entry) const;
+    void takeLoad(Engine &engine, const EngineLoad &load, base::TimePoint saidAt);
     void erase(std::map<std::string, Engine>::iterator engine, base::TimePoint now);
 
+    /// How long the engines of a service take, and whether any has said how long work takes on its machine.
+    struct ServiceLatency
+    {
+        load::LatencyModel model;
+        bool isPaceReported = false;
+    };
+
     std::map<std::string, Engine> m_engines;
+    /// By service.
+    std::map<std::string, ServiceLatency> m_latency;
+    bool m_isPaceReported = false;
     /// By engine id.
     std::map<std::string, UnlistedProcess> m_unlisted;
 };
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -6,6 +6,7 @@
 #include "gateway/enginepause.h"
 #include "gateway/eventlog.h"
 #include "gateway/exchangelimits.h"
+#include "gateway/hedge.h"
 #include "http/status.h"
 #include "net/guard.h"
 #include "platform/callcodec.h"
@@ -34,18 +35,21 @@
     return host.substr(0, host.find(':'));
 }
 
-/// Returns the id of the last prompt part that other requests may share, which is the one before the last: the last
-/// part belongs to this request alone. Empty if the shared parts together have fewer than minSharedTokens tokens.
-std::string sharedPartOf(const std::vector<PromptPart> &parts)
+/// Tokens of the prompt parts that other requests may share: all but the last one.
+std::uint64_t sharedTokensOf(const std::vector<PromptPart> &parts)
 {
-    if (parts.size() < 2) {
-        return {};
-    }
     std::uint64_t tokens = 0;
     for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
         tokens += parts[i].tokens;
     }
-    return tokens >= minSharedTokens ? parts[parts.size() - 2].id : std::string();
+    return tokens;
+}
+
+/// Returns the id of the last prompt part that other requests may share, which is the one before the last: the last
+/// part belongs to this request alone. Empty if the shared parts together have fewer than minSharedTokens tokens.
+std::string sharedPartOf(const std::vector<PromptPart> &parts)
+{
+    return sharedTokensOf(parts) >= minSharedTokens ? parts[parts.size() - 2].id : std::string();
 }
 
 } // namespace
@@ -71,6 +75,12 @@
                       abort();
                   }
               })
+    , m_hedgeTimer(context.base,
+                   [this] {
+                       if (!net::runGuarded("hedge", [this] { onHedgeTimer(); })) {
+                           abort();
+                       }
+                   })
     , m_answerBody(context.memory)
     , m_eventHeld(context.memory)
 {
@@ -231,6 +241,10 @@
     const auto &bounds = m_context.settings.bounds;
     PlacementRequest request;
     request.sharedPart = sharedPartOf(m_call.promptParts);
+    request.promptTokens = m_call.promptTokens;
+    request.sharedTokens = sharedTokensOf(m_call.promptParts);
+    request.objective = m_route->objective;
+    request.latency = m_context.view.engines().latencyOf(m_service);
     request.failureDomain = m_context.settings.node.failureDomain;
     request.node = m_context.settings.node.name;
     request.nodeNames = &m_context.view.nodeNames();
@@ -319,7 +333,7 @@
     if (!std::exchange(m_isCounted, true)) {
         m_context.resends.countRequest(m_service, now);
     }
-    m_context.view.engines().recordSent(m_engineId, m_call.promptTokens);
+    m_context.view.engines().recordSent(m_engineId, m_call.promptTokens, now);
     m_promptPending = true;
     const MonitoredRun run{
         m_engineVersion, m_engineId, {m_route->name, m_model}, m_call.promptTokens, m_route->objective};
@@ -330,6 +344,7 @@
     const bool pathsFail = m_unreachableEngines > 0 || m_cutOffs > 0 || m_origin == RequestOrigin::Peer;
     const bool avoidsStale = pathsFail || !repeatable();
     startAttempt(m_context.pool.acquire(m_engineId, engine.entry.address, avoidsStale, now), head);
+    awaitHedge();
 }
 
 void Exchange::startAttempt(std::unique_ptr<http::UpstreamConnection> connection, const http::RequestHead &head)
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -27,6 +27,8 @@
     Peer, ///< Another node, which can't serve it.
 };
 
+class Hedge;
+
 /// Handles one caller request: admission, placement, attempts at upstreams and forwarding of the response.
 class Exchange
 {
@@ -160,6 +162,10 @@
 
     bool headIsUsable() const;
     bool headIsForeign() const;
+    /// Records the load that the current answer names.
+    void recordLoad(base::TimePoint now);
+    /// Records how long the first byte of the current answer took, and how far that was expected.
+    void recordLatency(base::TimePoint now);
     void recordLeaving();
     void recordRest();
     void recordStartLimit();
@@ -185,9 +191,23 @@
     void completePassedOn();
     /// Records that the engine of the current attempt has answered in whole.
     void recordWholeAnswer();
+    /// Records how long the engine took, for the limit on second copies.
+    void recordWholeAnswerTime();
     /// Stops reading from the upstream while the caller has fallen behind.
     void pauseIfBehind();
 
+    /// True if a second copy of the request may be sent while the first attempt goes on.
+    bool mayHedge() const;
+    /// Begins to wait until the first attempt counts as slow.
+    void awaitHedge();
+    void onHedgeTimer();
+    void sendHedge(const Engine &engine, const PlacementDetails &details);
+    /// Answers the caller with what the copy has got; the first attempt is cancelled.
+    void onHedgeAnswered();
+    void onHedgeFailed(EngineFault fault, bool mayHaveRun, bool wasCutOff);
+    /// Gives up the copy, if there is one, and counts its end.
+    void endHedge(RunEnd end);
+
     /// Reports the end of the current run, if it has not been reported yet.
     void endRun(RunEnd end);
     void promptRead();
@@ -287,6 +307,11 @@
     net::Timer m_timer;
     http::LateBytes m_lateBytes;
 
+    net::Timer m_hedgeTimer;
+    std::unique_ptr<Hedge> m_hedge;
+    /// How the first attempt has ended, while its copy goes on.
+    std::optional<FailedAttempt> m_missBeforeHedge;
+
     std::unique_ptr<http::UpstreamConnection> m_connection;
     std::string m_engineId;
     EngineEntry m_engineEntry;
--- a/src/gateway/exchangeanswer.cpp
+++ b/src/gateway/exchangeanswer.cpp
@@ -1,5 +1,7 @@
 #include "gateway/exchange.h"
 
+#include <algorithm>
+
 #include <fmt/format.h>
 
 #include "gateway/eventlog.h"
@@ -29,9 +31,7 @@
         return;
     }
     m_context.recordEngineAnswered(m_service, m_engineId, m_connection->connectedAt());
-    if (m_answer.load) {
-        m_context.view.engines().recordLoad(m_engineId, *m_answer.load, now);
-    }
+    recordLoad(now);
     recordLeaving();
     recordRest();
     recordStartLimit();
@@ -45,6 +45,7 @@
     }
     m_firstByteAfter = now - m_sentAt;
     m_context.view.engines().recordAnswered(m_engineId, m_sentAt);
+    recordLatency(now);
     promptRead();
     if (!http::status::isServerError(m_answer.status)) {
         m_context.view.rollouts().recordFirstByte(m_service, m_runId, now);
@@ -81,6 +82,38 @@
     send(*placement.engine, placement.details);
 }
 
+void Exchange::recordLoad(base::TimePoint now)
+{
+    if (m_answer.hasUnreadableLoad) {
+        m_context.metrics.counter("ibisfork_unreadable_loads_total", {{"service", m_service}}).add();
+        EventLog::failure("unreadable_load").field("engine", m_engineId).field("id", m_call.id);
+    }
+    if (!m_answer.load) {
+        return;
+    }
+    const auto &load = *m_answer.load;
+    m_context.view.engines().recordLoad(m_engineId, load, now);
+    if (m_context.shareReport) {
+        m_context.shareReport(
+            {m_engineId, m_engineEntry.startTimeMs, load.running, load.waiting, load.slots, load.slowdown, now});
+    }
+}
+
+void Exchange::recordLatency(base::TimePoint now)
+{
+    // Later attempts may be at another model, and failures come sooner than answers.
+    if (m_sends != 1 || !http::status::isSuccess(m_answer.status)) {
+        return;
+    }
+    const auto &details = m_placementDetails;
+    const auto expected = m_context.view.engines().recordFirstByte(
+        m_engineId, details.tokensToRead, details.state, *m_firstByteAfter, now);
+    if (expected) {
+        const double ratio = base::toSeconds(*expected) / std::max(base::toSeconds(*m_firstByteAfter), 1e-4);
+        m_context.metrics.histogram("ibisfork_first_byte_expected_ratio", {{"service", m_service}}).observe(ratio);
+    }
+}
+
 void Exchange::recordLeaving()
 {
     if (headIsForeign() || !m_answer.isLeaving) {
@@ -221,6 +254,7 @@
         handleFailedAttempt({EngineFault::Failed, true, "engine_failed"});
         return;
     }
+    endHedge(RunEnd::Withdrawn);
     m_passesOn = true;
     m_streamBegun = true;
     m_caller.beginStream(m_answer.status, headersToPassOn(), m_context.stopping, m_answerLength);
@@ -370,7 +404,18 @@
     } else {
         m_context.view.engines().recordSuccess(m_engineId);
         recordSoundRun();
+        recordWholeAnswerTime();
+    }
+}
+
+void Exchange::recordWholeAnswerTime()
+{
+    if (!m_context.hedges.bound().allowsAny() || m_route->repeatability != Repeatability::Idempotent) {
+        return;
     }
+    const auto took = base::monotonicNow() - m_sentAt;
+    m_context.wholeAnswerTimes[m_route->name].record(took);
+    m_context.hedges.recordRun(m_service, took);
 }
 
 } // namespace ibisfork::gateway
--- a/src/gateway/exchangecrash.cpp
+++ b/src/gateway/exchangecrash.cpp
@@ -75,6 +75,7 @@
     if (!runs || m_runBeganAt || m_passesOn || !isPoison()) {
         return;
     }
+    endHedge(RunEnd::Withdrawn);
     m_mayHaveRun = m_mayHaveRun || m_connection->sent();
     cancelAttempt();
     endPoison();
--- a/src/gateway/exchangeend.cpp
+++ b/src/gateway/exchangeend.cpp
@@ -90,6 +90,13 @@
         return;
     }
     endFailedAttempt(miss);
+    if (m_hedge) {
+        // The copy may still be answered.
+        m_missBeforeHedge = miss;
+        m_retryAt = m_deadline;
+        arm();
+        return;
+    }
     dispatchOrFail(miss);
 }
 
@@ -226,6 +233,7 @@
 void Exchange::onCallerLeft()
 {
     m_hasCallerLeft = true;
+    endHedge(RunEnd::Withdrawn);
     m_mayHaveRun = m_mayHaveRun || (m_connection && m_connection->sent());
     cancelAttempt();
     if (!m_streamBegun) {
@@ -236,6 +244,7 @@
 
 void Exchange::abort()
 {
+    endHedge(RunEnd::Withdrawn);
     m_mayHaveRun = m_mayHaveRun || (m_connection && m_connection->sent());
     cancelAttempt();
     failRequest("node_stops");
@@ -263,6 +272,7 @@
     }
     m_phase = Phase::Finished;
     m_timer.stop();
+    endHedge(RunEnd::Withdrawn);
     const auto now = base::monotonicNow();
     const auto took = now - m_start;
     const auto &newest = m_context.view.configuration();
@@ -291,6 +301,9 @@
         .field("expected_load", std::lround(m_placementDetails.expectedLoad))
         .field("report_ms", m_placementDetails.reportAge ? base::toMilliseconds(*m_placementDetails.reportAge) : -1)
         .field("by_part", m_placementDetails.bySharedPart)
+        .field("pace", fmt::format("{:.2f}", m_placementDetails.state.pace))
+        .field("expected_ms",
+               m_placementDetails.expectedFirstByte ? base::toMilliseconds(*m_placementDetails.expectedFirstByte) : -1)
         .field("first_byte_ms", m_firstByteAfter ? base::toMilliseconds(*m_firstByteAfter) : -1)
         .field("took_ms", base::toMilliseconds(took))
         .field("time_left_ms", base::toMilliseconds(m_deadline - now))
--- a/src/gateway/exchangetimer.cpp
+++ b/src/gateway/exchangetimer.cpp
@@ -84,6 +84,7 @@
         m_phase = Phase::AwaitingHead;
     }
     if (now >= m_deadline) {
+        endHedge(RunEnd::TimedOut);
         m_mayHaveRun = m_mayHaveRun || (m_connection && m_connection->sent());
         endRun(RunEnd::TimedOut);
         cancelAttempt();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -72,6 +72,22 @@
     return settings.forwarding.ip.empty() ? net::Address{settings.operators.ip, 0} : settings.forwarding;
 }
 
+InfoPortLimits readinessLimits(const settings::ProcessLimits &limits)
+{
+    InfoPortLimits out;
+    out.keepsBodies = false;
+    out.budget = std::make_shared<memory::MemoryBudget>(memory::readinessBudgetCapacity(limits.memory));
+    return out;
+}
+
+/// Evidence of all nodes is the longest body that is sent here.
+InfoPortLimits operatorsLimits(const settings::ProcessLimits &limits)
+{
+    InfoPortLimits out;
+    out.budget = std::make_shared<memory::MemoryBudget>(memory::operatorsBudgetCapacity(limits.memory));
+    return out;
+}
+
 } // namespace
 
 Gateway::Gateway(event_base *base, const settings::GatewaySettings &settings, base::MetricsRegistry &metrics)
@@ -127,6 +143,7 @@
                   [this] {
                       m_tableServer.answerForEvidence();
                   }})
+    , m_loads(base, m_context.settings.node.name, m_context.view, m_source, metrics)
     , m_evidenceRows(m_context, m_store, m_source, m_exchange)
     , m_crashes(m_context,
                 m_store,
@@ -150,11 +167,13 @@
               const bool known = request.head.target == platform::readinessPath();
               reply({known ? (ready() ? http::status::ok : http::status::unavailable) : http::status::notFound, {}});
           },
+          readinessLimits(settings.limits),
           m_shares.readiness)
     , m_operators(
           base,
           settings.operators,
           [this](const http::Request &request, const InfoPort::Reply &reply) { answerOperators(request, reply); },
+          operatorsLimits(settings.limits),
           m_shares.operators)
     , m_tick(base, [this] { tick(); })
     , m_stopTick(base, [this] { stopTick(); })
@@ -165,6 +184,9 @@
     m_context.checkPath = [this](const EngineEntry &engine) {
         m_reachProbe.checkPath(engine);
     };
+    m_context.shareReport = [this](const load::Report &report) {
+        m_loads.recordOwn(report);
+    };
     m_source.setOnPeerChanged([this] { m_exchange.update(); });
     m_context.storeNow = [this] {
         return StoreTime(m_ownTable.storeNowMs());
@@ -175,6 +197,8 @@
 {
     m_context.settings.bounds = settings.bounds;
     m_context.resends.setBound(resendBound(settings.bounds));
+    m_context.settings.hedging = settings.hedging;
+    m_context.hedges.setBound({settings.hedging.requestShare, settings.hedging.timeShare});
     EventLog::state("reload").field("resend_ratio", settings.bounds.resendRatio);
 }
 
@@ -259,6 +283,7 @@
     m_rollouts.tick(now);
     m_crashes.tick(now);
     m_exchange.update();
+    m_loads.update();
     m_evidenceRows.tick(now);
     m_reachProbe.tick();
     m_context.results.tick(now);
@@ -334,6 +359,9 @@
     } else if (target == evidence::exchangePath) {
         const auto answer = m_exchange.handle(std::string(request.body.view()));
         reply({answer.status, answer.body});
+    } else if (target == loads::exchangePath) {
+        const auto answer = m_loads.handle(std::string(request.body.view()));
+        reply({answer.status, answer.body});
     } else if (target == "/metrics") {
         updateGauges();
         reply({http::status::ok, m_context.metrics.render()});
@@ -394,6 +422,11 @@
              {"refusal_limit", engine.refusalLimit ? nlohmann::json(*engine.refusalLimit) : nlohmann::json()},
              {"start_limit", engine.startLimit ? nlohmann::json(*engine.startLimit) : nlohmann::json()},
              {"in_flight", engine.inFlight},
+             {"expected_load", engine.expectedLoad(now, view.nodes())},
+             {"slots", engine.entry.slots},
+             {"report_ms", engine.reportedAt == base::TimePoint{} ? -1 : base::toMilliseconds(now - engine.reportedAt)},
+             {"pace_reported", engine.pace.reportedAt(now)},
+             {"pace_learned", engine.pace.learned()},
              {"fault_share", engine.faultShare}});
     }
     return out.dump();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -12,6 +12,7 @@
 #include "gateway/evidence/evidenceexchange.h"
 #include "gateway/evidence/evidencerows.h"
 #include "gateway/infoport.h"
+#include "gateway/loads/loadexchange.h"
 #include "gateway/reachprobe.h"
 #include "gateway/rolloutdriver.h"
 #include "gateway/storeclient.h"
@@ -69,6 +70,7 @@
     TableWatch m_statusTable;
     TableWatch m_ownTable;
     evidence::EvidenceExchange m_exchange;
+    loads::LoadExchange m_loads;
     evidence::EvidenceRows m_evidenceRows;
     CrashReporter m_crashes;
     RolloutDriver m_rollouts;
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -74,11 +74,28 @@
 
 } // namespace
 
-double EnginePlacement::cost(const Engine &engine, const PlacementRequest &request, base::TimePoint now) const
+double EnginePlacement::workCost(const Engine &engine, const PlacementRequest &request, base::TimePoint now)
 {
+    if (request.latency != nullptr) {
+        const auto expected = request.latency->firstByte(request.promptTokens, engine.loadState(now, request.nodes));
+        return base::toSeconds(expected) / base::toSeconds(request.objective);
+    }
     const auto slots = std::max(1U, engine.entry.slots);
-    double cost = engine.expectedLoad(now, request.nodes) / slots;
-    cost += static_cast<double>(engine.unansweredTokens) / tokensPerFullEngine;
+    return engine.expectedLoad(now, request.nodes) / slots
+        + static_cast<double>(engine.unansweredTokens) / tokensPerFullEngine;
+}
+
+double EnginePlacement::maxCachedPartCost(const PlacementRequest &request)
+{
+    if (request.latency == nullptr) {
+        return maxCachedPartExtraCost;
+    }
+    return base::toSeconds(request.latency->reading(request.sharedTokens)) / base::toSeconds(request.objective);
+}
+
+double EnginePlacement::cost(const Engine &engine, const PlacementRequest &request, base::TimePoint now) const
+{
+    double cost = workCost(engine, request, now);
     cost += faultCost * engine.faultShare;
     cost += engine.isCold(now) ? coldCost : 0;
     cost += engine.entry.failureDomain == request.failureDomain ? 0 : otherDomainCost;
@@ -89,17 +106,19 @@
                                             const PlacementRequest &request,
                                             base::TimePoint now) const
 {
-    double least = cost(*usable.front(), request, now);
+    std::vector<double> costs;
+    costs.reserve(usable.size());
     for (const auto *engine : usable) {
-        least = std::min(least, cost(*engine, request, now));
+        costs.push_back(cost(*engine, request, now));
     }
+    const double most = *std::min_element(costs.begin(), costs.end()) + maxCachedPartCost(request);
     Engine *best = nullptr;
     std::uint64_t bestWeight = 0;
-    for (auto *engine : usable) {
-        const auto weight = coord::rendezvousWeight(request.sharedPart, engine->entry.id);
-        const bool better = best == nullptr || weight > bestWeight;
-        if (better && cost(*engine, request, now) <= least + maxCachedPartExtraCost) {
-            best = engine;
+    for (std::size_t i = 0; i < usable.size(); ++i) {
+        const auto weight = coord::rendezvousWeight(request.sharedPart, usable[i]->entry.id);
+        const bool isBetter = best == nullptr || weight > bestWeight;
+        if (isBetter && costs[i] <= most) {
+            best = usable[i];
             bestWeight = weight;
         }
     }
@@ -215,6 +234,26 @@
     }
 }
 
+PlacementDetails EnginePlacement::detailsOf(const Engine &engine,
+                                            const PlacementRequest &request,
+                                            bool bySharedPart,
+                                            base::TimePoint now)
+{
+    PlacementDetails details;
+    details.state = engine.loadState(now, request.nodes);
+    details.expectedLoad = details.state.requests;
+    details.bySharedPart = bySharedPart;
+    details.tokensToRead
+        = request.promptTokens - (bySharedPart ? std::min(request.sharedTokens, request.promptTokens) : 0);
+    if (request.latency != nullptr) {
+        details.expectedFirstByte = request.latency->firstByte(details.tokensToRead, details.state);
+    }
+    if (engine.reportedAt != base::TimePoint{}) {
+        details.reportAge = now - engine.reportedAt;
+    }
+    return details;
+}
+
 Placement EnginePlacement::choose(const std::vector<Engine *> &candidates,
                                   const PlacementRequest &request,
                                   base::TimePoint now)
@@ -251,17 +290,11 @@
     }
     auto *affinityEngine = request.sharedPart.empty() ? nullptr : chooseBySharedPart(usable, request, now);
     auto *chosen = affinityEngine == nullptr ? chooseOfTwoRandom(usable, request, now) : affinityEngine;
-    PlacementDetails details;
-    details.candidates = usable.size();
-    details.expectedLoad = chosen->expectedLoad(now, request.nodes);
-    details.bySharedPart = affinityEngine != nullptr;
-    if (chosen->reportedAt != base::TimePoint{}) {
-        details.reportAge = now - chosen->reportedAt;
-    }
-    recordStart(*chosen, request, now);
     Placement placement;
     placement.engine = chosen;
-    placement.details = details;
+    placement.details = detailsOf(*chosen, request, affinityEngine != nullptr, now);
+    placement.details.candidates = usable.size();
+    recordStart(*chosen, request, now);
     return placement;
 }
 
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -21,6 +21,13 @@
     /// Name of this node, and those of all nodes, for the shares of brittle engines.
     std::string node;
     const std::set<std::string> *nodeNames = nullptr;
+    /// Tokens of the prompt, and those of its parts that other requests may share.
+    std::uint64_t promptTokens = 0;
+    std::uint64_t sharedTokens = 0;
+    /// Target for the time to the first byte of the answer.
+    base::Duration objective = std::chrono::seconds(1);
+    /// How long the service's engines take; null if they are to be compared by the number of their requests.
+    const load::LatencyModel *latency = nullptr;
     /// Ids of the engines that this request was already sent to.
     std::vector<std::string> tried;
     /// Number of nodes that send to the same engines.
@@ -44,6 +51,11 @@
     std::optional<base::Duration> reportAge;
     /// The engine was chosen by rendezvous hashing of the shared prompt part.
     bool bySharedPart = false;
+    /// Prompt tokens that the engine has to read.
+    std::uint64_t tokensToRead = 0;
+    /// The chosen engine's state, and the time to the first byte that follows from it where it is estimated.
+    load::EngineState state{};
+    std::optional<base::Duration> expectedFirstByte;
 };
 
 /// Why an engine may not be sent a request now, although it is in use.
@@ -111,6 +123,14 @@
     std::optional<HeldEngine> ownLimitHoldOf(Engine &engine, const PlacementRequest &request, base::TimePoint now);
     static void recordStart(Engine &engine, const PlacementRequest &request, base::TimePoint now);
     double cost(const Engine &engine, const PlacementRequest &request, base::TimePoint now) const;
+    /// What the work at @p engine costs a request that finds none of its prompt cached.
+    static double workCost(const Engine &engine, const PlacementRequest &request, base::TimePoint now);
+    /// Extra cost up to which an engine that has the shared part cached is preferred.
+    static double maxCachedPartCost(const PlacementRequest &request);
+    static PlacementDetails detailsOf(const Engine &engine,
+                                      const PlacementRequest &request,
+                                      bool bySharedPart,
+                                      base::TimePoint now);
 
     std::mt19937_64 m_random;
 };
--- a/tests/gateway/brittleengine_test.cpp
+++ b/tests/gateway/brittleengine_test.cpp
@@ -190,7 +190,7 @@
         EnginePlacement placement(1);
         unsigned count = 0;
         while (count <= slots && placement.choose(tracker.ofService("s"), request, now).engine != nullptr) {
-            tracker.recordSent("e0", 0);
+            tracker.recordSent("e0", 0, base::TimePoint{});
             ++count;
         }
         return count;
--- a/tests/gateway/enginetracker_test.cpp
+++ b/tests/gateway/enginetracker_test.cpp
@@ -127,7 +127,7 @@
 {
     m_tracker.put(entry("e1"), at(0s));
     m_tracker.recordLoad("e1", {5, 2, 64}, at(0s));
-    m_tracker.recordSent("e1", 10);
+    m_tracker.recordSent("e1", 10, at(0s));
     EXPECT_EQ(m_tracker.find("e1")->expectedLoad(at(1s), 7), 8);
     m_tracker.recordEnded("e1");
     EXPECT_EQ(m_tracker.find("e1")->expectedLoad(at(1s), 7), 7);
@@ -137,7 +137,7 @@
 {
     m_tracker.put(entry("e1"), at(0s));
     m_tracker.recordLoad("e1", {50, 2, 64}, at(0s));
-    m_tracker.recordSent("e1", 10);
+    m_tracker.recordSent("e1", 10, at(0s));
     EXPECT_EQ(m_tracker.find("e1")->expectedLoad(at(5s), 7), 7);
 }
 
--- a/tests/gateway/placement_test.cpp
+++ b/tests/gateway/placement_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <array>
 #include <map>
 #include <random>
 #include <set>
@@ -86,7 +87,7 @@
 
 TEST_F(EnginePlacementTest, engineWithLongPromptsWaiting_isPassedOver)
 {
-    m_tracker.recordSent("e0", 200000);
+    m_tracker.recordSent("e0", 200000, at(0s));
     int toWaiting = 0;
     for (int i = 0; i < 200; ++i) {
         toWaiting += choose().engine->entry.id == "e0" ? 1 : 0;
@@ -228,7 +229,7 @@
     request.sharedPart = "p1";
     request.nodes = 70;
     const auto home = m_placement.choose(m_tracker.ofService("s"), request, now).engine->entry.id;
-    m_tracker.recordSent(home, 900);
+    m_tracker.recordSent(home, 900, now);
     m_tracker.recordPromptRead(home, 900);
     EXPECT_EQ(m_placement.choose(m_tracker.ofService("s"), request, now).engine->entry.id, home);
 }
@@ -253,4 +254,134 @@
     EXPECT_LT(readAgain, requests / 20);
 }
 
+/// One node before engines of unequal speed, whose neighbours slow them down at times. An answer takes 60 ms at the
+/// usual engine.
+class UnevenEnginesTest : public EnginePlacementTest
+{
+protected:
+    static constexpr int answersToLearn = 400;
+    static constexpr int answersToMeasure = 2000;
+    static constexpr base::Duration interval = 10ms;
+    static constexpr double usualSeconds = 0.06;
+
+    /// Work takes these multiples of the usual time at the engines, over and over.
+    static double speedOf(const std::string &engine)
+    {
+        constexpr std::array<double, 3> speeds{0.7, 0.7, 1.7};
+        return speeds[static_cast<std::size_t>(engine.back() - '0') % speeds.size()];
+    }
+
+    double slowdownOf(const std::string &engine) const { return engine == m_slowed ? 2.5 : 1.0; }
+
+    /// Sends a request and lets the engine answer it; the time that it took.
+    double askSeconds(bool usesEstimate)
+    {
+        m_now += interval;
+        m_request.latency = usesEstimate ? m_tracker.latencyOf("s") : nullptr;
+        const auto placed = m_placement.choose(m_tracker.ofService("s"), m_request, m_now);
+        const auto id = placed.engine->entry.id;
+        const double seconds = usualSeconds * speedOf(id) * slowdownOf(id);
+        const auto seen = std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(seconds));
+        m_tracker.recordSent(id, 0, m_now);
+        m_tracker.recordLoad(id, {0, 0, 64, slowdownOf(id)}, m_now + seen);
+        m_tracker.recordFirstByte(id, 0, placed.details.state, seen, m_now + seen);
+        m_tracker.recordEnded(id);
+        ++m_sent[id];
+        return seconds;
+    }
+
+    double meanSeconds(bool usesEstimate, int answers)
+    {
+        double sum = 0;
+        for (int i = 0; i < answers; ++i) {
+            sum += askSeconds(usesEstimate);
+        }
+        return sum / answers;
+    }
+
+    base::TimePoint m_now = at(0s);
+    std::string m_slowed;
+    std::map<std::string, int> m_sent;
+};
+
+TEST_F(UnevenEnginesTest, slowEngines_theirAnswersHaveShownIt_getLessWork)
+{
+    meanSeconds(true, answersToLearn);
+    const auto byEstimate = meanSeconds(true, answersToMeasure);
+    const auto byRequests = meanSeconds(false, answersToMeasure);
+    EXPECT_LT(byEstimate, 0.85 * byRequests);
+}
+
+TEST_F(UnevenEnginesTest, engineSlowedByItsNeighbours_loses_workWithinASecond_andGetsItBack)
+{
+    meanSeconds(true, answersToLearn);
+    const auto second = static_cast<int>(1s / interval);
+    m_sent.clear();
+    meanSeconds(true, 10 * second);
+    const auto usual = m_sent["e0"] / 10;
+    m_slowed = "e0";
+    meanSeconds(true, second);
+    m_sent.clear();
+    meanSeconds(true, 10 * second);
+    EXPECT_LT(m_sent["e0"] / 10, usual / 2);
+    m_slowed.clear();
+    meanSeconds(true, 5 * second);
+    m_sent.clear();
+    meanSeconds(true, 10 * second);
+    EXPECT_GT(m_sent["e0"] / 10, usual / 2);
+}
+
+TEST_F(UnevenEnginesTest, enginesThatSayNothingOfTheirMachines_areComparedByRequests)
+{
+    for (int i = 0; i < answersToLearn; ++i) {
+        m_tracker.recordLoad("e0", {0, 0, 64}, m_now);
+        m_tracker.recordFirstByte("e0", 0, {}, 60ms, m_now);
+    }
+    EXPECT_EQ(m_tracker.latencyOf("s"), nullptr);
+}
+
+/// Reports that other nodes have passed on.
+class PeerReportsTest : public EnginePlacementTest
+{
+protected:
+    static load::Report report(std::uint32_t running, base::Duration saidAt, double slowdown = 1)
+    {
+        return {"e0", 0, running, 0, 64, slowdown, at(saidAt)};
+    }
+
+    double expectedLoad(base::Duration after) { return m_tracker.find("e0")->expectedLoad(at(after), 60); }
+};
+
+TEST_F(PeerReportsTest, newerReport_replacesTheOwnOne)
+{
+    m_tracker.recordLoad("e0", {5, 0, 64}, at(0s));
+    m_tracker.recordLoadOfPeer(report(20, 100ms), at(300ms));
+    EXPECT_DOUBLE_EQ(expectedLoad(300ms), 20);
+}
+
+TEST_F(PeerReportsTest, olderReport_orOneOfTheFuture_changesNothing)
+{
+    m_tracker.recordLoad("e0", {5, 0, 64}, at(1s));
+    m_tracker.recordLoadOfPeer(report(20, 900ms), at(1s));
+    m_tracker.recordLoadOfPeer(report(20, 10s), at(1s));
+    EXPECT_DOUBLE_EQ(expectedLoad(1s), 5);
+}
+
+TEST_F(PeerReportsTest, reportOfAnEarlierProcess_changesNothing)
+{
+    auto old = report(20, 100ms);
+    old.startTimeMs = 5;
+    m_tracker.recordLoadOfPeer(old, at(200ms));
+    EXPECT_EQ(m_tracker.find("e0")->reportedAt, base::TimePoint{});
+}
+
+TEST_F(PeerReportsTest, requestSentAfterTheReport_isCounted)
+{
+    m_tracker.recordSent("e0", 0, at(200ms));
+    m_tracker.recordLoadOfPeer(report(20, 100ms), at(300ms));
+    EXPECT_DOUBLE_EQ(expectedLoad(300ms), 21);
+    m_tracker.recordLoadOfPeer(report(21, 250ms), at(400ms));
+    EXPECT_DOUBLE_EQ(expectedLoad(400ms), 21);
+}
+
 } // namespace ibisfork::gateway
--- a/tests/platformcodec/callcodec_test.cpp
+++ b/tests/platformcodec/callcodec_test.cpp
@@ -120,6 +120,50 @@
     EXPECT_FALSE(answer.isSigned);
 }
 
+struct LoadCase
+{
+    const char *text;
+    bool isRead;
+    std::optional<double> slowdown{};
+    bool isPartlyUnreadable = false;
+};
+
+std::ostream &operator<<(std::ostream &out, const LoadCase &item)
+{
+    return out << '"' << item.text << '"';
+}
+
+class LoadCasesTest : public testing::TestWithParam<LoadCase>
+{
+};
+
+TEST_P(LoadCasesTest, load_ofAnEngine_isReadAsFarAsItCanBe)
+{
+    http::ResponseHead head;
+    head.status = 200;
+    head.headers.add("Ibisfork-Engine-Load", GetParam().text);
+    const auto answer = decodeAnswer(head);
+    EXPECT_EQ(answer.load.has_value(), GetParam().isRead);
+    EXPECT_EQ(answer.hasUnreadableLoad, !GetParam().isRead || GetParam().isPartlyUnreadable);
+    EXPECT_EQ(answer.load ? answer.load->slowdown : std::nullopt, GetParam().slowdown);
+}
+
+INSTANTIATE_TEST_SUITE_P(Loads,
+                         LoadCasesTest,
+                         testing::Values(LoadCase{"3,1,8", true},
+                                         LoadCase{"3,1,8,100", true, 1.0},
+                                         LoadCase{"3, 1, 8, 250", true, 2.5},
+                                         LoadCase{"3,1,8,100,7", true, 1.0},
+                                         LoadCase{"3,1,8,-5", true, std::nullopt, true},
+                                         LoadCase{"3,1,8,nan", true, std::nullopt, true},
+                                         LoadCase{"3,1,8,0", true, std::nullopt, true},
+                                         LoadCase{"3,1,8,99999999999", true, std::nullopt, true},
+                                         LoadCase{"4000000000,1,8", true},
+                                         LoadCase{"-3,1,8", false},
+                                         LoadCase{"3,1", false},
+                                         LoadCase{"a,b,c", false},
+                                         LoadCase{"", false}));
+
 struct LimitCase
 {
     const char *text;
