A failed first attempt leaves its copy to go on also where no retry is left

Change: while a copy is under way, a failure ends the first attempt only. Two findings of the linter are mended.

--- a/src/gateway/exchangeanswer.cpp
+++ b/src/gateway/exchangeanswer.cpp
@@ -6,6 +6,7 @@
 
 #include "gateway/eventlog.h"
 #include "gateway/exchangelimits.h"
+#include "gateway/hedge.h"
 #include "http/status.h"
 #include "platform/callcodec.h"
 
@@ -384,7 +385,8 @@
         handleFailedAttempt({EngineFault::Failed, true, failed ? "engine_failed" : "no_stream"});
         return;
     }
-    if (failed && consumeResend(true)) {
+    // While its copy goes on, another answer may still come.
+    if (failed && (m_hedge || consumeResend(true))) {
         endRun(RunEnd::Failed);
         handleFailedAttempt({EngineFault::Failed, true, "engine_failed"});
         return;
--- a/src/gateway/hedge.cpp
+++ b/src/gateway/hedge.cpp
@@ -7,10 +7,10 @@
 
 namespace ibisfork::gateway {
 
-Hedge::Hedge(Context &context, const EngineEntry &engine, PlacementDetails details)
+Hedge::Hedge(Context &context, const EngineEntry &engine, const PlacementDetails &details)
     : m_context(context)
     , m_engine(engine)
-    , m_details(std::move(details))
+    , m_details(details)
     , m_connection(context.pool.acquire(engine.id, engine.address, false, base::monotonicNow()))
     , m_body(context.memory)
     , m_sentAt(base::monotonicNow())
--- a/src/gateway/hedge.h
+++ b/src/gateway/hedge.h
@@ -22,7 +22,7 @@
         std::function<void(EngineFault fault, bool mayHaveRun, bool wasCutOff)> onFailed;
     };
 
-    Hedge(Context &context, const EngineEntry &engine, PlacementDetails details);
+    Hedge(Context &context, const EngineEntry &engine, const PlacementDetails &details);
     Hedge(const Hedge &) = delete;
     Hedge &operator=(const Hedge &) = delete;
 
--- a/tests/crowd/crowd_test.cpp
+++ b/tests/crowd/crowd_test.cpp
@@ -93,6 +93,8 @@
     static constexpr std::size_t manyBytes = 4 * bodyBytes;
     /// Steps in which every client has sent all that the node takes.
     static constexpr int steps = 150;
+    /// More than a client that sends byte by byte gets to send.
+    static constexpr std::size_t slowBytes = 300;
 
     static bool onlyHolds()
     {
@@ -190,7 +192,7 @@
         case Misuse::SentAhead:
             return {{}, head("GET", "\r\n"), manyBytes};
         case Misuse::SlowHead:
-            return {head("GET", "X: "), "x", 2 * steps, 1};
+            return {head("GET", "X: "), "x", slowBytes, 1};
         case Misuse::StalledBody:
             return {head("POST", length), "b", 16};
         case Misuse::SlowReader:
