--- a/src/gateway/exchangehedge.cpp
+++ b/src/gateway/exchangehedge.cpp
@@ -9,6 +9,21 @@
 
 namespace ibisfork::gateway {
 
+namespace {
+
+/// The time after which a request of @p route counts as slow at its first engine, if that is known.
+std::optional<base::Duration> slowAfter(Context &context,
+                                        const std::string &service,
+                                        const Route &route,
+                                        std::uint32_t promptTokens)
+{
+    const auto *model = context.view.engines().latencyOf(service);
+    const auto expected = model == nullptr ? std::nullopt : std::optional(model->firstByte(promptTokens, {}));
+    return hedging::slowAfter(context.wholeAnswerTimes[route.name].quantile(hedging::slowShare), expected);
+}
+
+} // namespace
+
 // Only whole answers are hedged: of a stream the first event would have to wait for the second engine to begin, and
 // both engines would read the prompt. Requests that may run once are never sent twice.
 bool Exchange::mayHedge() const
@@ -25,7 +40,7 @@
         return;
     }
     m_context.hedges.recordRequest(m_service);
-    if (const auto usual = m_context.wholeAnswerTimes[m_route->name].quantile(hedging::slowShare)) {
+    if (const auto usual = slowAfter(m_context, m_service, *m_route, m_call.promptTokens)) {
         m_hedgeTimer.startOnce(*usual);
     }
 }
@@ -34,7 +49,7 @@
 {
     const bool isUnanswered = m_phase == Phase::Connecting || m_phase == Phase::AwaitingHead;
     const auto now = base::monotonicNow();
-    const auto usual = m_context.wholeAnswerTimes[m_route->name].quantile(hedging::slowShare);
+    const auto usual = slowAfter(m_context, m_service, *m_route, m_call.promptTokens);
     if (!isUnanswered || m_hedge || !usual || !mayHedge() || isPoison() || m_deadline - now < minAttemptTime) {
         return;
     }
--- a/tests/hedging/hedging_test.cpp
+++ b/tests/hedging/hedging_test.cpp
@@ -101,6 +101,13 @@
     HedgeQuestion m_question{100ms, 2000ms, {0, 8, 0, 1}, std::nullopt};
 };
 
+TEST_F(HedgeDecisionTest, fewAnswersOfTheRoute_estimateTellsWhatIsSlow)
+{
+    EXPECT_EQ(slowAfter(std::nullopt, std::nullopt), std::nullopt);
+    EXPECT_EQ(slowAfter(std::nullopt, 60ms), 180ms);
+    EXPECT_EQ(slowAfter(100ms, 60ms), 100ms);
+}
+
 TEST_F(HedgeDecisionTest, otherEngineIsIdle_copyIsSent)
 {
     EXPECT_TRUE(isCopyWorthwhile(m_question));
