--- a/tests/gateway/loadexchange_test.cpp
+++ b/tests/gateway/loadexchange_test.cpp
@@ -35,7 +35,7 @@
             std::count_if(engines.begin(), engines.end(), [](const auto &engine) { return engine["report_ms"] >= 0; }));
     }
 
-    /// Lets each node ask engines until the first one has heard of a few, and the last one of some.
+    /// Sends a few requests through the first node and one through the last one.
     void askAll()
     {
         for (int i = 0; i < 6; ++i) {
--- a/tests/gateway/placement_test.cpp
+++ b/tests/gateway/placement_test.cpp
@@ -312,7 +312,7 @@
     EXPECT_LT(byEstimate, 0.85 * byRequests);
 }
 
-TEST_F(UnevenEnginesTest, engineSlowedByItsNeighbours_loses_workWithinASecond_andGetsItBack)
+TEST_F(UnevenEnginesTest, engineSlowedByItsNeighbours_losesWorkWithinASecond_andGetsItBack)
 {
     meanSeconds(true, answersToLearn);
     const auto second = static_cast<int>(1s / interval);
