--- a/src/gateway/enginetracker.h
+++ b/src/gateway/enginetracker.h
@@ -104,7 +104,7 @@
     base::TimePoint reportedAt{};
     unsigned sentSinceReport = 0;
     unsigned doneSinceReport = 0;
-    /// When this node last sent a request there, or a request of it ended; reports of before may count it or not.
+    /// When this node last sent a request there, which reports of before cannot count.
     base::TimePoint lastSentAt{};
     /// Prompt tokens of this node's requests whose responses have not begun.
     std::uint64_t unansweredTokens = 0;
--- a/src/gateway/exchangehedge.cpp
+++ b/src/gateway/exchangehedge.cpp
@@ -84,7 +84,7 @@
     m_context.view.engines().recordSent(engine.entry.id, 0, now);
     m_hedge = std::make_unique<Hedge>(m_context, engine.entry, details);
     const MonitoredRun run{engine.entry.softwareVersion, engine.entry.id, {m_route->name, {}}, 0, m_route->objective};
-    m_hedge->runId = m_context.view.rollouts().recordSent(m_service, run, now);
+    m_hedge->setRun(m_context.view.rollouts().recordSent(m_service, run, now));
     const auto head = platform::encodeDispatch(m_request.head, dispatchTo(engine, now));
     m_hedge->send(m_call.id,
                   http::serializeRequestHead(head, m_request.body.size()),
@@ -110,7 +110,7 @@
     m_answerHead = hedge->head();
     m_firstByteAfter = hedge->firstByteAfter();
     m_sentAt = hedge->sentAt();
-    m_runId = hedge->runId;
+    m_runId = hedge->run();
     m_runBeganAt.reset();
     m_context.view.rollouts().recordFirstByte(m_service, m_runId, base::monotonicNow());
     m_connection = hedge->takeConnection();
@@ -156,7 +156,7 @@
         m_mayHaveRun = m_mayHaveRun || connection->sent();
         connection->abandon();
     }
-    m_context.view.rollouts().recordEnded(m_service, hedge->runId, end, now);
+    m_context.view.rollouts().recordEnded(m_service, hedge->run(), end, now);
     m_context.view.engines().recordEnded(hedge->engine().id);
     m_context.pool.release(hedge->engine().id, std::move(connection), maxIdleConnections(), now);
 }
--- a/src/gateway/hedge.h
+++ b/src/gateway/hedge.h
@@ -44,8 +44,9 @@
     http::Body takeBody() { return m_body.take(); }
     std::unique_ptr<http::UpstreamConnection> takeConnection() { return std::move(m_connection); }
 
-    /// Of the copy's run, in the rollout of its service.
-    RunId runId = 0;
+    /// The copy's run in the rollout of its service.
+    void setRun(RunId run) { m_run = run; }
+    RunId run() const { return m_run; }
 
 private:
     void onHead(const http::ResponseHead &head);
@@ -56,6 +57,7 @@
     EngineEntry m_engine;
     PlacementDetails m_details;
     std::string m_callId;
+    RunId m_run = 0;
     std::unique_ptr<http::UpstreamConnection> m_connection;
     Handlers m_handlers;
     EngineAnswer m_answer;
