An engine that says what cannot be no longer makes a message of load reports unreadable

The header's slots and slowdown have no upper bound, while nodes refuse a message whole that holds more than a million slots or a slowdown beyond the bounds of Pace; so one engine kept all reports from peers. Change: figures are cut to these bounds where reports are encoded. The whole suite was not run again.

--- a/src/gateway/loads/loadcodec.cpp
+++ b/src/gateway/loads/loadcodec.cpp
@@ -21,10 +21,12 @@
     wire::EngineReport out;
     out.set_engine(report.engine);
     out.set_start_ms(report.startTimeMs);
-    out.set_running(report.running);
-    out.set_waiting(report.waiting);
-    out.set_slots(report.slots);
-    out.set_slowdown(report.slowdown ? static_cast<std::uint32_t>(std::lround(*report.slowdown * percent)) : 0);
+    // One engine that says what can't be must not make the whole message unreadable.
+    out.set_running(std::min(report.running, mostRequests));
+    out.set_waiting(std::min(report.waiting, mostRequests));
+    out.set_slots(std::min(report.slots, mostRequests));
+    const double slowdown = std::clamp(report.slowdown.value_or(0), load::Pace::least, load::Pace::most);
+    out.set_slowdown(report.slowdown ? static_cast<std::uint32_t>(std::lround(slowdown * percent)) : 0);
     out.set_age_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(0, base::toMilliseconds(now - report.saidAt))));
     return out;
 }
--- a/tests/gateway/loadexchange_test.cpp
+++ b/tests/gateway/loadexchange_test.cpp
@@ -65,6 +65,14 @@
     EXPECT_TRUE(until([&] { return reported(1) == reported(0) && reported(0) > 1; }));
 }
 
+TEST_F(LoadExchangeTest, engineSaysWhatCannotBe_otherNodesStillKnowTheReports)
+{
+    answerWithLoad("5,0,4000000000,900000");
+    startNodes({Cut::None, Cut::None});
+    askAll();
+    EXPECT_TRUE(until([&] { return reported(1) == reported(0) && reported(0) > 1; }));
+}
+
 TEST_F(LoadExchangeTest, enginesSayNothingOfTheirMachines_nodesExchangeNothing)
 {
     answerWithLoad("5,0,8");
