--- a/tests/process/gatewayworld.h
+++ b/tests/process/gatewayworld.h
@@ -10,13 +10,8 @@
 class GatewayWorldTest : public gateway::test::GatewayTest
 {
 protected:
-    static std::string freeAddress() { return HeldPort().address().text(); }
-
     GatewayWorldTest()
-        : m_callers(freeAddress())
-        , m_readiness(freeAddress())
-        , m_operators(freeAddress())
-        , m_forwarding(freeAddress())
+        : GatewayWorldTest(freeAddresses(4))
     { }
 
     std::string settingsWith(const net::Address &store, const std::string &more = {}) const
@@ -63,6 +58,14 @@
     std::string m_operators;
     std::string m_forwarding;
     GatewayProcess m_node;
+
+private:
+    explicit GatewayWorldTest(const std::vector<std::string> &addresses)
+        : m_callers(addresses[0])
+        , m_readiness(addresses[1])
+        , m_operators(addresses[2])
+        , m_forwarding(addresses[3])
+    { }
 };
 
 } // namespace ibisfork::process
