Waiting requests are ordered by rank across workspaces, and rejected callers return one by one

Cause: the queue of src/serving orders a workspace's own requests by priority and is fair between workspaces. Where operators give priorities to routes and workspaces, the urgent waits behind everybody's share. All callers that were rejected at one moment were told the same time to return.

Change: WaitingRequest has a rank that goes before shares, and may say how long it takes; requests may count by their work; the last rank is evicted first. ReturnTimes spreads the times to return. AdmissionController moves from src/serving to src/admission, since the gateway node uses it too.

--- a/src/serving/admissioncontroller.cpp
+++ b/src/admission/admissioncontroller.cpp
@@ -1,24 +1,27 @@
-#include "serving/admissioncontroller.h"
+#include "admission/admissioncontroller.h"
 
-namespace ibisfork::serving {
+namespace ibisfork::admission {
 
 namespace {
 
-constexpr std::size_t maxWaiting = 1000;
-/// Capacity also grows through ramp-up, borrowed slots and new revisions, none of which notify this class.
+/// Capacity also grows through ramp-up, borrowed slots, new revisions and requests of other nodes that end, none of
+/// which notify this class.
 constexpr std::chrono::milliseconds pollInterval{20};
 
 } // namespace
 
-AdmissionController::AdmissionController(event_base *base, base::MetricsRegistry &metrics)
+AdmissionController::AdmissionController(event_base *base,
+                                         base::MetricsRegistry &metrics,
+                                         const base::MetricsRegistry::Labels &labels,
+                                         std::size_t maxWaiting)
     : m_queue(maxWaiting)
-    , m_refused(metrics.counter("ibisfork_admission_refused_total"))
-    , m_waiting(metrics.gauge("ibisfork_admission_waiting"))
+    , m_refused(metrics.counter("ibisfork_admission_refused_total", labels))
+    , m_waiting(metrics.gauge("ibisfork_admission_waiting", labels))
     , m_wake(base, [this] { dispatchWaiting(); })
     , m_poll(base, [this] { dispatchWaiting(); })
 { }
 
-void AdmissionController::wait(const admission::WaitingRequest &request, WaitingHandlers handlers)
+void AdmissionController::wait(const WaitingRequest &request, WaitingHandlers handlers)
 {
     m_handlers[request.id] = std::move(handlers);
     refuse(m_queue.enqueue(request, base::monotonicNow()));
@@ -35,6 +38,17 @@
 void AdmissionController::recordEnd(base::Duration time)
 {
     m_queue.recordEnd(time);
+    wake();
+}
+
+void AdmissionController::recordWithdrawn()
+{
+    m_queue.recordWithdrawn();
+    wake();
+}
+
+void AdmissionController::wake()
+{
     if (m_queue.size() > 0) {
         // Deferred to the event loop, so that no other request is dispatched from inside the one that ends.
         m_wake.startOnce({});
@@ -55,13 +69,14 @@
     schedule();
 }
 
-void AdmissionController::refuse(const std::vector<admission::RejectedRequest> &refusals)
+void AdmissionController::refuse(const std::vector<RejectedRequest> &refusals)
 {
+    const auto now = base::monotonicNow();
     for (const auto &refusal : refusals) {
         const auto handlers = m_handlers.extract(refusal.id);
         if (!handlers.empty()) {
             m_refused.add();
-            handlers.mapped().refuse(refusal.retryAfter);
+            handlers.mapped().refuse(m_returns.next(refusal.retryAfter, m_queue.releaseInterval(), now));
         }
     }
 }
@@ -76,4 +91,4 @@
     }
 }
 
-} // namespace ibisfork::serving
+} // namespace ibisfork::admission
--- a/src/admission/admissionqueue.h
+++ b/src/admission/admissionqueue.h
@@ -3,8 +3,10 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -25,6 +27,10 @@
     int priority = 1;
     /// Time by which the request must have ended.
     base::TimePoint deadline{};
+    /// Urgency that the operators give, whatever the workspace; lower values are served first.
+    int rank = 0;
+    /// Time that the request takes once it is dispatched; that of recent requests if unknown.
+    std::optional<base::Duration> timeToServe{};
 };
 
 /// A request that was rejected on arrival or removed from the queue without being served.
@@ -35,16 +41,17 @@
     base::Duration retryAfter{};
 };
 
-/// Queue of requests that wait for upstream capacity, bounded by count and deadlines. Uses weighted fair queueing
-/// between workspaces; within a workspace the order is by priority, then by age. Not thread-safe.
+/// Queue of requests that wait for upstream capacity, bounded by count and deadlines. The order is by rank; within a
+/// rank it uses weighted fair queueing between workspaces, and within a workspace priority, then age. Not thread-safe.
 class AdmissionQueue
 {
 public:
     /// @p maxWaiting is the maximum number of waiting requests.
     explicit AdmissionQueue(std::size_t maxWaiting);
+    void setMaxWaiting(std::size_t maxWaiting) { m_maxWaiting = maxWaiting; }
 
     /// Queues @p request. Returns the rejected requests: @p request itself if it can't meet its deadline, or, if the
-    /// queue is full, the last request of the workspace that is most over its share.
+    /// queue is full, the last request of the workspace that is most over its share among those of the last rank.
     std::vector<RejectedRequest> enqueue(const WaitingRequest &request, base::TimePoint now);
     /// Removes and returns the waiting requests that can no longer be served before their deadline.
     std::vector<RejectedRequest> expire(base::TimePoint now);
@@ -55,21 +62,32 @@
     /// whether it dispatched the request, and must call recordStart() if it did.
     void dispatchWaiting(const std::function<bool(const std::string &id)> &dispatch);
 
-    /// Records that a request of @p workspace, whether it was queued or not, was sent to an upstream.
-    void recordStart(const std::string &workspace, double share);
+    /// Records that a request of @p workspace, whether it was queued or not, was sent to an upstream. @p cost: its
+    /// work, in a unit that all requests of the queue share.
+    void recordStart(const std::string &workspace, double share, double cost = 1.0);
     /// Records that a started request ended after running for @p time.
     void recordEnd(base::Duration time);
+    /// Records that a started request ended without having been served, for example because it was refused.
+    void recordWithdrawn();
 
     /// Number of waiting requests.
     std::size_t size() const { return m_locations.size(); }
     /// Whether a request of @p workspace and @p kind is waiting, so that a new one must not overtake it.
     bool hasWaiting(const std::string &workspace, const std::string &kind) const;
+    /// Whether a request of @p kind that is at least as urgent as @p rank is waiting, of any workspace.
+    bool hasWaitingUpTo(int rank, const std::string &kind) const;
     /// Estimated waiting time of a new request, from the number of running requests and the mean service time.
-    base::Duration expectedWait(const std::string &workspace, double share, int priority) const;
+    base::Duration expectedWait(const std::string &workspace, double share, int priority, int rank = 0) const;
+    /// Mean time that requests ran of late; zero before the first has ended.
+    base::Duration meanServiceTime() const { return m_serviceTime; }
+    /// Expected time between two requests that end; zero if none runs.
+    base::Duration releaseInterval() const;
+    /// Number of waiting requests of each workspace that has any.
+    std::map<std::string, std::size_t> waitingByWorkspace() const;
 
 private:
-    /// Negated priority and sequence number: highest priority first, then oldest.
-    using Position = std::pair<int, std::uint64_t>;
+    /// Rank, negated priority and sequence number: most urgent first, then highest priority, then oldest.
+    using Position = std::tuple<int, int, std::uint64_t>;
 
     struct WorkspaceQueue
     {
@@ -84,14 +102,19 @@
 
     const Location *next(const std::set<std::string> &blockedKinds);
     Location mostOverShare() const;
-    double totalWaitingShare() const;
-    base::Duration timeToServe() const;
+    /// Rank of the least urgent waiting request.
+    int lastRank() const;
+    /// Number of waiting requests of @p rank in @p queue.
+    static std::size_t countOfRank(const WorkspaceQueue &queue, int rank);
+    base::Duration timeToServe(const WaitingRequest &request) const;
     void erase(const Location &location);
 
     std::size_t m_maxWaiting;
     std::uint64_t m_nextSequence = 0;
     std::map<std::string, WorkspaceQueue> m_workspaces;
     std::map<std::string, Location> m_locations;
+    /// Number of waiting requests by kind and rank.
+    std::map<std::pair<std::string, int>, std::size_t> m_counts;
     double m_virtualTime = 0.0;
     std::uint64_t m_running = 0;
     base::Duration m_serviceTime{};
--- a/src/serving/context.h
+++ b/src/serving/context.h
@@ -9,11 +9,11 @@
 #include <ibisfork/coord/retrybudget.h>
 #include <ibisfork/fleet/config.h>
 
+#include "admission/admissioncontroller.h"
 #include "ledger/claimdesk.h"
 #include "net/libevent.h"
 #include "routing/keyindex.h"
 #include "routing/router.h"
-#include "serving/admissioncontroller.h"
 #include "serving/billrecorder.h"
 #include "serving/decisionlog.h"
 #include "serving/poisontracker.h"
@@ -87,7 +87,7 @@
     base::TimePoint confirmedUntil{};
     base::TimePoint catchUpDeadline{};
     upstream::ConcurrencyTracker limits;
-    AdmissionController admission;
+    admission::AdmissionController admission;
     StreamCanceller canceller;
     RolloutController rollouts;
     coord::RetryBudget retries;
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -163,7 +163,7 @@
         return;
     }
     if (!m_waiting && m_triedUpstreams.empty()
-        && m_context.admission.hasWaiting(workspace.name, m_request.chat.model)) {
+        && m_context.admission.queue().hasWaiting(workspace.name, m_request.chat.model)) {
         waitForCapacity(workspace);
         return;
     }
@@ -196,7 +196,7 @@
 void Exchange::waitForCapacity(const fleet::Workspace &workspace)
 {
     m_waiting = true;
-    WaitingHandlers handlers;
+    admission::WaitingHandlers handlers;
     handlers.dispatch = [this, alive = m_alive] {
         guarded([this] { dispatch(); });
         return !*alive || !m_waiting;
--- a/tests/admission/admissionqueue_test.cpp
+++ b/tests/admission/admissionqueue_test.cpp
@@ -137,6 +137,57 @@
     EXPECT_EQ(m_queue.size(), 0U);
 }
 
+TEST_F(AdmissionQueueTest, dispatchWaiting_ranksDiffer_mostUrgentGoesFirstWhateverItsWorkspace)
+{
+    enqueue("a0", "a", 9);
+    m_queue.enqueue({"b0", "b", "kind-b", 1.0, 1, m_now + 100s, -1}, m_now);
+    m_queue.enqueue({"c0", "c", "kind-c", 1.0, 1, m_now + 100s, 1}, m_now);
+    EXPECT_THAT(dispatch(3), ElementsAre("b0", "a0", "c0"));
+}
+
+TEST_F(AdmissionQueueTest, enqueue_full_lastRankIsRejectedFirst)
+{
+    m_queue.enqueue({"c0", "c", "kind-c", 1.0, 1, m_now + 100s, 1}, m_now);
+    for (int request = 0; request < 7; ++request) {
+        EXPECT_THAT(enqueue(fmt::format("a{}", request), "a"), IsEmpty());
+    }
+    EXPECT_THAT(enqueue("a7", "a"), ElementsAre("c0"));
+}
+
+TEST_F(AdmissionQueueTest, enqueue_timeToServeIsKnown_itDecidesInPlaceOfTheMean)
+{
+    startRequests(2);
+    EXPECT_THAT(ids(m_queue.enqueue({"short", "a", "k", 1.0, 1, m_now + 700ms, 0, 100ms}, m_now)), IsEmpty());
+    EXPECT_THAT(ids(m_queue.enqueue({"long", "a", "k", 1.0, 1, m_now + 3s, 0, 5s}, m_now)), ElementsAre("long"));
+}
+
+TEST_F(AdmissionQueueTest, expectedWait_moreUrgentOnesWait_theirTurnsComeFirst)
+{
+    startRequests(2);
+    enqueue("a0", "a");
+    enqueue("b0", "b");
+    EXPECT_EQ(m_queue.expectedWait("c", 1.0, 1, 1), 1500ms);
+    EXPECT_EQ(m_queue.expectedWait("c", 1.0, 1, -1), 500ms);
+}
+
+TEST_F(AdmissionQueueTest, hasWaitingUpTo_onlyRequestsOfTheKindThatAreAsUrgentCount)
+{
+    m_queue.enqueue({"a0", "a", "kind", 1.0, 1, m_now + 100s, 1}, m_now);
+    EXPECT_FALSE(m_queue.hasWaitingUpTo(0, "kind"));
+    EXPECT_TRUE(m_queue.hasWaitingUpTo(1, "kind"));
+    EXPECT_FALSE(m_queue.hasWaitingUpTo(1, "other"));
+    m_queue.remove("a0");
+    EXPECT_FALSE(m_queue.hasWaitingUpTo(1, "kind"));
+}
+
+TEST_F(AdmissionQueueTest, recordWithdrawn_requestWasNotServed_meanTimeStays)
+{
+    startRequests(2);
+    m_queue.recordWithdrawn();
+    EXPECT_EQ(m_queue.meanServiceTime(), 1s);
+    EXPECT_EQ(m_queue.releaseInterval(), 1s);
+}
+
 TEST_F(AdmissionQueueTest, remove_callerGone_isNotDispatched)
 {
     enqueue("a0", "a");
