ibisforkctl routes check: a configuration of routes and services is checked before it is sent

Cause: operators see an error of routes, services or limits only once nodes have taken it over.

One function reads text files in ibisforkctl.

--- a/src/ctl/commandtable.cpp
+++ b/src/ctl/commandtable.cpp
@@ -12,6 +12,7 @@
 #include "ctl/logexplain.h"
 #include "ctl/nodecommands.h"
 #include "ctl/rolloutcommands.h"
+#include "ctl/routescommands.h"
 
 namespace ibisfork::ctl {
 
@@ -23,12 +24,18 @@
     return exitcode::ok;
 }
 
-constexpr std::array<Command, 29> commands{{
+constexpr std::array<Command, 30> commands{{
     {"config", "check", "FILE", "check a fleet configuration", "config check fleet.yaml", configCheck},
     {"config", "apply", "FILE", "make it the fleet's", "config apply fleet.yaml --reason 'new engine'", configApply},
     {"config", "diff", "FILE", "rows that apply would change", "config diff fleet.yaml", configDiff},
     {"config", "show", "", "rows in force", "config show --output json", configShow},
     {"config", "history", "", "the last changes", "config history", configHistory},
+    {"routes",
+     "check",
+     "FILE",
+     "check routes and services before they are sent to the platform's store",
+     "routes check next.json --in-force now.json",
+     routesCheck},
     {"exception",
      "add",
      "ID",
--- a/src/ctl/configcommands.cpp
+++ b/src/ctl/configcommands.cpp
@@ -1,8 +1,6 @@
 #include "ctl/configcommands.h"
 
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 #include <fmt/ostream.h>
 
@@ -12,26 +10,16 @@
 #include "ctl/listing.h"
 #include "ctl/nodeclient.h"
 #include "ctl/submission.h"
+#include "ctl/textfile.h"
 
 namespace ibisfork::ctl {
 
 namespace {
 
-std::string readFile(const std::string &path)
-{
-    const std::ifstream file(path);
-    if (!file) {
-        throw UsageError(fmt::format("{}: can't be read", path));
-    }
-    std::stringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
-
 fleet::Config readConfig(const std::string &path)
 {
     try {
-        return fleet::configFromYaml(readFile(path));
+        return fleet::configFromYaml(readTextFile(path));
     } catch (const base::Error &error) {
         throw base::Error(fmt::format("{}: {}", path, error.what()));
     }
--- a/src/ctl/invocation.h
+++ b/src/ctl/invocation.h
@@ -52,6 +52,8 @@
     std::string until;
     /// The platform's address, for commands that read its table.
     std::string platform;
+    /// A file with the configuration of routes and services that is in force.
+    std::string inForce;
     /// A file with the output of nodes.
     std::string log;
     /// Longest wait until a change is in force everywhere.
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -39,6 +39,7 @@
     add("value", "value that an exception gives it", text(""), "VALUE");
     add("until", "last day of an exception", text(""), "YYYY-MM-DD");
     add("platform", "the platform's address, for bills verify", text(""), "IP:PORT");
+    add("in-force", "configuration in force, for routes check", text(""), "FILE");
     add("log", "saved output of nodes, for log explain", text(""), "FILE");
     add("words", "", cxxopts::value<std::vector<std::string>>(), "COMMAND");
     add("h,help", "show this help");
@@ -64,6 +65,7 @@
     invocation.value = arguments["value"].as<std::string>();
     invocation.until = arguments["until"].as<std::string>();
     invocation.log = arguments["log"].as<std::string>();
+    invocation.inForce = arguments["in-force"].as<std::string>();
     invocation.platform = arguments["platform"].as<std::string>();
     if (invocation.changeId.empty()) {
         invocation.changeId = newChangeId();
