MIXED: an answer without a length that is reset is no whole answer at a forwarding node either

Cause: not known for requests that another node forwarded.

Change: ForwardedResetTest, for a plain idempotent route, one whose requests may run once, and a stream. A line of RequestQueueTest is formatted.

Measured: passes on the code as it stands; nothing to mend.

--- a/tests/gateway/forwarding_test.cpp
+++ b/tests/gateway/forwarding_test.cpp
@@ -223,6 +223,31 @@
     EXPECT_EQ(caller.answer().status, 200);
 }
 
+/// Answers without a length that end with a reset, at the node that a request was forwarded to.
+class ForwardedResetTest : public ForwardingTest, public testing::WithParamInterface<const char *>
+{
+};
+
+TEST_P(ForwardedResetTest, engineResetsAnAnswerWithoutALength_partOfItIsNoWholeAnswer)
+{
+    test::EngineReply reply{std::string("HTTP/1.1 200 OK\r\nIbisfork-Attempt-Id: ID\r\nIbisfork-Response-Seal: s\r\n")
+                            + (GetParam() == std::string("/chat/x") ? "Content-Type: text/event-stream\r\n" : "")
+                            + "\r\nid: 1\ndata: t1\n\nid: 2\ndata"};
+    reply.reset = true;
+    answerWith(reply);
+    startNodes({Cut::Refused, Cut::None});
+    for (int i = 0; i < 4; ++i) {
+        const auto answer = askCut(request("POST", GetParam(), {}, std::string(9000, 'u')));
+        EXPECT_FALSE(answer.complete && answer.status == 200);
+    }
+    EXPECT_GT(arrived(), 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Routes,
+                         ForwardedResetTest,
+                         testing::Values("/read/x", "/book/x", "/chat/x"),
+                         [](const auto &info) { return std::string(info.param).substr(1, 4); });
+
 TEST_F(ForwardingTest, callerLeaves_runAtTheEngineOfTheOtherNodeIsEnded)
 {
     answerWith({""});
--- a/tests/gateway/requestqueue_test.cpp
+++ b/tests/gateway/requestqueue_test.cpp
@@ -22,8 +22,8 @@
     void SetUp() override
     {
         addEngine("e1").willDecide([this](const http::Request &) {
-            auto reply = test::plainReply(
-                200, "ok", "Ibisfork-Response-Seal: s\r\nIbisfork-Engine-Load: " + m_load + "\r\n");
+            auto reply
+                = test::plainReply(200, "ok", "Ibisfork-Response-Seal: s\r\nIbisfork-Engine-Load: " + m_load + "\r\n");
             reply.delay = m_run;
             return reply;
         });
