An objective of 0 no longer makes all expected times equal; shared tokens are summed once a placement

Cause: expected times are compared as shares of the route's objective; 0 made them all endless, so that the first drawn engine won. The tokens of shared prompt parts were summed twice for each placement.

Change: the objective counts as 1 ms at least, and routes check names it.

--- a/src/configcheck/check.cpp
+++ b/src/configcheck/check.cpp
@@ -98,6 +98,9 @@
     const auto contradicts = [&](const std::string &text) {
         findings.push_back({FindingKind::Contradiction, nameOf(route), text});
     };
+    if (route.objective.count() <= 0) {
+        contradicts("objective of 0 ms: no answer is in time");
+    }
     if (route.objective > route.timeout) {
         contradicts(fmt::format(
             "objective of {} ms is longer than the timeout of {} ms", route.objective.count(), route.timeout.count()));
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -45,11 +45,12 @@
     return tokens;
 }
 
-/// Returns the id of the last prompt part that other requests may share, which is the one before the last: the last
-/// part belongs to this request alone. Empty if the shared parts together have fewer than minSharedTokens tokens.
-std::string sharedPartOf(const std::vector<PromptPart> &parts)
+/// The id of the last prompt part that other requests may share, which is the one before the last: the last part
+/// belongs to this request alone. Empty if the shared parts together have so few tokens, @p shared, that it doesn't
+/// matter.
+std::string sharedPartOf(const std::vector<PromptPart> &parts, std::uint64_t shared)
 {
-    return sharedTokensOf(parts) >= minSharedTokens ? parts[parts.size() - 2].id : std::string();
+    return shared >= minSharedTokens ? parts[parts.size() - 2].id : std::string();
 }
 
 } // namespace
@@ -249,9 +250,9 @@
     const auto *service = m_configuration->findService(m_service);
     const auto &bounds = m_context.settings.bounds;
     PlacementRequest request;
-    request.sharedPart = sharedPartOf(m_call.promptParts);
     request.promptTokens = m_call.promptTokens;
     request.sharedTokens = sharedTokensOf(m_call.promptParts);
+    request.sharedPart = sharedPartOf(m_call.promptParts, request.sharedTokens);
     request.objective = m_route->objective;
     request.latency = m_context.view.engines().latencyOf(m_service);
     request.failureDomain = m_context.settings.node.failureDomain;
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -72,13 +72,21 @@
                       startsAfterRest(engine, request)};
 }
 
+/// Operators may have set none, or 0.
+constexpr double leastObjectiveSeconds = 1e-3;
+
+double objectiveSeconds(const PlacementRequest &request)
+{
+    return std::max(base::toSeconds(request.objective), leastObjectiveSeconds);
+}
+
 } // namespace
 
 double EnginePlacement::workCost(const Engine &engine, const PlacementRequest &request, base::TimePoint now)
 {
     if (request.latency != nullptr) {
         const auto expected = request.latency->firstByte(request.promptTokens, engine.loadState(now, request.nodes));
-        return base::toSeconds(expected) / base::toSeconds(request.objective);
+        return base::toSeconds(expected) / objectiveSeconds(request);
     }
     const auto slots = std::max(1U, engine.entry.slots);
     return engine.expectedLoad(now, request.nodes) / slots
@@ -90,7 +98,7 @@
     if (request.latency == nullptr) {
         return maxCachedPartExtraCost;
     }
-    return base::toSeconds(request.latency->reading(request.sharedTokens)) / base::toSeconds(request.objective);
+    return base::toSeconds(request.latency->reading(request.sharedTokens)) / objectiveSeconds(request);
 }
 
 double EnginePlacement::cost(const Engine &engine, const PlacementRequest &request, base::TimePoint now) const
--- a/tests/configcheck/check_test.cpp
+++ b/tests/configcheck/check_test.cpp
@@ -86,8 +86,10 @@
 TEST_F(ConfigurationCheckTest, check_limitsThatContradictEachOther_areNamed)
 {
     m_configuration.routes[0].objective = 40s;
+    m_configuration.routes[1].objective = 0s;
     m_configuration.routes[1].models = {"small", "large"};
     m_configuration.routes[1].maxUpstreams = 1;
+    EXPECT_THAT(checked(), Contains("contradiction: route read: objective of 0 ms: no answer is in time"));
     EXPECT_THAT(checked(),
                 Contains("contradiction: route chat: objective of 40000 ms is longer than the timeout of 30000 ms"));
     EXPECT_THAT(checked(),
--- a/tests/gateway/placement_test.cpp
+++ b/tests/gateway/placement_test.cpp
@@ -337,6 +337,15 @@
     EXPECT_LT(byEstimate, 0.85 * byRequests);
 }
 
+TEST_F(UnevenEnginesTest, routeWithoutAnObjective_slowEnginesGetLessWorkAllTheSame)
+{
+    m_request.objective = 0s;
+    meanSeconds(true, answersToLearn);
+    const auto byEstimate = meanSeconds(true, answersToMeasure);
+    const auto byRequests = meanSeconds(false, answersToMeasure);
+    EXPECT_LT(byEstimate, 0.85 * byRequests);
+}
+
 TEST_F(UnevenEnginesTest, engineSlowedByItsNeighbours_losesWorkWithinASecond_andGetsItBack)
 {
     meanSeconds(true, answersToLearn);
