--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -95,6 +95,7 @@
 Exchange::~Exchange()
 {
     leaveQueue();
+    m_context.slowCallers.remove(this);
 }
 
 void Exchange::begin()
--- a/src/gateway/exchangeread.cpp
+++ b/src/gateway/exchangeread.cpp
@@ -21,7 +21,7 @@
 bool Exchange::mayReadOn() const
 {
     const bool hasRoom = m_context.memory->held() <= m_context.memory->capacity() / readOnDivisor;
-    return hasRoom || (m_caller.backlog() <= usualBacklog && m_caller.backlogFits());
+    return m_caller.backlogFits() && (hasRoom || m_caller.backlog() <= usualBacklog);
 }
 
 void Exchange::pauseIfBehind()
