What a newcomer's read of the diff found: waits, pauses, ranks, routes check and their tests

A caller that had been paused before could be ended without the 2 s; an engine was excused for a cut by the wrong time; ranks were not bounded; an objective of 0 refused whatever would wait; a stream could start from the queue late in a shutdown; a request whose routes had changed kept its place; requests that had tried different engines blocked each other; runs that were not answered in whole counted in the mean run time; a refusal that throws ended the queue's poll; routes check named a contradiction that is none and left out priorities of workspaces and whether keys are needed.

Change: each of these; second copies wait behind waiting requests.

--- a/src/admission/admissioncontroller.h
+++ b/src/admission/admissioncontroller.h
@@ -39,7 +39,7 @@
     /// Removes the request @p id from the queue without calling a handler.
     void remove(const std::string &id);
     const AdmissionQueue &queue() const { return m_queue; }
-    /// What waits beyond it stays.
+    /// Bounds what is queued from now on; what waits already stays.
     void setMaxWaiting(std::size_t maxWaiting) { m_queue.setMaxWaiting(maxWaiting); }
 
     /// Counts a request that was dispatched to an upstream; see AdmissionQueue::recordStart().
--- a/src/admission/admissionqueue.h
+++ b/src/admission/admissionqueue.h
@@ -23,7 +23,7 @@
     std::string kind;
     /// Weight of the workspace relative to the others; greater than 0.
     double share = 1.0;
-    /// Priority within the workspace; higher values are served first.
+    /// Priority within the workspace; higher values are served first, unlike those of rank.
     int priority = 1;
     /// Time by which the request must have ended.
     base::TimePoint deadline{};
--- a/src/configcheck/finding.h
+++ b/src/configcheck/finding.h
@@ -8,7 +8,7 @@
 namespace ibisfork::configcheck {
 
 enum class FindingKind {
-    Error, ///< Nodes would refuse requests, or not take the configuration over.
+    Error, ///< Not valid, or requests would not be served as it says.
     NeverMatches, ///< An entry that no request can reach.
     Contradiction, ///< Limits that can't both have an effect.
     Difference, ///< What differs from the version in force.
--- a/src/gateway/configuration.cpp
+++ b/src/gateway/configuration.cpp
@@ -12,9 +12,12 @@
     }
     m_mostUrgent.clear();
     for (const auto &route : routes) {
+        const auto own = std::clamp(route.priority, 0, lowestPriority);
         for (const auto &share : route.services) {
-            auto &priority = m_mostUrgent.try_emplace(share.service, route.priority).first->second;
-            priority = std::min(priority, route.priority);
+            if (share.weight > 0) {
+                auto &priority = m_mostUrgent.try_emplace(share.service, own).first->second;
+                priority = std::min(priority, own);
+            }
         }
     }
     const auto longerPrefix = [this](std::size_t left, std::size_t right) {
--- a/src/gateway/configuration.h
+++ b/src/gateway/configuration.h
@@ -20,6 +20,9 @@
     Stream, ///< The answer is an event stream; may continue on another engine if the route is resumable.
 };
 
+/// Priorities run from 0, the most urgent, to this value; others count as the nearest of these.
+inline constexpr int lowestPriority = 9;
+
 struct WeightedService
 {
     std::string service;
@@ -90,7 +93,7 @@
     /// The route of @p host with the longest prefix that matches @p path, or null.
     const Route *findRoute(std::string_view host, std::string_view path) const;
     const Service *findService(const std::string &name) const;
-    /// Builds the index that findRoute() uses. To be called once, after the routes are filled in.
+    /// Builds the index of findRoute() and mostUrgentPriority(). To be called once, after the routes are filled in.
     void index();
 
     /// Priority of the most urgent route to @p service; 0 if there is none.
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -24,8 +24,6 @@
 constexpr int waitDivisor = 4;
 /// Below this many tokens, processing the prompt again costs no more than looking for an engine that has it cached.
 constexpr std::uint32_t minSharedTokens = 300;
-/// Priorities run from 0 (highest) to this value.
-constexpr int lowestPriority = 9;
 constexpr std::size_t maxIdlePeerConnections = 8;
 /// Of the connections that an engine accepts from all nodes, at most one in this many may be idle.
 constexpr unsigned idleConnectionsDivisor = 2;
@@ -94,8 +92,10 @@
 
 Exchange::~Exchange()
 {
-    leaveQueue();
-    m_context.slowCallers.remove(this);
+    if (m_phase != Phase::Finished) {
+        leaveQueue();
+        m_context.slowCallers.remove(this);
+    }
 }
 
 void Exchange::begin()
@@ -373,7 +373,8 @@
     m_lastProgress = now;
     m_runBeganAt.reset();
     m_soundRunRecorded = false;
-    m_wasLeftUnread = false;
+    m_isRunWhole = false;
+    m_unreadEndedAt.reset();
     m_answer = {};
     m_answerBody.reset();
     m_answerLength.reset();
@@ -436,7 +437,7 @@
     promptRead();
     endRun(RunEnd::Withdrawn);
     if (auto *queue = std::exchange(m_runCountedBy, nullptr)) {
-        m_phase == Phase::Reading ? queue->recordEnd(base::monotonicNow() - m_sentAt) : queue->recordWithdrawn();
+        m_isRunWhole ? queue->recordEnd(base::monotonicNow() - m_sentAt) : queue->recordWithdrawn();
     }
     m_context.view.engines().recordEnded(m_engineId);
     m_context.pool.release(m_engineId, std::move(m_connection), maxIdleConnections(), base::monotonicNow());
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -108,13 +108,15 @@
     std::optional<load::RoomLimit> roomLimit();
     /// Requests of the same kind find room at the same engines.
     std::string queueKind() const;
-    /// True if others that are as urgent wait already.
+    /// True if requests of the same kind that are at least as urgent wait already.
     bool mustYield() const;
     /// Waits in the queue until an engine has room; refuses the request if that would be too late.
     void awaitRoom();
     /// Tries to send the request, which is next in the queue. Returns whether it has left the queue.
     bool takeTurn();
+    /// Refuses the request, which the queue has rejected.
     void refuseQueued(base::Duration retryAfter);
+    void refuseForRoom(base::Duration retryAfter);
     void leaveQueue();
     void recordQueued();
 
@@ -220,7 +222,11 @@
     /// Stops reading from the upstream while the caller has fallen behind and the node has no room.
     void pauseIfBehind();
     void resumeReading();
+    /// True if the answer stays unread, or did so until a moment ago.
+    bool wasLeftUnread() const;
     void onPausedTimer(base::TimePoint now);
+    /// Makes this answer one of those that are ended when the node needs room.
+    void listAsSlow();
     /// Breaks the answer off, which its caller takes too slowly.
     void endSlowCaller();
 
@@ -405,12 +411,14 @@
     unsigned m_cutOffs = 0;
     /// Reading from the upstream is paused.
     bool m_paused = false;
-    /// Since when the caller has taken next to nothing, if reading has been paused for it.
-    std::optional<base::TimePoint> m_behindSince;
-    /// What it had not taken when that was last looked at.
+    base::TimePoint m_pausedAt{};
+    /// While it is paused: since when the caller has taken next to nothing, and what it had not taken at the last look.
+    base::TimePoint m_behindSince{};
     std::size_t m_lastBacklog = 0;
-    /// The current attempt's answer has stayed unread for a while.
-    bool m_wasLeftUnread = false;
+    /// When reading went on after the current attempt's answer had stayed unread for a while.
+    std::optional<base::TimePoint> m_unreadEndedAt;
+    /// The current attempt has been answered in whole.
+    bool m_isRunWhole = false;
     bool m_promptPending = false;
     std::optional<std::uint64_t> m_lastEvent;
     std::optional<base::Duration> m_firstByteAfter;
--- a/src/gateway/exchangeanswer.cpp
+++ b/src/gateway/exchangeanswer.cpp
@@ -45,7 +45,8 @@
         m_context.view.rollouts().recordFirstByte(m_service, m_runId, now);
     }
     m_context.firstByteTime(m_route->name).add(base::toSeconds(*m_firstByteAfter));
-    m_context.latencyRatio(m_route->name).add(base::toSeconds(*m_firstByteAfter) / base::toSeconds(m_route->objective));
+    const auto objective = std::max<base::Duration>(m_route->objective, std::chrono::milliseconds(1));
+    m_context.latencyRatio(m_route->name).add(base::toSeconds(*m_firstByteAfter) / base::toSeconds(objective));
     if (wantsSecondRun()) {
         beginSecondRun();
     }
@@ -317,7 +318,7 @@
 void Exchange::completeStream()
 {
     if (m_splitter.midEvent()) {
-        handleFailedAttempt({EngineFault::Failed, true, "stream_ended_mid_event", true});
+        handleFailedAttempt({EngineFault::Failed, true, "stream_ended_mid_event", true, wasLeftUnread()});
         return;
     }
     if (!m_runBeganAt && m_connection->answerEndedWithConnection()) {
@@ -328,6 +329,7 @@
     m_context.view.engines().recordSuccess(m_engineId);
     recordSoundRun();
     endRun(RunEnd::Answered);
+    m_isRunWhole = true;
     releaseConnection();
     endStreamOfCaller();
 }
@@ -375,6 +377,7 @@
 void Exchange::recordWholeAnswer()
 {
     const bool failed = http::status::isServerError(m_answer.status);
+    m_isRunWhole = true;
     endRun(failed ? RunEnd::Failed : RunEnd::Answered);
     if (failed) {
         m_context.view.engines().recordFault(m_engineId, EngineFault::Failed, coldPeriod(), base::monotonicNow());
--- a/src/gateway/exchangeend.cpp
+++ b/src/gateway/exchangeend.cpp
@@ -51,7 +51,7 @@
         return;
     case http::ConnectionFailure::Lost:
         handleFailedAttempt(
-            {EngineFault::Lost, !m_answer.notRun, "connection_lost", !m_answer.notRun, m_wasLeftUnread});
+            {EngineFault::Lost, !m_answer.notRun, "connection_lost", !m_answer.notRun, wasLeftUnread()});
         return;
     case http::ConnectionFailure::Malformed:
         handleFailedAttempt({EngineFault::Failed, !m_answer.notRun, "malformed_answer"});
--- a/src/gateway/exchangehedge.cpp
+++ b/src/gateway/exchangehedge.cpp
@@ -47,6 +47,11 @@
 
 void Exchange::onHedgeTimer()
 {
+    const auto *queue = m_context.queueOf(m_service);
+    if (queue != nullptr && queue->queue().size() > 0) {
+        // Requests that wait go before copies.
+        return;
+    }
     const bool isUnanswered = m_phase == Phase::Connecting || m_phase == Phase::AwaitingHead;
     const auto now = base::monotonicNow();
     const auto usual = slowAfter(m_context, m_service, *m_route, m_call.promptTokens);
--- a/src/gateway/exchangequeue.cpp
+++ b/src/gateway/exchangequeue.cpp
@@ -1,6 +1,8 @@
 #include <algorithm>
+#include <utility>
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 #include "gateway/eventlog.h"
 #include "gateway/exchange.h"
@@ -12,18 +14,16 @@
 
 namespace {
 
-/// Rank of a request whose route and workspace name no priority.
-constexpr int usualRank = 5;
-/// A request is expected to take at most this part of its route's objective once it is sent.
+/// A request is expected to take at most one part in this many of its route's objective once it is sent.
 constexpr int serveDivisor = 2;
-/// Callers that are told to come back later than after this part of their time may not come back at all.
+/// Callers that are told to come back after more than one part in this many of their time may not come back at all.
 constexpr int returnDivisor = 3;
 
 } // namespace
 
 int Exchange::rank() const
 {
-    return m_priority.value_or(usualRank);
+    return std::clamp(m_priority.value_or(m_route->priority), 0, lowestPriority);
 }
 
 // Of requests that may have run, a refusal would not be true; they wait in another way.
@@ -45,8 +45,9 @@
 
 std::string Exchange::queueKind() const
 {
-    // Engines that have refused the request may take others.
-    return fmt::format("{}/{}", static_cast<int>(m_preference), m_tried.empty() ? "first" : "again");
+    auto tried = m_tried;
+    std::sort(tried.begin(), tried.end());
+    return fmt::format("{}/{}", static_cast<int>(m_preference), fmt::join(tried, ","));
 }
 
 bool Exchange::mustYield() const
@@ -57,9 +58,8 @@
 void Exchange::awaitRoom()
 {
     auto *queue = m_context.queueOf(m_service);
-    if (m_hasTurn && m_queue == queue) {
+    if (std::exchange(m_hasTurn, false)) {
         // Its turn has passed without room; it keeps its place.
-        m_hasTurn = false;
         return;
     }
     const auto now = base::monotonicNow();
@@ -70,11 +70,13 @@
     m_queuedAt = now;
     m_queueId = fmt::format("{}", m_context.nextQueueId++);
     admission::WaitingRequest waiting{m_queueId, m_workspace, queueKind()};
-    waiting.deadline = std::min<base::TimePoint>(m_deadline, m_start + m_route->objective);
+    // An objective of 0 is none.
+    const auto objective = m_route->objective.count() > 0 ? m_route->objective : m_route->timeout;
+    waiting.deadline = std::min<base::TimePoint>(m_deadline, m_start + objective);
     waiting.rank = rank();
     const std::chrono::duration<double> usual(m_context.firstByteTime(m_route->name).value());
-    waiting.timeToServe = std::min<base::Duration>(std::chrono::duration_cast<base::Duration>(usual),
-                                                   m_route->objective / serveDivisor);
+    waiting.timeToServe
+        = std::min<base::Duration>(std::chrono::duration_cast<base::Duration>(usual), objective / serveDivisor);
     EventLog::routine("queued")
         .field("id", m_call.id)
         .field("service", m_service)
@@ -91,24 +93,23 @@
 bool Exchange::takeTurn()
 {
     const auto id = m_queueId;
-    m_hasTurn = true;
     const bool sound = net::runGuarded("request", [this] {
-        // The routes and keys in force decide, also where they have changed meanwhile.
-        if (m_configuration == m_context.view.configuration()) {
-            dispatch();
-        } else {
+        if (m_configuration != m_context.view.configuration() || mayOutlastNode()) {
+            // The routes and keys in force decide, and a node that stops takes on no more than it can end.
+            leaveQueue();
             begin();
+            return;
+        }
+        m_hasTurn = true;
+        dispatch();
+        if (std::exchange(m_hasTurn, false)) {
+            leaveQueue();
         }
     });
     if (!sound) {
         abort();
     }
-    const bool hasLeft = std::exchange(m_hasTurn, false);
-    if (hasLeft && m_queueId == id) {
-        recordQueued();
-        m_queueId.clear();
-    }
-    return hasLeft;
+    return m_queueId != id;
 }
 
 void Exchange::recordQueued()
@@ -120,6 +121,13 @@
 }
 
 void Exchange::refuseQueued(base::Duration retryAfter)
+{
+    if (!net::runGuarded("request", [&] { refuseForRoom(retryAfter); })) {
+        abort();
+    }
+}
+
+void Exchange::refuseForRoom(base::Duration retryAfter)
 {
     recordQueued();
     m_queueId.clear();
--- a/src/gateway/exchangeread.cpp
+++ b/src/gateway/exchangeread.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/eventlog.h"
 #include "gateway/exchange.h"
+#include "net/guard.h"
 
 namespace ibisfork::gateway {
 
@@ -9,12 +10,14 @@
 
 /// What a caller may leave untaken however much other callers hold.
 constexpr std::size_t usualBacklog = 256UL * 1024;
-/// Beyond it, answers are read on while callers, engines and other nodes hold at most this part of the memory.
+/// Beyond it, answers are read on while callers, engines and other nodes hold at most one part in this many of the
+/// memory.
 constexpr std::size_t readOnDivisor = 2;
 /// A caller that takes this much between two looks for room is not behind.
 constexpr std::size_t progressBytes = 16UL * 1024;
-/// An engine that loses its connection after an answer has stayed unread for this long may have cut it off.
+/// An engine may have cut an answer off that has stayed unread for this long; what it has sent before comes first.
 constexpr std::chrono::milliseconds unreadTime{500};
+constexpr std::chrono::milliseconds unreadEffectTime{1000};
 
 } // namespace
 
@@ -31,10 +34,11 @@
     }
     const auto now = base::monotonicNow();
     m_paused = true;
-    m_behindSince = m_behindSince.value_or(now);
+    m_pausedAt = now;
+    m_behindSince = now;
     m_lastBacklog = m_caller.backlog();
     m_connection->pauseReading(true);
-    m_context.slowCallers.add(this, *m_behindSince, [this] { endSlowCaller(); });
+    listAsSlow();
     arm();
 }
 
@@ -42,7 +46,9 @@
 {
     const auto now = base::monotonicNow();
     m_paused = false;
-    m_wasLeftUnread = m_wasLeftUnread || now - *m_behindSince >= unreadTime;
+    if (now - m_pausedAt >= unreadTime) {
+        m_unreadEndedAt = now;
+    }
     m_context.slowCallers.remove(this);
     m_lastProgress = now;
     m_connection->pauseReading(false);
@@ -54,7 +60,20 @@
     if (m_paused && m_connection) {
         resumeReading();
     }
-    m_behindSince.reset();
+}
+
+bool Exchange::wasLeftUnread() const
+{
+    return m_paused || (m_unreadEndedAt && base::monotonicNow() - *m_unreadEndedAt < unreadEffectTime);
+}
+
+void Exchange::listAsSlow()
+{
+    m_context.slowCallers.add(this, m_behindSince, [this] {
+        if (!net::runGuarded("slow caller", [this] { endSlowCaller(); })) {
+            abort();
+        }
+    });
 }
 
 void Exchange::onPausedTimer(base::TimePoint now)
@@ -66,7 +85,7 @@
     const auto before = std::exchange(m_lastBacklog, m_caller.backlog());
     if (m_lastBacklog + progressBytes <= before) {
         m_behindSince = now;
-        m_context.slowCallers.add(this, now, [this] { endSlowCaller(); });
+        listAsSlow();
     }
     m_context.slowCallers.endSlowest(now);
     if (m_phase != Phase::Finished) {
@@ -80,7 +99,7 @@
         .field("id", m_call.id)
         .field("engine", m_engineId)
         .field("untaken", m_caller.backlog())
-        .field("behind_ms", base::toMilliseconds(base::monotonicNow() - *m_behindSince))
+        .field("behind_ms", base::toMilliseconds(base::monotonicNow() - m_behindSince))
         .field("held_bytes", m_context.memory->held());
     m_context.metrics.counter("ibisfork_slow_callers_ended_total", {{"service", m_service}}).add();
     cancelAttempt();
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -72,7 +72,7 @@
                       startsAfterRest(engine, request)};
 }
 
-/// Operators may have set none, or 0.
+/// Operators may have set 0.
 constexpr double leastObjectiveSeconds = 1e-3;
 
 double objectiveSeconds(const PlacementRequest &request)
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -88,7 +88,7 @@
     std::optional<HeldEngine> held;
     /// All engines are held back, also those that the request was already sent to.
     bool areAllHeld = false;
-    /// There are engines for the request, but none has room.
+    /// No engine was chosen, and at least one was passed over for lack of room.
     bool isFull = false;
     PlacementDetails details;
 };
--- a/src/load/room.cpp
+++ b/src/load/room.cpp
@@ -6,13 +6,13 @@
 
 namespace {
 
-/// Places in an engine's own queue, as a part of its slots.
-constexpr std::uint32_t queuePart = 4;
+/// An engine's own queue has one place for this many of its slots.
+constexpr std::uint32_t slotsPerQueuePlace = 4;
 
 std::uint32_t placesOf(const Occupancy &occupancy, const RoomLimit &limit)
 {
     const auto slots = std::max(1U, occupancy.slots);
-    return limit.mayWaitAtEngine ? slots + std::max(1U, slots / queuePart) : slots;
+    return limit.mayWaitAtEngine ? slots + std::max(1U, slots / slotsPerQueuePlace) : slots;
 }
 
 } // namespace
--- a/tests/configcheck/check_test.cpp
+++ b/tests/configcheck/check_test.cpp
@@ -117,6 +117,17 @@
                                               "difference: workspace w1: 1 keys added, 1 removed"));
 }
 
+TEST_F(ConfigurationCheckTest, difference_priorityOfAWorkspace_andWhetherKeysAreNeeded_areNamed)
+{
+    auto next = m_configuration;
+    next.version = 8;
+    next.workspacesByKey["key1"].priority = 2;
+    next.hasWorkspaces = false;
+    EXPECT_THAT(textsOf(difference(m_configuration, next)),
+                testing::UnorderedElementsAre("difference: workspace w1: priority: that of the route to 2",
+                                              "difference: workspaces: keys needed: yes to no"));
+}
+
 TEST_F(ConfigurationCheckTest, difference_versionIsNotNewer_isAnError)
 {
     EXPECT_THAT(textsOf(difference(m_configuration, m_configuration)),
--- a/tests/gateway/heldconnections_test.cpp
+++ b/tests/gateway/heldconnections_test.cpp
@@ -145,10 +145,6 @@
     startNode();
     SocketCaller slow(m_gateway->callers());
     slow.send(request("POST", "/chat/x", {}, "a"));
-    const auto ended = [this] {
-        return metric("ibisfork_slow_callers_ended_total") == "1";
-    };
-    EXPECT_TRUE(until(ended, 10s));
     SocketCaller other(m_gateway->callers());
     other.send(request("POST", "/chat/x", {}, "a"));
     EXPECT_TRUE(until(
@@ -158,6 +154,10 @@
         },
         12s));
     EXPECT_EQ(countOf(other.received(), "data: e"), events);
+    const auto ended = [this] {
+        return metric("ibisfork_slow_callers_ended_total") == "1";
+    };
+    EXPECT_TRUE(until(ended, 10s));
     slow.readAll();
     EXPECT_FALSE(slow.received().ends_with("0\r\n\r\n"));
 }
