Tests: an engine that refuses connections keeps its port

The fake engine gave its port back when it began to refuse, and a test beside it had got the port meanwhile.

Change: FakeEngine holds the port with RefusingPort, as FaultProxy does.

--- a/tests/gateway/standins.h
+++ b/tests/gateway/standins.h
@@ -13,6 +13,7 @@
 #include "fakestore.h"
 #include "gateway/callerport.h"
 #include "gateway/gateway.h"
+#include "hangingport.h"
 #include "http/callerconnection.h"
 #include "http/upstreamconnection.h"
 #include "net/timer.h"
@@ -96,7 +97,11 @@
     /// Calls that reserve room, received so far; they are not among the requests.
     std::size_t reservationCalls() const { return m_reservationCalls; }
     /// Refuses new connections from now on; those that are open live on.
-    void refuseConnections() { m_port.reset(); }
+    void refuseConnections()
+    {
+        m_port.reset();
+        m_refusingPort.emplace(m_address);
+    }
     /// All requests received so far.
     const std::vector<http::Request> &requests() const { return m_requests; }
     /// Number of open connections.
@@ -117,6 +122,7 @@
     std::vector<http::Request> m_requests;
     std::map<Connection *, std::unique_ptr<Connection>> m_connections;
     std::unique_ptr<ListeningPort> m_port;
+    std::optional<RefusingPort> m_refusingPort;
     net::Address m_address;
 };
 
