What the change wrote twice stands once; no queue is looked at when nobody waits

Change: EngineAnswer::isForeignTo serves the exchange and second copies; Engine::reportAge serves placement, the status document and the estimate; reports have one lifetime and one bound on requests, in load::ReportBoard; whether a pace is reported follows from what is kept by service; PlacementDetails keeps the expected load once; the queue's recordEnd calls recordWithdrawn; the exchange looks its queue up once a question and builds its kind only while something waits; Hedge::cancel, which nobody called, is gone. In tests boundAddress tells the address that a socket has, in place of 127.0.0.1 whatever it is. Behaviour and assertions are as before.

--- a/src/admission/admissionqueue.cpp
+++ b/src/admission/admissionqueue.cpp
@@ -92,7 +92,7 @@
 
 void AdmissionQueue::recordEnd(base::Duration time)
 {
-    m_running -= m_running > 0 ? 1 : 0;
+    recordWithdrawn();
     if (m_serviceTime.count() == 0) {
         m_serviceTime = time;
         return;
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -85,6 +85,8 @@
     bool isSigned = false;
     /// The engine states that it is draining and will end.
     bool isLeaving = false;
+    /// The response answers another request than @p id.
+    bool isForeignTo(const std::string &id) const { return !callId.empty() && callId != id; }
     bool eventStream = false;
     /// The body is a stream of events that may be passed on one by one.
     bool isStream() const { return eventStream && status < http::status::firstRedirect; }
--- a/src/gateway/enginetracker.cpp
+++ b/src/gateway/enginetracker.cpp
@@ -11,8 +11,6 @@
 
 /// Live engines renew their entries within this time after the store is back.
 constexpr std::chrono::milliseconds renewalGracePeriod{2000};
-/// Load reports older than this are ignored.
-constexpr std::chrono::milliseconds reportLifetime{2500};
 /// Without a load report, the load is estimated as this node's own requests times the number of nodes, up to this
 /// factor: a few own requests say little about the requests of many nodes.
 constexpr unsigned maxLoadFactor = 8;
@@ -50,9 +48,15 @@
     return m_promised;
 }
 
+std::optional<base::Duration> Engine::reportAge(base::TimePoint now) const
+{
+    return reportedAt == base::TimePoint{} ? std::nullopt : std::optional<base::Duration>(now - reportedAt);
+}
+
 bool Engine::hasFreshReport(base::TimePoint now) const
 {
-    return reportedAt != base::TimePoint{} && now - reportedAt < reportLifetime;
+    const auto age = reportAge(now);
+    return age && *age < load::ReportBoard::lifetime;
 }
 
 bool Engine::hasRoom(const load::RoomLimit &limit, base::TimePoint now, unsigned nodes) const
@@ -60,7 +64,7 @@
     if (now < fullUntil) {
         return false;
     }
-    const auto age = hasFreshReport(now) ? std::optional<base::Duration>(now - reportedAt) : std::nullopt;
+    const auto age = hasFreshReport(now) ? reportAge(now) : std::nullopt;
     return load::hasRoom({expectedLoad(now, nodes), entry.slots, age, inFlight, sentSinceReport}, limit);
 }
 
@@ -257,10 +261,14 @@
     if (load.slowdown) {
         engine.pace.recordReported(*load.slowdown, saidAt);
         m_latency[engine.entry.service].isPaceReported = true;
-        m_isPaceReported = true;
     }
 }
 
+bool EngineTracker::isPaceReported() const
+{
+    return std::any_of(m_latency.begin(), m_latency.end(), [](const auto &item) { return item.second.isPaceReported; });
+}
+
 std::optional<base::Duration> EngineTracker::recordFirstByte(const std::string &id,
                                                              std::uint64_t tokens,
                                                              const load::EngineState &before,
--- a/src/gateway/enginetracker.h
+++ b/src/gateway/enginetracker.h
@@ -113,7 +113,9 @@
     std::uint64_t unansweredTokens = 0;
     load::Pace pace;
 
-    /// True if the last load report is young enough to be used.
+    /// Age of the last load report, if there is one.
+    std::optional<base::Duration> reportAge(base::TimePoint now) const;
+    /// True if it is young enough to be used.
     bool hasFreshReport(base::TimePoint now) const;
     /// Estimated number of requests, running and waiting, at the engine now. @p nodes: number of nodes that send to it.
     double expectedLoad(base::TimePoint now, unsigned nodes) const;
@@ -169,7 +171,7 @@
     /// engine's current process.
     void recordLoadOfPeer(const load::Report &report, base::TimePoint now);
     /// True once an engine of any service has said how long work takes on its machine.
-    bool isPaceReported() const { return m_isPaceReported; }
+    bool isPaceReported() const;
     /// Records that an answer of the engine, to a prompt of which @p tokens had to be read, began @p seen after it was
     /// sent. @p before: the engine's state when it was sent. Returns the time that was expected, once enough answers
     /// of the service have been seen.
@@ -235,7 +237,6 @@
     std::map<std::string, Engine> m_engines;
     /// By service.
     std::map<std::string, ServiceLatency> m_latency;
-    bool m_isPaceReported = false;
     /// By engine id.
     std::map<std::string, UnlistedProcess> m_unlisted;
 };
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -102,10 +102,10 @@
     Placement place(base::TimePoint now, const std::vector<std::string> &tried);
     void noEngine(const Placement &placement);
 
-    /// True if the request may wait in this node's queue of its service.
-    bool mayQueue() const;
+    /// The queue of its service in which the request may wait; null if it may not.
+    const admission::AdmissionQueue *usableQueue() const;
     /// How far it may fill an engine; nothing if it isn't limited.
-    std::optional<load::RoomLimit> roomLimit();
+    std::optional<load::RoomLimit> roomLimit() const;
     /// Requests of the same kind find room at the same engines.
     std::string queueKind() const;
     /// True if requests of the same kind that are at least as urgent wait already.
--- a/src/gateway/exchangeanswer.cpp
+++ b/src/gateway/exchangeanswer.cpp
@@ -159,7 +159,7 @@
 
 bool Exchange::headIsForeign() const
 {
-    return !m_answer.callId.empty() && m_answer.callId != m_call.id;
+    return m_answer.isForeignTo(m_call.id);
 }
 
 bool Exchange::headIsUsable() const
--- a/src/gateway/exchangehedge.cpp
+++ b/src/gateway/exchangehedge.cpp
@@ -81,7 +81,7 @@
         .field("engine", m_engineId)
         .field("second", engine.entry.id)
         .field("after_ms", base::toMilliseconds(now - m_sentAt))
-        .field("expected_load", details.expectedLoad)
+        .field("expected_load", details.state.requests)
         .field("pace", details.state.pace);
     m_context.metrics.counter("ibisfork_hedges_total", {{"service", m_service}, {"outcome", "sent"}}).add();
     m_tried.push_back(engine.entry.id);
--- a/src/gateway/exchangequeue.cpp
+++ b/src/gateway/exchangequeue.cpp
@@ -27,19 +27,21 @@
 }
 
 // Of requests that may have run, a refusal would not be true; they wait in another way.
-bool Exchange::mayQueue() const
+const admission::AdmissionQueue *Exchange::usableQueue() const
 {
-    return !m_mayHaveRun && !m_streamBegun && m_context.queueOf(m_service) != nullptr;
+    const auto *controller = m_mayHaveRun || m_streamBegun ? nullptr : m_context.queueOf(m_service);
+    return controller == nullptr ? nullptr : &controller->queue();
 }
 
-std::optional<load::RoomLimit> Exchange::roomLimit()
+std::optional<load::RoomLimit> Exchange::roomLimit() const
 {
-    if (!mayQueue()) {
+    const auto *queue = usableQueue();
+    if (queue == nullptr) {
         return std::nullopt;
     }
     load::RoomLimit limit;
     limit.mayWaitAtEngine = rank() <= m_configuration->mostUrgentPriority(m_service);
-    limit.runTime = m_context.queueOf(m_service)->queue().meanServiceTime();
+    limit.runTime = queue->meanServiceTime();
     return limit;
 }
 
@@ -52,7 +54,8 @@
 
 bool Exchange::mustYield() const
 {
-    return !m_hasTurn && mayQueue() && m_context.queueOf(m_service)->queue().hasWaitingUpTo(rank(), queueKind());
+    const auto *queue = m_hasTurn ? nullptr : usableQueue();
+    return queue != nullptr && queue->size() > 0 && queue->hasWaitingUpTo(rank(), queueKind());
 }
 
 void Exchange::awaitRoom()
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -422,6 +422,7 @@
                                   {"release_ms", base::toMilliseconds(queue->queue().releaseInterval())}};
     }
     for (const auto &[id, engine] : view.engines().all()) {
+        const auto reportAge = engine.reportAge(now);
         out["engines"].push_back(
             {{"id", id},
              {"service", engine.entry.service},
@@ -434,7 +435,7 @@
              {"in_flight", engine.inFlight},
              {"expected_load", engine.expectedLoad(now, view.nodes())},
              {"slots", engine.entry.slots},
-             {"report_ms", engine.reportedAt == base::TimePoint{} ? -1 : base::toMilliseconds(now - engine.reportedAt)},
+             {"report_ms", reportAge ? base::toMilliseconds(*reportAge) : -1},
              {"pace_reported", engine.pace.reportedAt(now)},
              {"pace_learned", engine.pace.learned()},
              {"fault_share", engine.faultShare}});
--- a/src/gateway/hedge.cpp
+++ b/src/gateway/hedge.cpp
@@ -53,7 +53,7 @@
     m_answer = platform::decodeAnswer(head);
     m_firstByteAfter = now - m_sentAt;
     m_context.recordEngineAnswered(m_engine.service, m_engine.id, m_connection->connectedAt());
-    if (!m_answer.callId.empty() && m_answer.callId != m_callId) {
+    if (m_answer.isForeignTo(m_callId)) {
         return;
     }
     if (m_answer.load) {
@@ -67,9 +67,8 @@
 
 bool Hedge::isUsable() const
 {
-    const bool isOwn = m_answer.callId.empty() || m_answer.callId == m_callId;
-    return isOwn && m_bodyFits && !m_answer.notRun && m_answer.isSigned && !m_answer.eventStream
-        && http::status::isSuccess(m_answer.status);
+    return !m_answer.isForeignTo(m_callId) && m_bodyFits && !m_answer.notRun && m_answer.isSigned
+        && !m_answer.eventStream && http::status::isSuccess(m_answer.status);
 }
 
 void Hedge::onComplete()
--- a/src/gateway/hedge.h
+++ b/src/gateway/hedge.h
@@ -32,8 +32,6 @@
               const http::Body &body,
               bool isHead,
               Handlers handlers);
-    /// Gives up the copy; its engine then drops it.
-    void cancel() { m_connection->abandon(); }
 
     const EngineEntry &engine() const { return m_engine; }
     const PlacementDetails &details() const { return m_details; }
--- a/src/gateway/loads/loadcodec.cpp
+++ b/src/gateway/loads/loadcodec.cpp
@@ -12,9 +12,9 @@
 
 namespace {
 
+using load::mostRequests;
+
 constexpr double percent = 100.0;
-/// No engine holds more requests.
-constexpr std::uint32_t mostRequests = 1'000'000;
 
 wire::EngineReport encode(const load::Report &report, base::TimePoint now)
 {
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -249,16 +249,13 @@
 {
     PlacementDetails details;
     details.state = engine.loadState(now, request.nodes);
-    details.expectedLoad = details.state.requests;
     details.bySharedPart = bySharedPart;
     details.tokensToRead
         = request.promptTokens - (bySharedPart ? std::min(request.sharedTokens, request.promptTokens) : 0);
     if (request.latency != nullptr) {
         details.expectedFirstByte = request.latency->firstByte(details.tokensToRead, details.state);
     }
-    if (engine.reportedAt != base::TimePoint{}) {
-        details.reportAge = now - engine.reportedAt;
-    }
+    details.reportAge = engine.reportAge(now);
     return details;
 }
 
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -48,8 +48,6 @@
 {
     /// Number of engines that were eligible.
     std::size_t candidates = 0;
-    /// Requests that the chosen engine was expected to hold, running and waiting.
-    double expectedLoad = 0;
     /// Age of the chosen engine's last load report, if there is one.
     std::optional<base::Duration> reportAge;
     /// The engine was chosen by rendezvous hashing of the shared prompt part.
--- a/src/load/reportboard.h
+++ b/src/load/reportboard.h
@@ -10,6 +10,9 @@
 
 namespace ibisfork::load {
 
+/// No engine holds more requests.
+inline constexpr std::uint32_t mostRequests = 1'000'000;
+
 /// What a process of an engine has said of its load in an answer.
 struct Report
 {
--- a/tests/process/heldport.h
+++ b/tests/process/heldport.h
@@ -32,7 +32,7 @@
         if (bind(m_socket, reinterpret_cast<const sockaddr *>(&any), sizeof any) != 0 || listen(m_socket, 1) != 0) {
             throw std::runtime_error("no port can be had");
         }
-        m_address = {ownLoopback(), test::boundAddress(m_socket).port};
+        m_address = test::boundAddress(m_socket);
     }
     ~HeldPort() { close(m_socket); }
     HeldPort(const HeldPort &) = delete;
--- a/tests/socketaddress.h
+++ b/tests/socketaddress.h
@@ -4,6 +4,8 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include <array>
+
 #include "net/address.h"
 
 namespace ibisfork::test {
@@ -24,7 +26,9 @@
     sockaddr_in bound{};
     socklen_t size = sizeof bound;
     getsockname(socket, reinterpret_cast<sockaddr *>(&bound), &size);
-    return {"127.0.0.1", ntohs(bound.sin_port)};
+    std::array<char, INET_ADDRSTRLEN> ip{};
+    inet_ntop(AF_INET, &bound.sin_addr, ip.data(), ip.size());
+    return {ip.data(), ntohs(bound.sin_port)};
 }
 
 } // namespace ibisfork::test
