--- a/review/stand-2/run-case.sh
+++ b/review/stand-2/run-case.sh
@@ -3,15 +3,27 @@
 set -uo pipefail
 cd "$(dirname "$0")/../.."
 program=target/review-2/case-$1
-[ -x "$program" ] && [ -x target/ibisforkd ] || exit 2
+if [ ! -x "$program" ] || [ ! -x target/ibisforkd ]; then
+    echo "build with the command of deploy/system.toml and with review/build-2.sh first" >&2
+    exit 2
+fi
 folder=$(mktemp -d) || exit 2
-trap 'rm -rf "$folder"' EXIT
-timeout -k 5 110 "$program" "$PWD/target/ibisforkd" "$folder" "review/$1/record.txt"
+case_process=
+# Ends the case and the nodes that it has started, also if it is stopped.
+end() {
+    [ -z "$case_process" ] || kill "$case_process" 2>/dev/null
+    for pid in $(cat "$folder"/*.pid 2>/dev/null); do
+        kill -KILL "$pid" 2>/dev/null
+    done
+    rm -rf "$folder"
+}
+trap end EXIT
+trap 'exit 2' INT TERM HUP
+timeout -k 5 110 "$program" "$PWD/target/ibisforkd" "$folder" "review/$1/record.txt" &
+case_process=$!
+wait "$case_process"
 status=$?
-# The node ends with its case; one of a case that was stopped is ended here.
-for pid in $(cat "$folder"/*.pid 2>/dev/null); do
-    kill -KILL "$pid" 2>/dev/null
-done
+case_process=
 case $status in
     0 | 1) exit "$status" ;;
     *) exit 2 ;;
--- a/review/stand-2/stand.h
+++ b/review/stand-2/stand.h
@@ -15,6 +15,7 @@
 #include <chrono>
 #include <condition_variable>
 #include <csignal>
+#include <cstdio>
 #include <cstdlib>
 #include <cstring>
 #include <fstream>
@@ -23,6 +24,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -158,6 +160,8 @@
     }
 
     int fd() const { return m_fd; }
+    /// Ends the connection without an answer; its reader closes it.
+    void end() const { shutdown(m_fd, SHUT_RDWR); }
     void limitReads(std::chrono::milliseconds time) const
     {
         const timeval limit{time.count() / 1000, time.count() % 1000 * 1000};
@@ -282,6 +286,17 @@
 
     int port() const { return m_port; }
     std::string address() const { return "127.0.0.1:" + std::to_string(m_port); }
+    /// Closes the port and all connections at once.
+    void stop()
+    {
+        const std::lock_guard lock(m_mutex);
+        m_isStopped = true;
+        shutdown(m_fd, SHUT_RDWR);
+        close(m_fd);
+        for (const int fd : m_open) {
+            shutdown(fd, SHUT_RDWR);
+        }
+    }
 
 private:
     void accept()
@@ -294,18 +309,31 @@
             std::thread([this, fd] { serve(fd); }).detach();
         }
     }
+    bool open(int fd)
+    {
+        const std::lock_guard lock(m_mutex);
+        return !m_isStopped && m_open.insert(fd).second;
+    }
     void serve(int fd)
     {
         Connection connection(fd);
+        if (!open(fd)) {
+            return;
+        }
         while (const auto request = connection.read()) {
             if (!request->isWhole) {
-                return;
+                break;
             }
             m_handler(connection, *request);
         }
+        const std::lock_guard lock(m_mutex);
+        m_open.erase(fd);
     }
 
     Handler m_handler;
+    std::mutex m_mutex;
+    std::set<int> m_open;
+    bool m_isStopped = false;
     int m_fd;
     int m_port = 0;
 };
@@ -338,6 +366,33 @@
         put(table, key, {}, true);
         m_changed.notify_all();
     }
+    /// Called with each row that the system writes.
+    void onWrite(
+        std::function<void(const std::string &table, const std::string &key, const std::string &data)> callback)
+    {
+        m_onWrite = std::move(callback);
+    }
+    /// While it is away, each call's connection is closed.
+    void setAway(bool isAway)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_isAway = isAway;
+        m_changed.notify_all();
+    }
+    /// Goes back to the rows and the version of @p time, in a new era.
+    void restore(std::int64_t time)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_tables.clear();
+        m_version = 0;
+        std::erase_if(m_history, [&](const Change &change) { return change.at > time; });
+        for (const auto &change : m_history) {
+            m_tables[change.table][change.key] = change.row;
+            m_version = change.row.version;
+        }
+        ++m_era;
+        m_changed.notify_all();
+    }
 
 private:
     struct Row
@@ -347,9 +402,18 @@
         bool isRemoved = false;
     };
 
+    struct Change
+    {
+        std::int64_t at = 0;
+        std::string table;
+        std::string key;
+        Row row;
+    };
+
     void put(const std::string &table, const std::string &key, const std::string &data, bool isRemoved)
     {
         m_tables[table][key] = {data, ++m_version, isRemoved};
+        m_history.push_back({nowMs(), table, key, m_tables[table][key]});
     }
     json rowJson(const std::string &table, const std::string &key, const Row &row) const
     {
@@ -382,12 +446,18 @@
     {
         body["rowVersion"] = m_version;
         body["nowMs"] = nowMs();
-        return answer(status, "Content-Type: application/json\r\n", body.dump());
+        const auto era = "Store-Era: " + std::to_string(m_era) + "\r\n";
+        return answer(status, era + "Content-Type: application/json\r\n", body.dump());
     }
 
     void handle(Connection &connection, const Message &request)
     {
         std::unique_lock lock(m_mutex);
+        const auto era = m_era;
+        if (m_isAway) {
+            connection.end();
+            return;
+        }
         const auto target = request.target();
         const auto table = request.parameter("table");
         std::string out;
@@ -402,8 +472,12 @@
         } else if (target.starts_with("/ibisfork/rows-feed")) {
             const auto after = std::strtoull(request.parameter("sinceRev").c_str(), nullptr, 10);
             const auto wait = std::chrono::milliseconds(std::atoi(request.parameter("waitMs").c_str()));
-            m_changed.wait_for(lock, wait, [&] { return !changes(table, after).empty(); });
-            out = reply(200, {{"rows", changes(table, after)}});
+            m_changed.wait_for(lock, wait, [&] { return m_isAway || era != m_era || !changes(table, after).empty(); });
+            if (m_isAway || era != m_era) {
+                connection.end();
+                return;
+            }
+            out = after > m_version ? reply(410, json::object()) : reply(200, {{"rows", changes(table, after)}});
         } else {
             out = transaction(json::parse(request.body));
         }
@@ -427,6 +501,9 @@
         }
         for (const auto &item : call["write"]) {
             put(item["table"], item["key"], item["data"], false);
+            if (m_onWrite) {
+                m_onWrite(item["table"], item["key"], item["data"]);
+            }
         }
         for (const auto &item : call["remove"]) {
             put(item["table"], item["key"], {}, true);
@@ -438,7 +515,11 @@
     std::mutex m_mutex;
     std::condition_variable m_changed;
     std::map<std::string, std::map<std::string, Row>> m_tables;
+    std::vector<Change> m_history;
     std::uint64_t m_version = 0;
+    std::uint32_t m_era = 1;
+    bool m_isAway = false;
+    std::function<void(const std::string &, const std::string &, const std::string &)> m_onWrite;
     Server m_server;
 };
 
@@ -449,20 +530,15 @@
     Node(std::string program, std::string folder, std::string store, std::string name, std::string zone)
         : m_program(std::move(program))
         , m_folder(std::move(folder))
+        , m_store(std::move(store))
         , m_name(std::move(name))
+        , m_zone(std::move(zone))
         , m_callers(freePort())
         , m_readiness(freePort())
+        , m_operators(freePort())
+        , m_forwarding(freePort())
     {
-        const auto operators = "\"127.0.0.1:" + std::to_string(freePort()) + "\"";
-        std::ofstream(settings()) << "node:\n  name: \"" << m_name << "\"\n  failure_domain: \"" << zone
-                                  << "\"\n  region: \"r\"\nlisten:\n  callers: \"127.0.0.1:" << m_callers
-                                  << "\"\n  readiness: \"127.0.0.1:" << m_readiness << "\"\n  operators: " << operators
-                                  << "\n  forwarding: \"127.0.0.1:" << freePort() << "\"\nstore:\n  address: \""
-                                  << store << "\"\nseeds: [" << operators
-                                  << "]\nbounds:\n  resend_ratio: 0.9\n  resend_extra: 54\n  resend_window: 10s\n"
-                                     "  cold_factor: 1.5\n  cold_tolerance: 5\n  exposure_share: 0.15\n"
-                                     "  exposure_tolerance: 30\n  engine_heartbeat: 1200ms\n  shutdown_grace: 8s\n"
-                                     "waiting:\n  most: 500\n";
+        setSeeds({operators()});
     }
     ~Node() { end(); }
     Node(const Node &) = delete;
@@ -470,6 +546,21 @@
 
     int port() const { return m_callers; }
     pid_t pid() const { return m_pid; }
+    std::string operators() const { return addressOf(m_operators); }
+
+    /// Writes the settings, as the deploy file's template renders them.
+    void setSeeds(const std::vector<std::string> &seeds) const
+    {
+        std::ofstream(settings()) << "node:\n  name: \"" << m_name << "\"\n  failure_domain: \"" << m_zone
+                                  << "\"\n  region: \"r\"\nlisten:\n  callers: \"" << addressOf(m_callers)
+                                  << "\"\n  readiness: \"" << addressOf(m_readiness) << "\"\n  operators: \""
+                                  << operators() << "\"\n  forwarding: \"" << addressOf(m_forwarding)
+                                  << "\"\nstore:\n  address: \"" << m_store << "\"\nseeds: " << json(seeds).dump()
+                                  << "\nbounds:\n  resend_ratio: 0.9\n  resend_extra: 54\n  resend_window: 10s\n"
+                                     "  cold_factor: 1.5\n  cold_tolerance: 5\n  exposure_share: 0.15\n"
+                                     "  exposure_tolerance: 30\n  engine_heartbeat: 1200ms\n  shutdown_grace: 8s\n"
+                                     "waiting:\n  most: 500\n";
+    }
 
     void start()
     {
@@ -486,7 +577,7 @@
             execl(m_program.c_str(), m_program.c_str(), "--settings", path.c_str(), nullptr);
             _exit(127);
         }
-        std::ofstream(m_folder + "/" + m_name + ".pid") << m_pid << std::endl;
+        std::ofstream(pidFile()) << m_pid << std::endl;
     }
     bool isReady() const
     {
@@ -524,17 +615,25 @@
             kill(m_pid, SIGKILL);
             waitpid(m_pid, nullptr, 0);
             m_pid = 0;
+            std::remove(pidFile().c_str());
         }
     }
 
 private:
+    static std::string addressOf(int port) { return "127.0.0.1:" + std::to_string(port); }
     std::string settings() const { return m_folder + "/" + m_name + ".yaml"; }
+    /// Names the process to whoever has to end it in place of this program.
+    std::string pidFile() const { return m_folder + "/" + m_name + ".pid"; }
 
     std::string m_program;
     std::string m_folder;
+    std::string m_store;
     std::string m_name;
+    std::string m_zone;
     int m_callers;
     int m_readiness;
+    int m_operators;
+    int m_forwarding;
     pid_t m_pid = 0;
 };
 
