--- a/review/stand-2/run-case.sh
+++ b/review/stand-2/run-case.sh
@@ -9,9 +9,12 @@
 fi
 folder=$(mktemp -d) || exit 2
 case_process=
-# Ends the case and the nodes that it has started, also if it is stopped.
+# Ends the case and the nodes that it has started, also if it or its time limit is stopped. The case goes first, so that
+# it starts no node afterwards.
 end() {
     [ -z "$case_process" ] || kill "$case_process" 2>/dev/null
+    [ ! -e "$folder/case" ] || kill -KILL "$(cat "$folder/case")" 2>/dev/null
+    [ -z "$case_process" ] || wait "$case_process" 2>/dev/null
     for pid in $(cat "$folder"/*.pid 2>/dev/null); do
         kill -KILL "$pid" 2>/dev/null
     done
@@ -19,11 +22,15 @@
 }
 trap end EXIT
 trap 'exit 2' INT TERM HUP
-timeout -k 5 110 "$program" "$PWD/target/ibisforkd" "$folder" "review/$1/record.txt" &
+# The shell writes its own id, which stays that of the program.
+timeout -k 5 110 bash -c 'echo $$ >"$2/case" && exec "$0" "$1" "$2" "$3"' \
+    "$program" "$PWD/target/ibisforkd" "$folder" "review/$1/record.txt" &
 case_process=$!
 wait "$case_process"
 status=$?
 case_process=
+# A program that has ended by itself has nothing left to end; its id may be another's by now.
+[ "$status" -gt 1 ] || rm -f "$folder/case"
 case $status in
     0 | 1) exit "$status" ;;
     *) exit 2 ;;
--- a/review/stand-2/stand.h
+++ b/review/stand-2/stand.h
@@ -6,6 +6,7 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -568,6 +569,7 @@
         const auto path = settings();
         m_pid = fork();
         if (m_pid == 0) {
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
             const int fd = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             dup2(fd, STDOUT_FILENO);
             dup2(fd, STDERR_FILENO);
