--- a/review/6/main.cpp
+++ b/review/6/main.cpp
@@ -1,4 +1,4 @@
-/// A route names several models and may run a request once; the small model is unsure of its answers.
+/// Routes name several models and may run a request once; the smallest model is unsure of its answers.
 
 #include <iostream>
 
@@ -14,7 +14,7 @@
 constexpr int engineCount = 3;
 constexpr int requestCount = 20;
 constexpr int eventCount = 5;
-/// What the models say of their answers: unsure, and sure.
+/// What a model says of its answer: unsure, and sure.
 constexpr int lowConfidence = 10;
 constexpr int highConfidence = 95;
 
@@ -92,7 +92,9 @@
             return;
         }
         const auto model = request.header("Ibisfork-Model");
-        const int confidence = stand::withTrouble() ? lowConfidence : highConfidence;
+        // Larger models answer well what the smallest one is unsure of.
+        const bool isUnsure = stand::withTrouble() && model == "small";
+        const int confidence = isUnsure ? lowConfidence : highConfidence;
         m_runs.add(id, m_id + " with " + model);
         m_record.line("run of " + id + " at engine " + m_id + " with model " + model + ", confidence "
                       + std::to_string(confidence));
