A request that may run once isn't run again where its model is unsure

Cause: Exchange::wantsSecondRun() didn't ask whether the request may run again. Every other way to a second run did, each in its own words, so that a new one could forget it. Change: Exchange::mayRunAgain() is the one question, and send() and forwardTo(), through which every further attempt goes, ask it again: a way that forgets it ends the request and says so. The first answer is passed on at once.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -184,6 +184,18 @@
         || (m_route->repeatability == Repeatability::Stream && m_route->resumable);
 }
 
+bool Exchange::mayRunAgain(bool currentMayRun) const
+{
+    return repeatable() || !(m_mayHaveRun || currentMayRun);
+}
+
+void Exchange::endUnsent(const std::string &target)
+{
+    EventLog::failure("second_run_prevented").field("id", m_call.id).field("target", target);
+    m_context.metrics.counter("ibisfork_second_runs_prevented_total").add();
+    failRequest("may_run_once");
+}
+
 unsigned Exchange::maxRuns() const
 {
     return m_forwardState ? std::min(m_forwardState->runsLeft, m_route->maxUpstreams) : m_route->maxUpstreams;
@@ -334,6 +346,10 @@
 
 void Exchange::send(const Engine &engine, const PlacementDetails &details)
 {
+    if (!mayRunAgain()) {
+        endUnsent(engine.entry.id);
+        return;
+    }
     m_placementDetails = details;
     const auto now = base::monotonicNow();
     m_model = chooseModel();
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -310,6 +310,12 @@
     /// As silenceBound(), once connected to an engine.
     base::Duration engineSilenceBound() const;
     bool repeatable() const;
+    /// True if the request may be sent to an engine or another node, whatever has become of it before: it has not run,
+    /// or its route allows further runs. Every way to a second run asks this. @p currentMayRun: the current attempt may
+    /// run it as well.
+    bool mayRunAgain(bool currentMayRun = false) const;
+    /// Ends the request, which was about to be sent to @p target against mayRunAgain().
+    void endUnsent(const std::string &target);
     /// Attempts that the engine may have executed, at most.
     unsigned maxRuns() const;
     base::Duration coldPeriod() const;
--- a/src/gateway/exchangeanswer.cpp
+++ b/src/gateway/exchangeanswer.cpp
@@ -172,7 +172,7 @@
 {
     // A route without models leaves the choice to the engine, whatever the caller asks for.
     const bool hasChosen = !m_model.empty();
-    if (m_streamBegun || !hasChosen || !m_answer.confidence || m_runs >= maxRuns()) {
+    if (m_streamBegun || !hasChosen || !m_answer.confidence || m_runs >= maxRuns() || !mayRunAgain(true)) {
         return false;
     }
     const auto pressure = m_context.latencyRatio(m_route->name).value();
--- a/src/gateway/exchangeend.cpp
+++ b/src/gateway/exchangeend.cpp
@@ -171,7 +171,7 @@
 
 bool Exchange::mayRetry(bool mayHaveRun) const
 {
-    if (m_passesOn || (mayHaveRun && !repeatable())) {
+    if (m_passesOn || !mayRunAgain(mayHaveRun)) {
         return false;
     }
     const bool runsLeft = m_runs < maxRuns() && !maySuspectItself();
--- a/src/gateway/exchangeforward.cpp
+++ b/src/gateway/exchangeforward.cpp
@@ -32,12 +32,12 @@
 
 bool Exchange::mayRefuseForwarded() const
 {
-    return m_origin == RequestOrigin::Peer && !m_streamBegun && (!m_mayHaveRun || repeatable());
+    return m_origin == RequestOrigin::Peer && !m_streamBegun && mayRunAgain();
 }
 
 std::optional<PeerNode> Exchange::choosePeer()
 {
-    const bool mayRunElsewhere = (!m_mayHaveRun || repeatable()) && m_runs < maxRuns();
+    const bool mayRunElsewhere = mayRunAgain() && m_runs < maxRuns();
     if (m_origin == RequestOrigin::Peer || !mayRunElsewhere) {
         return std::nullopt;
     }
@@ -83,6 +83,10 @@
 
 void Exchange::forwardTo(const PeerNode &peer)
 {
+    if (!mayRunAgain()) {
+        endUnsent(peer.name);
+        return;
+    }
     const auto now = base::monotonicNow();
     EventLog::routine("forward")
         .field("id", m_call.id)
--- a/src/gateway/exchangehedge.cpp
+++ b/src/gateway/exchangehedge.cpp
@@ -31,7 +31,7 @@
     const bool isKind = m_route->repeatability == Repeatability::Idempotent && m_route->models.empty();
     const bool isFirstAttempt = m_sends == 1 && !m_peer && m_origin == RequestOrigin::Caller;
     return isKind && isFirstAttempt && m_context.hedges.bound().allowsAny() && !m_context.stopping && m_cutOffs == 0
-        && m_runs < maxRuns();
+        && m_runs < maxRuns() && mayRunAgain(true);
 }
 
 void Exchange::awaitHedge()
