A crash counts against a request however long its answer had gone on

Cause: a run that was cut off 200 ms or more after its first event was no evidence, by the time at which the node looked. And a run that had gone on for 200 ms by its events cleared the request's body, earlier crashes included. Change: each cut-off run whose engine has ended is evidence. Parts of the prompt are cleared by an event that comes 200 ms or more after the first, the body by a whole answer alone.

--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -46,12 +46,14 @@
 
 ResendBound resendBound(const settings::FleetBounds &bounds);
 
-/// A run whose connection was lost before the engine had begun to answer.
+/// A run whose connection was lost before its answer was whole.
 struct LostRun
 {
     /// The engine's entry when the run was sent.
     EngineEntry engine;
     std::vector<RequestTrait> traits;
+    /// It had delivered events for soundRunTime, so that no part of its prompt is suspected.
+    bool hadSoundParts = false;
 };
 
 /// State shared by all exchanges of a node. Used only on the node's event loop.
--- a/src/gateway/crashreporter.cpp
+++ b/src/gateway/crashreporter.cpp
@@ -53,7 +53,8 @@
 
 void CrashReporter::recordLostRun(const LostRun &run)
 {
-    if (!m_context.crashes.recordLostRun(processText(run.engine), run.traits, m_context.storeNow())) {
+    if (!m_context.crashes.recordLostRun(
+            processText(run.engine), run.traits, m_context.storeNow(), run.hadSoundParts)) {
         return;
     }
     m_probes.push_back({base::monotonicNow(), run.engine, nullptr, nullptr});
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -388,7 +388,7 @@
     m_sentAt = now;
     m_lastProgress = now;
     m_runBeganAt.reset();
-    m_soundRunRecorded = false;
+    m_hasSoundParts = false;
     m_isRunWhole = false;
     m_unreadEndedAt.reset();
     m_answer = {};
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -248,11 +248,16 @@
     void releaseConnection();
     /// This node's share of the idle connections that an engine accepts.
     std::size_t maxIdleConnections() const;
-    /// Records that the current run went well, so that its traits don't crash engines.
+    /// When the current run began to be answered, by the store's clock.
+    StoreTime runBeganAt() const;
+    /// Records that the current run has gone on for soundRunTime, so that no part of its prompt crashes engines as an
+    /// answer begins.
+    void recordSoundParts();
+    /// Records that the current run was answered in whole, so that none of its traits crashes engines.
     void recordSoundRun();
     /// Cancels the current attempt, if any, by closing its connection; the engine then aborts the request.
     void cancelAttempt();
-    /// Records that the current run was cut off; it is evidence of a crash if the answer had not begun, or only just.
+    /// Records that the current run was cut off, which is evidence if its engine has ended.
     void recordCutOff();
     /// True if this request must not reach an engine because it is known to crash them.
     bool isPoison();
@@ -412,8 +417,9 @@
     bool m_streamBegun = false;
     /// When the current attempt delivered its first event.
     std::optional<base::TimePoint> m_runBeganAt;
-    bool m_soundRunRecorded = false;
-    /// Attempts that were cut off before the answer had begun.
+    /// recordSoundParts() has been called for the current attempt.
+    bool m_hasSoundParts = false;
+    /// Attempts that were cut off before the answer was whole.
     unsigned m_cutOffs = 0;
     /// Reading from the upstream is paused.
     bool m_paused = false;
--- a/src/gateway/exchangeanswer.cpp
+++ b/src/gateway/exchangeanswer.cpp
@@ -272,7 +272,7 @@
     if (!m_runBeganAt) {
         m_runBeganAt = now;
     } else if (now - *m_runBeganAt >= soundRunTime) {
-        recordSoundRun();
+        recordSoundParts();
     }
 }
 
--- a/src/gateway/exchangecrash.cpp
+++ b/src/gateway/exchangecrash.cpp
@@ -35,12 +35,10 @@
 
 void Exchange::recordCutOff()
 {
-    if (m_runBeganAt && base::monotonicNow() - *m_runBeganAt >= soundRunTime) {
-        return;
-    }
+    // How long ago the first event came says nothing here: this node may have been late to see the end.
     ++m_cutOffs;
     if (m_context.reportLostRun) {
-        m_context.reportLostRun({m_engineEntry, traits()});
+        m_context.reportLostRun({m_engineEntry, traits(), m_hasSoundParts});
     }
 }
 
@@ -58,15 +56,23 @@
     }
 }
 
-void Exchange::recordSoundRun()
+StoreTime Exchange::runBeganAt() const
 {
-    if (std::exchange(m_soundRunRecorded, true)) {
-        return;
+    const auto age = base::monotonicNow() - m_runBeganAt.value_or(m_lastProgress);
+    return m_context.storeNow() - std::chrono::duration_cast<StoreTime>(age);
+}
+
+void Exchange::recordSoundParts()
+{
+    if (!std::exchange(m_hasSoundParts, true)) {
+        m_context.crashes.recordSoundRun(m_parts, runBeganAt());
     }
-    const auto now = base::monotonicNow();
-    const auto age = std::chrono::duration_cast<StoreTime>(now - m_runBeganAt.value_or(m_lastProgress));
+}
+
+void Exchange::recordSoundRun()
+{
     const bool hasBodySuspects = m_context.crashes.hasReports();
-    m_context.crashes.recordSoundRun(hasBodySuspects ? traits() : m_parts, m_context.storeNow() - age);
+    m_context.crashes.recordSoundRun(hasBodySuspects ? traits() : m_parts, runBeganAt());
 }
 
 void Exchange::endIfPoison()
--- a/tests/gateway/enginefleet.cpp
+++ b/tests/gateway/enginefleet.cpp
@@ -44,15 +44,17 @@
 
 EngineReply EngineFleet::answerThatCrashes(const std::string &id, const http::Request &request)
 {
-    if (!m_crashesAfterAnEvent) {
+    if (!m_crashTimes) {
         after(runTime, [this, id] { crash(id); });
         return {};
     }
-    after(runTime + eventTime, [this, id] { crash(id); });
+    after(runTime + m_crashTimes->end, [this, id] { crash(id); });
     const auto last = request.head.headers.find("Last-Event-Id");
     const int event = last ? std::stoi(std::string(*last)) + 1 : 1;
-    auto reply = pausingStream(event, event, event + 1, 2 * eventTime);
+    auto reply = pausingStream(event, event, event + 1, m_crashTimes->secondEvent);
     reply.delay = runTime;
+    // Its end never comes.
+    reply.rest.resize(reply.rest.rfind("0\r\n\r\n"));
     return reply;
 }
 
--- a/tests/gateway/enginefleet.h
+++ b/tests/gateway/enginefleet.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,8 +26,16 @@
     std::size_t crashingRequests() const { return m_crashingRequests; }
     /// Number of engines that have ended so far.
     std::size_t crashes() const { return m_crashes; }
-    /// From now on engines send an event of a request that crashes them, and end soon after it.
-    void crashAfterAnEvent() { m_crashesAfterAnEvent = true; }
+    /// When an engine goes on with a request that crashes it, and when it ends, both since the first event.
+    struct CrashTimes
+    {
+        std::chrono::milliseconds secondEvent;
+        std::chrono::milliseconds end;
+    };
+    /// From now on engines send events of a request that crashes them, and end after them.
+    void crashAfterEvents(const CrashTimes &times) { m_crashTimes = times; }
+    /// As above; they end soon after the first event.
+    void crashAfterAnEvent() { crashAfterEvents({2 * eventTime, eventTime}); }
     /// All engines end at this moment, without a request to blame.
     void crashAll();
     /// Time that an engine takes from the request to its response, or to its end.
@@ -46,7 +55,7 @@
     event_base *m_base;
     FakeStore &m_store;
     Predicate m_isCrashing;
-    bool m_crashesAfterAnEvent = false;
+    std::optional<CrashTimes> m_crashTimes;
     std::size_t m_started = 0;
     std::size_t m_crashes = 0;
     std::size_t m_crashingRequests = 0;
