Lost runs of one engine that are seen one after the other stay one report

Cause: a node that sees the runs of an ended engine end one after the other, as a late one does, reported the end anew, and the later report replaced the earlier one with its suspects. Evidence: CrashTrackerTest.anotherLostRunOfTheSameEnd_isSeenLater_firstOneStaysSuspect failed before. Whether this happened on the users' machines isn't known. Change: suspects of the same end are added to its report, up to as many as one may name.

--- a/src/gateway/crashtracker.cpp
+++ b/src/gateway/crashtracker.cpp
@@ -24,6 +24,17 @@
 /// Shortest time between two verdicts, so that they cost little under load.
 constexpr std::chrono::milliseconds minUpdateInterval{50};
 
+/// Adds as many of @p traits to @p report as one may name.
+void addSuspects(CrashReport &report, const std::set<RequestTrait> &traits)
+{
+    for (const auto &trait : traits) {
+        if (report.suspects.size() >= maxSuspects) {
+            return;
+        }
+        report.suspects.insert(trait);
+    }
+}
+
 } // namespace
 
 bool CrashTracker::recordLostRun(const std::string &engine,
@@ -65,7 +76,15 @@
 
 void CrashTracker::addReport(CrashReport report)
 {
-    std::erase_if(m_own.reports, [&](const CrashReport &known) { return known.engine == report.engine; });
+    const auto isOfSameEnd = [&](const CrashReport &known) {
+        return known.engine == report.engine;
+    };
+    const auto known = std::find_if(m_own.reports.begin(), m_own.reports.end(), isOfSameEnd);
+    if (known != m_own.reports.end()) {
+        // The runs of one engine may be seen to end one after the other.
+        addSuspects(*known, report.suspects);
+        return;
+    }
     m_own.reports.push_back(std::move(report));
     if (m_own.reports.size() > maxReports) {
         m_own.reports.erase(m_own.reports.begin());
--- a/tests/gateway/crashtracker_test.cpp
+++ b/tests/gateway/crashtracker_test.cpp
@@ -115,6 +115,17 @@
     EXPECT_FALSE(m_trackers.front().isPoison({body("f")}, 2s));
 }
 
+// Guards against evidence that is lost when a node sees the runs of an ended engine end one after the other (BUDGET).
+TEST_F(CrashTrackerTest, anotherLostRunOfTheSameEnd_isSeenLater_firstOneStaysSuspect)
+{
+    for (int i = 0; i < 3; ++i) {
+        const auto number = std::to_string(i);
+        crash(0, "e" + number, {body("bad")}, 1000ms * (i + 1));
+        crash(0, "e" + number, {body("other" + number)}, 1000ms * (i + 1) + 300ms);
+    }
+    EXPECT_EQ(refusing({body("bad")}, 5000ms), nodes);
+}
+
 TEST_F(CrashTrackerTest, request_answeredMeanwhile_isNotPoison)
 {
     crash(0, "e1", {body("f")}, 0s);
