A roll-out that can't complete in time moves nobody, and is reverted at once

Cause: the full step was granted at any time, though a roll-out needs 0.15 of its period in it and is given up at 0.97. And at 0.82 sessions went back to the old version wherever a time for the full step wasn't known yet, 0.15 of the period before the version was rolled back, also at a node that read the time late. Change: the full step begins at 0.82 of the period at the latest. A roll-out without a time for it is reverted at 0.87, and sessions stay where they are until the version is stopped. sessions_versionNotProvedWhileItCouldComplete_getNoMore wanted sessions to go back at 0.82, which is what callers must not see; in its place stand the tests that they stay until the revert, and go back at 0.97 without one.

--- a/src/gateway/rolloutdriver.cpp
+++ b/src/gateway/rolloutdriver.cpp
@@ -116,7 +116,7 @@
 {
     const auto &rollouts = m_context.view.rollouts();
     for (const auto &service : rollouts.servicesWithOrders()) {
-        const bool isStepDue = rollouts.isFullStepDue(service);
+        const bool isStepDue = rollouts.isFullStepDue(service, now + fullStepNotice);
         if (!isStepDue && !rollouts.isPlanDue(service)) {
             m_stepDueSince.erase(service);
             continue;
--- a/src/gateway/rollouttracker.cpp
+++ b/src/gateway/rollouttracker.cpp
@@ -22,6 +22,9 @@
 constexpr double giveUpAt = 0.97;
 /// A full step that begins after this fraction of the period is too late for the rollout to complete.
 constexpr double latestFullStep = giveUpAt - drainFraction;
+/// A rollout without a time for its full step is reverted at this fraction of the period: it can't complete any more,
+/// and a time that was written in time is known to all nodes by then.
+constexpr double giveUpWithoutFullStepAt = 0.87;
 /// Fraction of the exposure bound that nodes use; the rest covers retries and nodes that restart.
 constexpr double usedExposure = 2.0 / 3.0;
 
@@ -50,14 +53,14 @@
 }
 
 /// Share of the requests with a session. It neither follows a node's allowance nor falls, so that no session goes back;
-/// from the begin of the partial step to latestFullStep it keeps the share of @p bound.
+/// from the begin of the partial step to giveUpWithoutFullStepAt it keeps the share of @p bound.
 double sessionShare(RolloutStep step, const ExposureBound &bound)
 {
     switch (step) {
     case RolloutStep::Trial:
         return 0.0;
     case RolloutStep::Partial:
-        return std::min(partialShare, bound.share / (latestFullStep - Rollout::partialStart));
+        return std::min(partialShare, bound.share / (giveUpWithoutFullStepAt - Rollout::partialStart));
     case RolloutStep::Full:
         return 1.0;
     }
@@ -216,11 +219,6 @@
     return rollout.newCounts.sent + 1 <= usedExposure * allowed;
 }
 
-bool RolloutTracker::mayMoveSessions(const Rollout &rollout, base::TimePoint now)
-{
-    return rollout.fullAt() || rollout.progress(now) < latestFullStep;
-}
-
 VersionPreference RolloutTracker::preferredVersion(const std::string &service,
                                                    const std::string &subject,
                                                    bool isSession,
@@ -239,7 +237,7 @@
     const auto step = rollout->stepAt(now);
     const auto share = isSession ? sessionShare(step, m_bound) : requestShare(step);
     const bool mayBeNew
-        = step == RolloutStep::Full || (isSession ? mayMoveSessions(*rollout, now) : hasAllowance(*rollout));
+        = step == RolloutStep::Full || (isSession ? rollout->progress(now) < giveUpAt : hasAllowance(*rollout));
     return mayBeNew && fractionOf(subject) < share ? VersionPreference::New : VersionPreference::Old;
 }
 
@@ -401,6 +399,11 @@
     return inFullStep >= drainFraction * base::toSeconds(rollout.order.period) && rollout.pooled().showsGoodVersion();
 }
 
+bool RolloutTracker::isTooLate(const Rollout &rollout, base::TimePoint now)
+{
+    return rollout.progress(now) >= (rollout.fullAt() ? giveUpAt : giveUpWithoutFullStepAt);
+}
+
 std::optional<RolloutStatus> RolloutTracker::dueStatus(const std::string &service, base::TimePoint now) const
 {
     const auto *rollout = find(service);
@@ -418,18 +421,19 @@
     if (mayComplete(*rollout, now)) {
         return RolloutStatus{toVersion, RolloutState::Completed};
     }
-    if (rollout->progress(now) >= giveUpAt) {
+    if (isTooLate(*rollout, now)) {
         return RolloutStatus{toVersion, RolloutState::Reverted};
     }
     const bool isPublished = rollout->hasStatus(RolloutState::InProgress);
     return isPublished ? std::nullopt : std::optional(RolloutStatus{toVersion, RolloutState::InProgress});
 }
 
-bool RolloutTracker::isFullStepDue(const std::string &service) const
+bool RolloutTracker::isFullStepDue(const std::string &service, base::TimePoint fullAt) const
 {
     const auto *rollout = find(service);
     return rollout != nullptr && rollout->isOpen() && !rollout->fullAt()
-        && rollout->evidence.step == RolloutStep::Partial && rollout->pooled().showsGoodVersion();
+        && rollout->evidence.step == RolloutStep::Partial && rollout->progress(fullAt) <= latestFullStep
+        && rollout->pooled().showsGoodVersion();
 }
 
 bool RolloutTracker::isPlanDue(const std::string &service) const
--- a/src/gateway/rollouttracker.h
+++ b/src/gateway/rollouttracker.h
@@ -106,8 +106,9 @@
 
     /// Status that should be written to the store for @p service now, if it differs from the last one read.
     std::optional<RolloutStatus> dueStatus(const std::string &service, base::TimePoint now) const;
-    /// The evidence of all nodes allows all requests to move, and no time for that is planned yet.
-    bool isFullStepDue(const std::string &service) const;
+    /// The evidence of all nodes allows all requests to move, and no time for that is planned yet. @p fullAt: when they
+    /// would move; the rollout must still be able to complete then.
+    bool isFullStepDue(const std::string &service, base::TimePoint fullAt) const;
     /// The store lacks what this node knows of the rollout's times, because it came back from an older copy.
     bool isPlanDue(const std::string &service) const;
     /// When all requests move to the new version, if that is planned.
@@ -129,8 +130,8 @@
     Rollout *find(const std::string &service);
     /// This node's share of the exposure bound has room for another request.
     bool hasAllowance(const Rollout &rollout) const;
-    /// Sessions may be on the new version before the full step, since the rollout can still complete.
-    static bool mayMoveSessions(const Rollout &rollout, base::TimePoint now);
+    /// The rollout can't complete within its period any more.
+    static bool isTooLate(const Rollout &rollout, base::TimePoint now);
     /// Takes in what other nodes have told of their runs.
     void observeOthers(Rollout &rollout) const;
     static void enterStep(Rollout &rollout, RolloutStep step);
--- a/tests/gateway/rolloutfleet.cpp
+++ b/tests/gateway/rolloutfleet.cpp
@@ -177,7 +177,7 @@
     if (due && !isEnd && due->state != m_state) {
         publish(*due);
     }
-    if (!m_fullPlanned && tracker.isFullStepDue("s")) {
+    if (!m_fullPlanned && tracker.isFullStepDue("s", time(m_now + fullStepNotice))) {
         m_fullPlanned = true;
         const auto fullAt = m_now + fullStepNotice;
         for (std::size_t other = 0; other < m_nodes.size(); ++other) {
--- a/tests/gateway/rollouttracker_test.cpp
+++ b/tests/gateway/rollouttracker_test.cpp
@@ -24,13 +24,13 @@
 TEST_F(RolloutTrackerTest, fullStep_isDueOnceEnoughGoodRunsAreJudgedAndThePartialStepHasBegun)
 {
     runs("v2", 5, 0);
-    EXPECT_FALSE(m_tracker.isFullStepDue("s"));
+    EXPECT_FALSE(m_tracker.isFullStepDue("s", at(13s)));
     m_tracker.update(at(12s));
-    EXPECT_FALSE(m_tracker.isFullStepDue("s"));
+    EXPECT_FALSE(m_tracker.isFullStepDue("s", at(13s)));
     runs("v2", 7, 0);
-    EXPECT_TRUE(m_tracker.isFullStepDue("s"));
+    EXPECT_TRUE(m_tracker.isFullStepDue("s", at(13s)));
     moveAll(15s);
-    EXPECT_FALSE(m_tracker.isFullStepDue("s"));
+    EXPECT_FALSE(m_tracker.isFullStepDue("s", at(13s)));
 }
 
 TEST_F(RolloutTrackerTest, fullStep_routeOfTheOldVersionUntried_isNotDue)
@@ -41,11 +41,11 @@
     runs("v1", 50, 0);
     m_tracker.update(at(12s));
     runs("v2", 30, 0);
-    EXPECT_FALSE(m_tracker.isFullStepDue("s"));
+    EXPECT_FALSE(m_tracker.isFullStepDue("s", at(13s)));
     for (int i = 0; i < 4; ++i) {
         run("v2", {"rare"}, false, 50ms);
     }
-    EXPECT_TRUE(m_tracker.isFullStepDue("s"));
+    EXPECT_TRUE(m_tracker.isFullStepDue("s", at(13s)));
 }
 
 TEST_F(RolloutTrackerTest, fewRunsAtEachNode_badTogether_areStoppedByTheSum)
@@ -180,10 +180,27 @@
 TEST_F(RolloutTrackerTest, versionNotProvedGood_endOfThePeriod_isReverted)
 {
     m_tracker.setStatus("s", {"v2", RolloutState::InProgress}, orderRow + 1);
+    moveAll(15s);
     EXPECT_FALSE(m_tracker.dueStatus("s", at(22s)));
     EXPECT_EQ(m_tracker.dueStatus("s", at(23500ms))->state, RolloutState::Reverted);
 }
 
+TEST_F(RolloutTrackerTest, versionNotProvedGood_tooLateToComplete_isRevertedAtOnce)
+{
+    m_tracker.setStatus("s", {"v2", RolloutState::InProgress}, orderRow + 1);
+    EXPECT_FALSE(m_tracker.dueStatus("s", at(20s)));
+    EXPECT_EQ(m_tracker.dueStatus("s", at(21s))->state, RolloutState::Reverted);
+}
+
+// Guards against sessions that all move to a version which is taken back for want of time (PINNED).
+TEST_F(RolloutTrackerTest, versionProvedGood_tooLateToComplete_fullStepIsNotDue)
+{
+    m_tracker.update(at(12s));
+    runs("v2", 12, 0);
+    EXPECT_TRUE(m_tracker.isFullStepDue("s", at(19600ms)));
+    EXPECT_FALSE(m_tracker.isFullStepDue("s", at(20s)));
+}
+
 TEST_F(RolloutTrackerTest, goodVersion_nearTheEnd_isCompletedOnce)
 {
     EXPECT_EQ(m_tracker.dueStatus("s", at(1s))->state, RolloutState::InProgress);
@@ -333,18 +350,32 @@
     }
 }
 
-TEST_F(RolloutTrackerTest, sessions_versionNotProvedWhileItCouldComplete_getNoMore)
+// Guards against sessions that go back to the old version while the new one isn't rolled back (PINNED).
+TEST_F(RolloutTrackerTest, sessions_versionNotProvedWhileItCouldComplete_stayUntilItIsReverted)
 {
     const auto movedAt = [&](base::Duration after) {
-        int moved = 0;
+        std::vector<int> moved;
         for (int i = 0; i < 200; ++i) {
             const auto preference = m_tracker.preferredVersion("s", "session" + std::to_string(i), true, at(after));
-            moved += preference == VersionPreference::New ? 1 : 0;
+            if (preference == VersionPreference::New) {
+                moved.push_back(i);
+            }
         }
         return moved;
     };
-    EXPECT_GT(movedAt(19s), 0);
-    EXPECT_EQ(movedAt(20s), 0);
+    const auto before = movedAt(19s);
+    EXPECT_FALSE(before.empty());
+    EXPECT_EQ(movedAt(21s), before);
+    m_tracker.setStatus("s", *m_tracker.dueStatus("s", at(21s)), orderRow + 1);
+    EXPECT_TRUE(movedAt(21s).empty());
+}
+
+TEST_F(RolloutTrackerTest, sessions_statusNeverWritten_endOfThePeriod_goBack)
+{
+    for (int i = 0; i < 200; ++i) {
+        EXPECT_EQ(m_tracker.preferredVersion("s", "session" + std::to_string(i), true, at(23500ms)),
+                  VersionPreference::Old);
+    }
 }
 
 TEST_F(RolloutTrackerTest, retriedRequest_staysOnItsVersionUnlessThatIsStopped)
