Whether an engine has ended is found out without waiting for other requests

What callers see: a request that crashes engines may reach more of them (BUDGET); the class of review/1. Cause: an engine that refuses connections counts as ended once another one of the service has answered this node. The node asked for such an answer at the loss alone, and at most once a second, so a second loss soon after the first waited for the next request. PoisonPartTest.enginesEndOneAfterTheOther_nothingElseIsSent_... failed before: 2 of 4 ends known a second after the last one. Change: as long as it isn't known, one engine of the service is asked for its health, at most five times a second.

--- a/src/gateway/context.cpp
+++ b/src/gateway/context.cpp
@@ -12,6 +12,8 @@
 constexpr std::chrono::milliseconds unreadableRest{1000};
 /// Paths of a service are checked at most once in this time.
 constexpr std::chrono::milliseconds pathCheckInterval{1000};
+/// As pathCheckInterval, for one engine.
+constexpr std::chrono::milliseconds onePathCheckInterval{200};
 constexpr double meanWeight = 0.1;
 /// Assumed time to the first byte before the first answer.
 constexpr double initialFirstByteSeconds = 0.3;
@@ -64,14 +66,31 @@
         return;
     }
     m_pathsCheckedAt[service] = now;
-    const auto missing = reach.failuresMissing(service, view.engines().ofService(service).size());
+    checkSomePaths(service, reach.failuresMissing(service, view.engines().ofService(service).size()));
+}
+
+void Context::checkOnePath(const std::string &service)
+{
+    const auto now = base::monotonicNow();
+    const auto last = m_onePathCheckedAt.find(service);
+    const bool isDue = last == m_onePathCheckedAt.end() || now - last->second >= onePathCheckInterval;
+    if (!isDue || !checkPath || !knowsForwardingPeers()) {
+        return;
+    }
+    m_onePathCheckedAt[service] = now;
+    checkSomePaths(service, 1);
+}
+
+void Context::checkSomePaths(const std::string &service, std::size_t most)
+{
+    const auto now = base::monotonicNow();
     auto engines = view.usableEngines(service, VersionPreference::Any);
     // A health check is a request that an engine may want to be spared.
     std::erase_if(engines, [&](const Engine *engine) {
         return reach.hasFailed(service, engine->entry.id) || engine->isResting(now) || now < engine->coldUntil;
     });
     std::shuffle(engines.begin(), engines.end(), random);
-    engines.resize(std::min(engines.size(), missing));
+    engines.resize(std::min(engines.size(), most));
     for (const auto *engine : engines) {
         checkPath(engine->entry);
     }
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -108,6 +108,8 @@
     /// Asks engines of @p service for their health over new connections, as many as show whether the node has a path to
     /// them; at most once a second for a service, and only if other nodes may serve for this one.
     void checkPaths(const std::string &service);
+    /// As above, asks one engine, at most five times a second for a service.
+    void checkOnePath(const std::string &service);
 
     /// Records that no connection to an engine could be established.
     void recordEngineUnreachable(const std::string &service, const std::string &engine);
@@ -138,9 +140,12 @@
 
 private:
     void onCutOff(const std::string &service, const std::string &engine);
+    /// Asks @p most engines of @p service for their health, or fewer if no more of them may be asked.
+    void checkSomePaths(const std::string &service, std::size_t most);
 
     /// When paths were last checked, by service.
     std::map<std::string, base::TimePoint> m_pathsCheckedAt;
+    std::map<std::string, base::TimePoint> m_onePathCheckedAt;
 };
 
 } // namespace ibisfork::gateway
--- a/src/gateway/crashreporter.cpp
+++ b/src/gateway/crashreporter.cpp
@@ -61,7 +61,6 @@
     const auto probe = std::prev(m_probes.end());
     probe->timer = std::make_unique<net::Timer>(m_context.base, [this, probe] { finishProbe(probe); });
     openConnection(*probe);
-    m_context.checkPaths(run.engine.service);
 }
 
 void CrashReporter::openConnection(Probe &probe)
@@ -70,6 +69,10 @@
         ? nullptr
         : std::make_unique<http::UpstreamConnection>(m_context.base, probe.engine.address);
     probe.timer->startOnce(probeTime);
+    if (!hasPath(probe)) {
+        // Nothing else may ask engines of the service for an answer.
+        m_context.checkOnePath(probe.engine.service);
+    }
 }
 
 bool CrashReporter::hasPath(const Probe &probe) const
--- a/tests/gateway/poisonpart_test.cpp
+++ b/tests/gateway/poisonpart_test.cpp
@@ -195,6 +195,21 @@
     EXPECT_TRUE(until([this] { return reportedEngines().size() == engines; }, 3s)) << reportedEngines().size();
 }
 
+// Guards against evidence that waits for the next answer of any engine, until the engine that ended is back (BUDGET).
+TEST_F(PoisonPartTest, enginesEndOneAfterTheOther_nothingElseIsSent_eachCrashIsEvidenceSoon)
+{
+    startNodes();
+    m_sound.startEvery(soundInterval);
+    runFor(1s);
+    m_sound.stop();
+    runFor(500ms);
+    sendBadTo(0);
+    ASSERT_TRUE(until([this] { return m_fleet.crashes() == 2; }, 500ms));
+    sendBadTo(0);
+    ASSERT_TRUE(until([this] { return m_fleet.crashes() == 4; }, 500ms));
+    EXPECT_TRUE(until([this] { return reportedEngines().size() == 4; }, 1s)) << reportedEngines().size();
+}
+
 TEST_F(PoisonPartTest, allNodesRestart_beforeAPartIsConvicted_partStaysRefused)
 {
     startNodes();
