HedgeTest counts the copies of the request that may run once

The test is wrong there: reads may be copied. It now wants no further copy from before that request on, and one run at both engines together, as before.

--- a/tests/gateway/hedge_test.cpp
+++ b/tests/gateway/hedge_test.cpp
@@ -83,11 +83,13 @@
 {
     learn();
     const auto before = m_engines["e2"]->requests().size();
+    // One of the requests before may have been slow.
+    const auto copiesBefore = hedges("sent");
     FakeCaller caller(m_base.get(), m_gateway->callers());
     caller.send(request("POST", "/book/x", {}, "a"));
     until([&] { return caller.done(); });
     EXPECT_EQ(caller.answer().status, 200);
-    EXPECT_EQ(hedges("sent"), 0U);
+    EXPECT_EQ(hedges("sent"), copiesBefore);
     const auto atSecond = m_engines["e2"]->requests().size() - before;
     EXPECT_EQ(atSecond, caller.answer().body == "e2" ? 1U : 0U);
 }
