--- a/src/gateway/exchangecrash.cpp
+++ b/src/gateway/exchangecrash.cpp
@@ -35,6 +35,9 @@
 
 void Exchange::recordCutOff()
 {
+    if (m_hasSoundParts) {
+        return;
+    }
     // How long ago the first event came says nothing here: this node may have been late to see the end.
     ++m_cutOffs;
     if (m_context.reportLostRun) {
@@ -72,6 +75,9 @@
 void Exchange::recordSoundRun()
 {
     const bool hasBodySuspects = m_context.crashes.hasReports();
+    if (m_hasSoundParts && !hasBodySuspects) {
+        return;
+    }
     m_context.crashes.recordSoundRun(hasBodySuspects ? traits() : m_parts, runBeganAt());
 }
 
