--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -46,14 +46,12 @@
 
 ResendBound resendBound(const settings::FleetBounds &bounds);
 
-/// A run whose connection was lost before its answer was whole.
+/// A run whose connection was lost before an event had shown, soundRunTime after the first, that its prompt is sound.
 struct LostRun
 {
     /// The engine's entry when the run was sent.
     EngineEntry engine;
     std::vector<RequestTrait> traits;
-    /// It had delivered events for soundRunTime, so that no part of its prompt is suspected.
-    bool hadSoundParts = false;
 };
 
 /// State shared by all exchanges of a node. Used only on the node's event loop.
--- a/src/gateway/crashevidence.h
+++ b/src/gateway/crashevidence.h
@@ -20,8 +20,8 @@
     /// The engine's process: its id and start time.
     std::string engine;
     StoreTime at{0};
-    /// Traits of this node's requests that ran there. Parts of their prompts are suspected only where the answer had
-    /// not begun, or only just: a part that crashes engines does so as the answer begins.
+    /// Traits of this node's requests that ran there and had not begun to be answered, or only just. A request that
+    /// crashes engines does so as its answer begins, so the others are not suspected.
     std::set<RequestTrait> suspects;
 
     /// Adds what another node has seen of the same end.
--- a/src/gateway/crashreporter.cpp
+++ b/src/gateway/crashreporter.cpp
@@ -53,8 +53,7 @@
 
 void CrashReporter::recordLostRun(const LostRun &run)
 {
-    if (!m_context.crashes.recordLostRun(
-            processText(run.engine), run.traits, m_context.storeNow(), run.hadSoundParts)) {
+    if (!m_context.crashes.recordLostRun(processText(run.engine), run.traits, m_context.storeNow())) {
         return;
     }
     m_probes.push_back({base::monotonicNow(), run.engine, nullptr, nullptr});
--- a/src/gateway/crashtracker.cpp
+++ b/src/gateway/crashtracker.cpp
@@ -1,7 +1,6 @@
 #include "gateway/crashtracker.h"
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
 namespace ibisfork::gateway {
@@ -37,21 +36,10 @@
 
 } // namespace
 
-bool CrashTracker::recordLostRun(const std::string &engine,
-                                 const std::vector<RequestTrait> &traits,
-                                 StoreTime now,
-                                 bool hadSoundParts)
+bool CrashTracker::recordLostRun(const std::string &engine, const std::vector<RequestTrait> &traits, StoreTime now)
 {
-    const auto [found, isNew] = m_pending.try_emplace(engine, PendingLoss{now, {}, {}});
-    auto &loss = found->second;
-    if (hadSoundParts) {
-        std::copy_if(traits.begin(),
-                     traits.end(),
-                     std::inserter(loss.bodiesWithSoundParts, loss.bodiesWithSoundParts.end()),
-                     [](const RequestTrait &trait) { return trait.kind == TraitKind::Body; });
-    } else {
-        loss.traits.insert(traits.begin(), traits.end());
-    }
+    const auto [found, isNew] = m_pending.try_emplace(engine, PendingLoss{now, {}});
+    found->second.traits.insert(traits.begin(), traits.end());
     return isNew;
 }
 
@@ -109,12 +97,6 @@
             (isProven ? otherParts : unprovenParts).push_back(trait);
         }
     }
-    for (const auto &body : loss.bodiesWithSoundParts) {
-        const auto sound = m_own.soundRuns.find(body);
-        if (sound == m_own.soundRuns.end() || sound->second <= loss.at) {
-            bodies.push_back(body);
-        }
-    }
     std::set<RequestTrait> suspects;
     for (const auto *traits : {&unprovenParts, &otherParts, &bodies}) {
         const auto room = std::min(traits->size(), maxSuspects - suspects.size());
--- a/src/gateway/crashtracker.h
+++ b/src/gateway/crashtracker.h
@@ -20,13 +20,9 @@
     /// contradicts it arrives.
     static constexpr std::chrono::milliseconds settleTime{1000};
 
-    /// Records that a run with @p traits was lost at @p engine. @p hadSoundParts: it had gone on for long enough to
-    /// clear the parts of its prompt, so that only its body is suspected. Returns true if it is to be found out whether
-    /// the engine has ended; confirmLoss() must follow then.
-    bool recordLostRun(const std::string &engine,
-                       const std::vector<RequestTrait> &traits,
-                       StoreTime now,
-                       bool hadSoundParts = false);
+    /// Records that a run with @p traits, which had at most begun to be answered, was lost at @p engine. Returns true
+    /// if it is to be found out whether the engine has ended; confirmLoss() must follow then.
+    bool recordLostRun(const std::string &engine, const std::vector<RequestTrait> &traits, StoreTime now);
     /// Records whether @p engine has ended, or lost some runs only.
     void confirmLoss(const std::string &engine, bool hasEnded, StoreTime now);
     /// Records that a run, which began to be answered at @p beganAt, went well as far as @p traits can tell.
@@ -74,10 +70,7 @@
     struct PendingLoss
     {
         StoreTime at{0};
-        /// Traits of runs that had not gone on for long.
         std::set<RequestTrait> traits;
-        /// Bodies of the other runs, which are at fault less likely.
-        std::set<RequestTrait> bodiesWithSoundParts;
     };
 
     void addReport(CrashReport report);
--- a/src/gateway/exchangecrash.cpp
+++ b/src/gateway/exchangecrash.cpp
@@ -41,7 +41,7 @@
     // How long ago the first event came says nothing here: this node may have been late to see the end.
     ++m_cutOffs;
     if (m_context.reportLostRun) {
-        m_context.reportLostRun({m_engineEntry, traits(), m_hasSoundParts});
+        m_context.reportLostRun({m_engineEntry, traits()});
     }
 }
 
--- a/src/gateway/exchangehedge.cpp
+++ b/src/gateway/exchangehedge.cpp
@@ -137,7 +137,7 @@
     if (wasCutOff) {
         ++m_cutOffs;
         if (m_context.reportLostRun) {
-            m_context.reportLostRun({m_hedge->engine(), traits(), false});
+            m_context.reportLostRun({m_hedge->engine(), traits()});
         }
     }
     m_mayHaveRun = m_mayHaveRun || mayHaveRun;
--- a/src/gateway/exchangelimits.h
+++ b/src/gateway/exchangelimits.h
@@ -13,7 +13,7 @@
 inline constexpr std::chrono::milliseconds retryAfterNoEngine{1000};
 /// How often an exchange that has stopped reading from its engine looks for room.
 inline constexpr std::chrono::milliseconds pausedCheckInterval{250};
-/// A part of a prompt that crashes engines does so within this time of the first event, if there is any.
+/// A request that crashes engines does so within this time of its first event, if it delivers any.
 inline constexpr std::chrono::milliseconds soundRunTime{200};
 
 } // namespace ibisfork::gateway
