--- a/src/gateway/crashtracker.cpp
+++ b/src/gateway/crashtracker.cpp
@@ -23,14 +23,15 @@
 /// Shortest time between two verdicts, so that they cost little under load.
 constexpr std::chrono::milliseconds minUpdateInterval{50};
 
-/// Adds as many of @p traits to @p report as one may name.
-void addSuspects(CrashReport &report, const std::set<RequestTrait> &traits)
+/// Adds @p traits to @p suspects, as many as one report may name.
+template<typename Traits>
+void insertBounded(std::set<RequestTrait> &suspects, const Traits &traits)
 {
     for (const auto &trait : traits) {
-        if (report.suspects.size() >= maxSuspects) {
+        if (suspects.size() >= maxSuspects) {
             return;
         }
-        report.suspects.insert(trait);
+        suspects.insert(trait);
     }
 }
 
@@ -70,7 +71,7 @@
     const auto known = std::find_if(m_own.reports.begin(), m_own.reports.end(), isOfSameEnd);
     if (known != m_own.reports.end()) {
         // The runs of one engine may be seen to end one after the other.
-        addSuspects(*known, report.suspects);
+        insertBounded(known->suspects, report.suspects);
         return;
     }
     m_own.reports.push_back(std::move(report));
@@ -99,8 +100,7 @@
     }
     std::set<RequestTrait> suspects;
     for (const auto *traits : {&unprovenParts, &otherParts, &bodies}) {
-        const auto room = std::min(traits->size(), maxSuspects - suspects.size());
-        suspects.insert(traits->begin(), traits->begin() + static_cast<std::ptrdiff_t>(room));
+        insertBounded(suspects, *traits);
     }
     return suspects;
 }
