A whole answer clears the body alone where its run has cleared the prompt

Exchange::recordSoundRun() recorded the prompt parts a second time for each run of over 200 ms, at a time a little different, which made the verdict on crashes outdated once more while any of them was suspected. It now clears the parts once for a run and adds the body.

--- a/src/gateway/exchangecrash.cpp
+++ b/src/gateway/exchangecrash.cpp
@@ -74,11 +74,11 @@
 
 void Exchange::recordSoundRun()
 {
-    const bool hasBodySuspects = m_context.crashes.hasReports();
-    if (m_hasSoundParts && !hasBodySuspects) {
-        return;
+    recordSoundParts();
+    // The body is hashed only if there is anything to compare it with.
+    if (m_context.crashes.hasReports()) {
+        m_context.crashes.recordSoundRun({traits().back()}, runBeganAt());
     }
-    m_context.crashes.recordSoundRun(hasBodySuspects ? traits() : m_parts, runBeganAt());
 }
 
 void Exchange::endIfPoison()
