One question for both checks of paths, whether they are due

Context::checkPaths() and checkOnePath() had the same limit twice, with other names. No behaviour changes.

--- a/src/gateway/context.cpp
+++ b/src/gateway/context.cpp
@@ -59,26 +59,27 @@
 
 void Context::checkPaths(const std::string &service)
 {
-    const auto now = base::monotonicNow();
-    const auto last = m_pathsCheckedAt.find(service);
-    const bool isDue = last == m_pathsCheckedAt.end() || now - last->second >= pathCheckInterval;
-    if (!isDue || !checkPath || !knowsForwardingPeers()) {
-        return;
+    if (isPathCheckDue(m_pathsCheckedAt[service], pathCheckInterval)) {
+        checkSomePaths(service, reach.failuresMissing(service, view.engines().ofService(service).size()));
     }
-    m_pathsCheckedAt[service] = now;
-    checkSomePaths(service, reach.failuresMissing(service, view.engines().ofService(service).size()));
 }
 
 void Context::checkOnePath(const std::string &service)
+{
+    if (isPathCheckDue(m_onePathCheckedAt[service], onePathCheckInterval)) {
+        checkSomePaths(service, 1);
+    }
+}
+
+bool Context::isPathCheckDue(std::optional<base::TimePoint> &checkedAt, base::Duration interval) const
 {
     const auto now = base::monotonicNow();
-    const auto last = m_onePathCheckedAt.find(service);
-    const bool isDue = last == m_onePathCheckedAt.end() || now - last->second >= onePathCheckInterval;
+    const bool isDue = !checkedAt || now - *checkedAt >= interval;
     if (!isDue || !checkPath || !knowsForwardingPeers()) {
-        return;
+        return false;
     }
-    m_onePathCheckedAt[service] = now;
-    checkSomePaths(service, 1);
+    checkedAt = now;
+    return true;
 }
 
 void Context::checkSomePaths(const std::string &service, std::size_t most)
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -138,12 +138,15 @@
 
 private:
     void onCutOff(const std::string &service, const std::string &engine);
+    /// True if paths may be checked, the last time being @p checkedAt, which becomes now then.
+    bool isPathCheckDue(std::optional<base::TimePoint> &checkedAt, base::Duration interval) const;
     /// Asks @p most engines of @p service for their health, or fewer if no more of them may be asked.
     void checkSomePaths(const std::string &service, std::size_t most);
 
     /// When paths were last checked, by service.
-    std::map<std::string, base::TimePoint> m_pathsCheckedAt;
-    std::map<std::string, base::TimePoint> m_onePathCheckedAt;
+    std::map<std::string, std::optional<base::TimePoint>> m_pathsCheckedAt;
+    /// As above, for checkOnePath().
+    std::map<std::string, std::optional<base::TimePoint>> m_onePathCheckedAt;
 };
 
 } // namespace ibisfork::gateway
