Tests of nodes beside crashing engines share one fixture, tests of runs one count

PoisonPartTest and CrashingRequestTest started their nodes by two copies of the same code, ForwardRunsTest and RepeatedRunTest counted runs by two copies, ModelChoiceTest and RepeatedRunTest added a header field by two.

--- a/tests/gateway/crashingrequest_test.cpp
+++ b/tests/gateway/crashingrequest_test.cpp
@@ -2,8 +2,7 @@
 
 #include <fmt/format.h>
 
-#include "enginefleet.h"
-#include "gatewayfixture.h"
+#include "crashnodesfixture.h"
 
 namespace ibisfork::gateway {
 
@@ -13,22 +12,16 @@
 
 /// Several nodes in this process, at which one request comes again and again that crashes each engine that runs it. Its
 /// prompt parts are those of sound requests.
-class CrashingRequestTest : public test::GatewayTest, public testing::WithParamInterface<EngineFleet::CrashTimes>
+class CrashingRequestTest : public test::CrashNodesTest, public testing::WithParamInterface<EngineFleet::CrashTimes>
 {
 protected:
-    static constexpr std::size_t nodes = 3;
-    static constexpr std::size_t engines = 6;
     static constexpr std::size_t knownAfterCrashes = 3;
     static constexpr std::size_t allowedRetries = 3;
-    static constexpr std::chrono::milliseconds contactTime{3000};
     static constexpr std::chrono::milliseconds soundInterval{50};
     static constexpr const char *badBody = "bad";
 
     CrashingRequestTest()
-        : m_fleet(m_base.get(),
-                  m_store,
-                  engines,
-                  [](const http::Request &request) { return request.body.view() == badBody; })
+        : CrashNodesTest([](const http::Request &request) { return request.body.view() == badBody; })
         , m_sound(m_base.get(), [this] { sendSound(); })
     {
         for (auto &route : m_configuration["routes"]) {
@@ -37,18 +30,6 @@
         m_fleet.crashAfterEvents(GetParam());
     }
 
-    void startNodes()
-    {
-        configure();
-        for (std::size_t i = 0; i < nodes; ++i) {
-            auto settings = m_settings;
-            settings.node.name = fmt::format("n{}", i);
-            auto &gateway = m_gateways.emplace_back(std::make_unique<Gateway>(m_base.get(), settings, m_registries[i]));
-            gateway->start();
-            ASSERT_TRUE(until([&] { return gateway->ready(); }));
-        }
-    }
-
     void send(const std::string &body)
     {
         const auto id = ++m_serial;
@@ -65,9 +46,6 @@
 
     void sendSound() { send(fmt::format("sound{}", m_serial)); }
 
-    EngineFleet m_fleet;
-    std::map<std::size_t, base::MetricsRegistry> m_registries;
-    std::vector<std::unique_ptr<Gateway>> m_gateways;
     std::vector<std::unique_ptr<FakeCaller>> m_calls;
     unsigned m_serial = 0;
     net::Timer m_sound;
--- a/tests/gateway/forwardruns_test.cpp
+++ b/tests/gateway/forwardruns_test.cpp
@@ -1,5 +1,3 @@
-#include <algorithm>
-
 #include <gtest/gtest.h>
 
 #include "peernodesfixture.h"
@@ -37,16 +35,7 @@
         }
     }
 
-    std::size_t runs() const
-    {
-        std::size_t count = 0;
-        for (const auto &item : m_engines) {
-            const auto &seen = item.second->requests();
-            count += static_cast<std::size_t>(std::count_if(
-                seen.begin(), seen.end(), [](const http::Request &run) { return run.head.target == "/chat/x"; }));
-        }
-        return count;
-    }
+    std::size_t runs() const { return runsOf("/chat/x"); }
 };
 
 TEST_P(ForwardRunsTest, nodeReachesNoEngine_runsAtAllOtherNodesTogether_stayWithinItsAttempts)
--- a/tests/gateway/modelchoice_test.cpp
+++ b/tests/gateway/modelchoice_test.cpp
@@ -23,10 +23,7 @@
 
     static EngineReply sure(int confidence)
     {
-        auto reply = test::streamReply(1, 2);
-        const auto at = reply.bytes.find("\r\n") + 2;
-        reply.bytes.insert(at, "Ibisfork-Confidence: " + std::to_string(confidence) + "\r\n");
-        return reply;
+        return test::withHeader(test::streamReply(1, 2), "Ibisfork-Confidence: " + std::to_string(confidence));
     }
 
     test::Answer askAutoSelectedModel() { return ask(request("POST", "/chat/x", "Ibisfork-Model: *\r\n", "hello")); }
--- a/tests/gateway/peernodesfixture.h
+++ b/tests/gateway/peernodesfixture.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "gatewayfixture.h"
@@ -125,6 +127,18 @@
         return caller.answer();
     }
 
+    /// Requests for @p target that the engines have received.
+    std::size_t runsOf(std::string_view target) const
+    {
+        std::size_t count = 0;
+        for (const auto &item : m_engines) {
+            const auto &seen = item.second->requests();
+            count += static_cast<std::size_t>(std::count_if(
+                seen.begin(), seen.end(), [&](const http::Request &run) { return run.head.target == target; }));
+        }
+        return count;
+    }
+
     std::vector<std::unique_ptr<FakeEngine>> m_silent;
     std::vector<std::unique_ptr<Node>> m_nodes;
 };
--- a/tests/gateway/poisonpart_test.cpp
+++ b/tests/gateway/poisonpart_test.cpp
@@ -4,8 +4,7 @@
 
 #include <fmt/format.h>
 
-#include "enginefleet.h"
-#include "gatewayfixture.h"
+#include "crashnodesfixture.h"
 
 namespace ibisfork::gateway {
 
@@ -15,20 +14,17 @@
 
 /// Several nodes in this process. Requests with one prompt part crash each engine that runs them; sound requests share
 /// their first part, their caller and their route.
-class PoisonPartTest : public test::GatewayTest
+class PoisonPartTest : public test::CrashNodesTest
 {
 protected:
-    static constexpr std::size_t nodes = 3;
-    static constexpr std::size_t engines = 6;
-    /// Crashes after which the part must be known, and the time that the nodes have to tell each other.
+    /// Crashes after which the part must be known.
     static constexpr std::size_t knownAfterCrashes = 5;
-    static constexpr std::chrono::milliseconds contactTime{3000};
     static constexpr std::chrono::milliseconds soundInterval{25};
     static constexpr std::chrono::milliseconds badInterval{150};
     static constexpr const char *badPart = "bad0";
 
     PoisonPartTest()
-        : m_fleet(m_base.get(), m_store, engines, [](const http::Request &request) { return isBad(request); })
+        : CrashNodesTest([](const http::Request &request) { return isBad(request); })
         , m_sound(m_base.get(), [this] { sendSound(); })
         , m_bad(m_base.get(), [this] { sendBad(); })
     { }
@@ -39,26 +35,6 @@
         return parts && parts->find(badPart) != std::string_view::npos;
     }
 
-    void startNodes()
-    {
-        configure();
-        for (std::size_t i = 0; i < nodes; ++i) {
-            startNode(i);
-        }
-    }
-
-    /// Starts or restarts node @p index.
-    void startNode(std::size_t index)
-    {
-        m_gateways.resize(std::max(m_gateways.size(), index + 1));
-        auto settings = m_settings;
-        settings.node.name = fmt::format("n{}", index);
-        m_gateways[index].reset();
-        m_gateways[index] = std::make_unique<Gateway>(m_base.get(), settings, m_registries[index]);
-        m_gateways[index]->start();
-        ASSERT_TRUE(until([&] { return m_gateways[index]->ready(); }));
-    }
-
     struct SentCall
     {
         std::unique_ptr<FakeCaller> caller;
@@ -143,9 +119,6 @@
         EXPECT_GE(servedSince(soundFrom), 0.9);
     }
 
-    EngineFleet m_fleet;
-    std::map<std::size_t, base::MetricsRegistry> m_registries;
-    std::vector<std::unique_ptr<Gateway>> m_gateways;
     std::list<SentCall> m_soundCalls;
     std::list<SentCall> m_badCalls;
     unsigned m_serial = 0;
--- a/tests/gateway/repeatedrun_test.cpp
+++ b/tests/gateway/repeatedrun_test.cpp
@@ -1,4 +1,3 @@
-#include <algorithm>
 #include <array>
 #include <string_view>
 #include <tuple>
@@ -65,23 +64,11 @@
     return kind.isStream() ? test::streamReply(1, 2) : test::plainReply(200, "whole");
 }
 
-EngineReply withHeader(EngineReply reply, const std::string &header)
-{
-    reply.bytes.insert(reply.bytes.find("\r\n") + 2, header + "\r\n");
-    return reply;
-}
-
 /// The answer up to the middle of its body.
 EngineReply beginOf(const RouteKind &kind, bool isReset)
 {
-    if (kind.isStream()) {
-        auto reply = test::streamReply(1, 2);
-        reply.bytes.resize(reply.bytes.find("id: 2"));
-        reply.reset = isReset;
-        return reply;
-    }
-    auto reply = test::plainReply(200, "whole");
-    reply.bytes.resize(reply.bytes.size() - 2);
+    auto reply = wholeAnswer(kind);
+    reply.bytes.resize(kind.isStream() ? reply.bytes.find("id: 2") : reply.bytes.size() - 2);
     reply.reset = isReset;
     return reply;
 }
@@ -90,7 +77,7 @@
 {
     switch (run) {
     case FirstRun::Unsure:
-        return withHeader(wholeAnswer(kind), "Ibisfork-Confidence: 10");
+        return test::withHeader(wholeAnswer(kind), "Ibisfork-Confidence: 10");
     case FirstRun::Failed:
         return test::plainReply(500, "broken");
     case FirstRun::FailedAfterItsBegin:
@@ -141,15 +128,13 @@
 
     std::string anyRequest() const { return request("POST", path, "Ibisfork-Model: *\r\n", "hello"); }
 
-    std::size_t runs() const
+    void expectRunsAsAllowed() const
     {
-        std::size_t count = 0;
-        for (const auto &item : m_engines) {
-            const auto &seen = item.second->requests();
-            count += static_cast<std::size_t>(std::count_if(
-                seen.begin(), seen.end(), [](const http::Request &run) { return run.head.target == path; }));
+        if (kind().mayRunAgain) {
+            EXPECT_GT(runsOf(path), 1U);
+        } else {
+            EXPECT_EQ(runsOf(path), 1U);
         }
-        return count;
     }
 };
 
@@ -159,11 +144,7 @@
     answerWith(replyOf(kind(), firstRun()));
     startNodes({Cut::None});
     askCut(anyRequest());
-    if (kind().mayRunAgain) {
-        EXPECT_GT(runs(), 1U);
-    } else {
-        EXPECT_EQ(runs(), 1U);
-    }
+    expectRunsAsAllowed();
 }
 
 TEST_P(RepeatedRunTest, firstRunAtAnotherNode_endsOtherThanWell_requestRunsAgainOnlyIfItMay)
@@ -171,11 +152,7 @@
     answerWith(replyOf(kind(), firstRun()));
     startNodes({Cut::Refused, Cut::None, Cut::None});
     askCut(anyRequest());
-    if (kind().mayRunAgain) {
-        EXPECT_GT(runs(), 1U);
-    } else {
-        EXPECT_EQ(runs(), 1U);
-    }
+    expectRunsAsAllowed();
 }
 
 INSTANTIATE_TEST_SUITE_P(Kinds,
--- a/tests/gateway/standins.cpp
+++ b/tests/gateway/standins.cpp
@@ -90,6 +90,12 @@
     return reply;
 }
 
+EngineReply withHeader(EngineReply reply, const std::string &field)
+{
+    reply.bytes.insert(reply.bytes.find("\r\n") + 2, field + "\r\n");
+    return reply;
+}
+
 EngineReply reservationReply(const std::string &reservation)
 {
     return plainReply(200, nlohmann::json{{"reserve", reservation}}.dump());
--- a/tests/gateway/standins.h
+++ b/tests/gateway/standins.h
@@ -65,6 +65,8 @@
 EngineReply brokenStream(int from, int to);
 /// A complete stream with the events @p from to @p to, with a pause of @p pause after the event @p last.
 EngineReply pausingStream(int from, int last, int to, std::chrono::milliseconds pause);
+/// @p reply with one more field of its head, such as "Name: value".
+EngineReply withHeader(EngineReply reply, const std::string &field);
 /// The answer to a call that reserves room: granted as @p reservation.
 EngineReply reservationReply(const std::string &reservation);
 /// Body of a whole stream with the events @p from to @p to, as a caller gets it.
