--- a/tests/gateway/heldbodies_test.cpp
+++ b/tests/gateway/heldbodies_test.cpp
@@ -23,12 +23,14 @@
             route["timeoutMs"] = 10000;
             route["goalMs"] = 8000;
         }
-        addEngine("e1").willDecide([this](const http::Request &request) {
-            auto reply = test::plainReply(200, "ok");
-            reply.delay = request.body.size() == longBody ? m_longTime : 0ms;
-            return reply;
-        });
-        addEngine("e2").willDecide([](const http::Request &) { return test::plainReply(200, "ok"); });
+        // Both hold long bodies, so that some are held whichever engine each of them reaches.
+        for (const auto *engine : {"e1", "e2"}) {
+            addEngine(engine).willDecide([this](const http::Request &request) {
+                auto reply = test::plainReply(200, "ok");
+                reply.delay = request.body.size() == longBody ? m_longTime : 0ms;
+                return reply;
+            });
+        }
         start();
     }
 
