The verdict on crashes is computed only when it may have changed, and from little

Cause, by a profile of all 59 nodes: each tick computed the whole verdict anew for convictions; each run that went well with a suspected trait made it outdated, though it refuted nothing more; what to share was found by computing all crashes once for each trait; thousands of sound runs, and the names of the engines by trait, were copied each time. Change: found groups are kept until the next verdict; a run makes the verdict outdated only if it refutes more than the run before it; what speaks against the traits is computed in one pass; only sound runs of suspects are taken; what is older than ten minutes is looked for once a second. A run shared by a node is renewed also while it is older than a conviction that it should lift.

--- a/src/gateway/crashtracker.cpp
+++ b/src/gateway/crashtracker.cpp
@@ -9,6 +9,8 @@
 
 /// Evidence older than this no longer counts.
 constexpr std::chrono::minutes evidenceLifetime{10};
+/// Old evidence is dropped at most once in this time.
+constexpr std::chrono::milliseconds dropInterval{1000};
 /// Bounds of what one node shares, so that its row stays far below the store's limit for a row.
 constexpr std::size_t maxReports = 24;
 constexpr std::size_t maxSuspects = 40;
@@ -108,16 +110,27 @@
 void CrashTracker::recordSoundRun(const std::vector<RequestTrait> &traits, StoreTime beganAt)
 {
     for (const auto &trait : traits) {
+        m_isOutdated = m_isOutdated || mayRefute(trait, beganAt);
         auto &latest = m_own.soundRuns.try_emplace(trait, beganAt).first->second;
         latest = std::max(latest, beganAt);
-        m_isOutdated = m_isOutdated || m_suspects.contains(trait);
     }
     if (m_own.soundRuns.size() > maxSoundTraits) {
-        dropOld(beganAt);
         dropOldestSoundRuns();
     }
 }
 
+bool CrashTracker::mayRefute(const RequestTrait &trait, StoreTime beganAt) const
+{
+    const auto suspicion = m_suspects.find(trait);
+    if (suspicion == m_suspects.end()) {
+        return false;
+    }
+    // A trait that never went well before needs fewer crashes.
+    const auto before = m_own.soundRuns.find(trait);
+    return before == m_own.soundRuns.end()
+        || (beganAt > before->second && before->second <= suspicion->second.lastCrash);
+}
+
 void CrashTracker::dropOldestSoundRuns()
 {
     if (m_own.soundRuns.size() <= keptSoundTraits) {
@@ -189,14 +202,27 @@
     }
 }
 
-CrashVerdict CrashTracker::verdict(StoreTime now) const
+CrashVerdict CrashTracker::evidenceOfAll() const
 {
     CrashVerdict verdict;
-    verdict.add(m_own);
+    verdict.add({m_own.reports, {}});
     verdict.add(m_fleet);
     for (const auto &item : m_peers) {
         verdict.add(item.second);
     }
+    return verdict;
+}
+
+CrashVerdict CrashTracker::verdict(StoreTime now) const
+{
+    auto verdict = evidenceOfAll();
+    // Of the thousands of traits that went well at this node only these matter.
+    for (const auto &item : suspicions(verdict)) {
+        const auto sound = m_own.soundRuns.find(item.first);
+        if (sound != m_own.soundRuns.end()) {
+            verdict.addSoundRun(sound->first, sound->second);
+        }
+    }
     for (const auto &item : m_convictions) {
         if (now >= item.second.conviction.until()) {
             verdict.addExpired(item.second.conviction.group);
@@ -216,6 +242,10 @@
 
 void CrashTracker::dropOld(StoreTime now)
 {
+    if (now - m_droppedAt < dropInterval) {
+        return;
+    }
+    m_droppedAt = now;
     const auto dropReports = [&](CrashEvidence &evidence) {
         std::erase_if(evidence.reports, [&](const CrashReport &report) { return now - report.at > evidenceLifetime; });
     };
@@ -227,23 +257,16 @@
     std::erase_if(m_own.soundRuns, [&](const auto &item) { return now - item.second > evidenceLifetime; });
 }
 
-std::set<RequestTrait> CrashTracker::suspects() const
+CrashTracker::Suspicions CrashTracker::suspicions(const CrashVerdict &verdict) const
 {
-    std::set<RequestTrait> traits;
-    const auto collect = [&](const CrashEvidence &evidence) {
-        for (const auto &report : evidence.reports) {
-            traits.insert(report.suspects.begin(), report.suspects.end());
-        }
-    };
-    collect(m_own);
-    collect(m_fleet);
-    for (const auto &item : m_peers) {
-        collect(item.second);
-    }
+    auto suspicions = verdict.suspicions();
     for (const auto &item : m_convictions) {
-        traits.insert(item.second.conviction.group.begin(), item.second.conviction.group.end());
+        for (const auto &trait : item.second.conviction.group) {
+            auto &last = suspicions[trait].lastCrash;
+            last = std::max(last, item.second.conviction.since);
+        }
     }
-    return traits;
+    return suspicions;
 }
 
 void CrashTracker::update(StoreTime now)
@@ -251,17 +274,17 @@
     m_isOutdated = false;
     m_updatedAt = now;
     dropOld(now);
-    m_suspects = suspects();
-    std::vector<PoisonGroup> refused;
     const auto known = verdict(now);
-    std::map<std::string, StoreTime> foundAt;
+    m_suspects = suspicions(known);
+    std::vector<PoisonGroup> refused;
+    std::map<std::string, FoundGroup> found;
     for (const auto &group : known.poison()) {
         const auto id = poisonGroupId(group);
-        const auto before = m_foundAt.find(id);
-        foundAt[id] = before == m_foundAt.end() ? now : before->second;
+        const auto before = m_found.find(id);
+        found[id] = {group, before == m_found.end() ? now : before->second.at};
         refused.push_back(group);
     }
-    m_foundAt = std::move(foundAt);
+    m_found = std::move(found);
     for (const auto &item : m_convictions) {
         if (isInForce(item.second.conviction, known, now)) {
             refused.push_back(item.second.conviction.group);
@@ -298,11 +321,8 @@
         parts.begin(), parts.end(), [this](const RequestTrait &part) { return m_own.soundRuns.contains(part); });
 }
 
-bool CrashTracker::isContested(const RequestTrait &trait, const CrashVerdict &verdict, StoreTime now) const
+bool CrashTracker::isConvicted(const RequestTrait &trait, StoreTime now) const
 {
-    if (verdict.crashesOf(trait) >= minContestedCrashes) {
-        return true;
-    }
     return std::any_of(m_convictions.begin(), m_convictions.end(), [&](const auto &item) {
         return now < item.second.conviction.until() && item.second.conviction.group.contains(trait);
     });
@@ -314,13 +334,7 @@
     CrashEvidence shared;
     shared.reports = m_own.reports;
     // Without this node's sound runs: what they refute still has to be refuted at other nodes.
-    CrashVerdict crashes;
-    crashes.add(shared);
-    crashes.add(m_fleet);
-    for (const auto &item : m_peers) {
-        crashes.add(item.second);
-    }
-    for (const auto &trait : suspects()) {
+    for (const auto &[trait, suspicion] : suspicions(evidenceOfAll())) {
         const auto sound = m_own.soundRuns.find(trait);
         if (sound == m_own.soundRuns.end()) {
             continue;
@@ -329,8 +343,9 @@
         // once, all would share it again. It is renewed only while it refutes too little.
         const auto before = m_sharedSoundRuns.find(trait);
         const bool isShared = before != m_sharedSoundRuns.end();
-        const bool refutesAll = isShared && before->second > crashes.lastCrashOf(trait);
-        if (!refutesAll && isContested(trait, crashes, now)) {
+        const bool refutesAll = isShared && before->second > suspicion.lastCrash;
+        const bool isContested = suspicion.crashes >= minContestedCrashes || isConvicted(trait, now);
+        if (!refutesAll && isContested) {
             shared.soundRuns.insert(*sound);
         } else if (isShared) {
             shared.soundRuns.insert(*before);
@@ -340,26 +355,37 @@
     return shared;
 }
 
-std::vector<Conviction> CrashTracker::convictionsToWrite(StoreTime now)
+void CrashTracker::convictSettled(StoreTime now)
 {
-    hasPoison(now);
-    std::vector<Conviction> out;
-    const auto known = verdict(now);
-    for (const auto &group : known.poison()) {
-        const auto id = poisonGroupId(group);
-        const auto found = m_foundAt.find(id);
-        const bool hasSettled = found != m_foundAt.end() && now - found->second >= settleTime;
+    for (const auto &[id, found] : m_found) {
         const auto before = m_convictions.find(id);
         const bool isConvicted = before != m_convictions.end() && now < before->second.conviction.until();
-        if (hasSettled && !isConvicted) {
+        if (now - found.at >= settleTime && !isConvicted) {
             const auto count = before == m_convictions.end() ? 1 : before->second.conviction.count + 1;
-            m_convictions[id] = {{group, now, count}, false};
+            m_convictions[id] = {{found.group, now, count}, false};
+            m_isOutdated = true;
         }
     }
+}
+
+std::vector<Conviction> CrashTracker::convictionsToWrite(StoreTime now)
+{
+    if (m_isOutdated) {
+        update(now);
+    }
+    hasPoison(now);
+    convictSettled(now);
+    const auto isUnstored = [](const auto &item) {
+        return !item.second.isStored;
+    };
+    std::vector<Conviction> out;
+    if (std::none_of(m_convictions.begin(), m_convictions.end(), isUnstored)) {
+        return out;
+    }
+    const auto known = verdict(now);
     for (const auto &item : m_convictions) {
-        const auto &conviction = item.second.conviction;
-        if (!item.second.isStored && isInForce(conviction, known, now)) {
-            out.push_back(conviction);
+        if (isUnstored(item) && isInForce(item.second.conviction, known, now)) {
+            out.push_back(item.second.conviction);
         }
     }
     return out;
--- a/src/gateway/crashtracker.h
+++ b/src/gateway/crashtracker.h
@@ -60,6 +60,8 @@
     std::vector<Conviction> convictionsToWrite(StoreTime now);
 
 private:
+    using Suspicions = std::map<RequestTrait, CrashVerdict::Suspicion>;
+
     struct KnownConviction
     {
         Conviction conviction;
@@ -67,6 +69,13 @@
         bool isStored = false;
     };
 
+    struct FoundGroup
+    {
+        PoisonGroup group;
+        /// When it was first found.
+        StoreTime at{0};
+    };
+
     struct PendingLoss
     {
         StoreTime at{0};
@@ -76,14 +85,21 @@
     void addReport(CrashReport report);
     /// Traits of the lost runs that this node has not seen go well since; not all if there are many.
     std::set<RequestTrait> suspectsOf(const PendingLoss &loss) const;
-    /// Verdict on the evidence of all nodes, with this node's.
+    /// The ends of engines that any node knows, and the sound runs that the others have told of.
+    CrashVerdict evidenceOfAll() const;
+    /// Verdict on the evidence of all nodes, with this node's sound runs.
     CrashVerdict verdict(StoreTime now) const;
-    /// Traits that any node suspects or that are convicted.
-    std::set<RequestTrait> suspects() const;
+    /// What speaks against each trait that any node suspects, by @p verdict, or that is convicted. A conviction counts
+    /// as a crash at its begin, for a run that began later lifts it.
+    Suspicions suspicions(const CrashVerdict &verdict) const;
     void update(StoreTime now);
+    /// Convicts the groups of the verdict that have held for settleTime.
+    void convictSettled(StoreTime now);
     void dropOld(StoreTime now);
     void dropOldestSoundRuns();
-    bool isContested(const RequestTrait &trait, const CrashVerdict &verdict, StoreTime now) const;
+    bool isConvicted(const RequestTrait &trait, StoreTime now) const;
+    /// True if a run with @p trait that began at @p beganAt changes the verdict.
+    bool mayRefute(const RequestTrait &trait, StoreTime beganAt) const;
     bool isInForce(const Conviction &conviction, const CrashVerdict &verdict, StoreTime now) const;
 
     std::map<std::string, PendingLoss> m_pending;
@@ -93,14 +109,15 @@
     std::map<std::string, CrashEvidence> m_peers;
     CrashEvidence m_fleet;
     std::map<std::string, KnownConviction> m_convictions;
-    /// Groups of the current verdict, by their id, and when they were first found.
-    std::map<std::string, StoreTime> m_foundAt;
+    /// Groups of the current verdict, by their id.
+    std::map<std::string, FoundGroup> m_found;
     /// Groups that are refused now: those of the verdict and of the convictions in force.
     std::vector<PoisonGroup> m_refused;
     unsigned m_verdictSerial = 0;
-    std::set<RequestTrait> m_suspects;
+    Suspicions m_suspects;
     bool m_isOutdated = false;
     StoreTime m_updatedAt{0};
+    StoreTime m_droppedAt{0};
 };
 
 } // namespace ibisfork::gateway
--- a/src/gateway/crashverdict.cpp
+++ b/src/gateway/crashverdict.cpp
@@ -22,6 +22,12 @@
     addSoundRuns(m_soundRuns, evidence.soundRuns);
 }
 
+void CrashVerdict::addSoundRun(const RequestTrait &trait, StoreTime beganAt)
+{
+    auto &latest = m_soundRuns.try_emplace(trait, beganAt).first->second;
+    latest = std::max(latest, beganAt);
+}
+
 void CrashVerdict::addExpired(const PoisonGroup &group)
 {
     m_expired.insert(group.begin(), group.end());
@@ -33,43 +39,44 @@
     return found == m_soundRuns.end() ? std::nullopt : std::optional(found->second);
 }
 
-CrashVerdict::EnginesByTrait CrashVerdict::enginesByTrait() const
+bool CrashVerdict::isRefuted(const RequestTrait &trait, const CrashReport &crash) const
 {
-    EnginesByTrait engines;
-    for (const auto &[engine, crash] : m_crashes) {
-        for (const auto &trait : crash.suspects) {
-            const auto sound = soundRunOf(trait);
-            if (!sound || *sound <= crash.at) {
-                engines[trait].insert(engine);
-            }
-        }
-    }
-    return engines;
+    const auto sound = m_soundRuns.find(trait);
+    return sound != m_soundRuns.end() && sound->second > crash.at;
 }
 
-std::size_t CrashVerdict::crashesOf(const RequestTrait &trait) const
+CrashVerdict::CrashesByTrait CrashVerdict::crashesByTrait() const
 {
-    const auto engines = enginesByTrait();
-    const auto found = engines.find(trait);
-    return found == engines.end() ? 0 : found->second.size();
+    CrashesByTrait crashes;
+    for (const auto &item : m_crashes) {
+        for (const auto &trait : item.second.suspects) {
+            if (!isRefuted(trait, item.second)) {
+                crashes[trait].push_back(&item.second);
+            }
+        }
+    }
+    return crashes;
 }
 
-StoreTime CrashVerdict::lastCrashOf(const RequestTrait &trait) const
+std::map<RequestTrait, CrashVerdict::Suspicion> CrashVerdict::suspicions() const
 {
-    StoreTime last{0};
+    std::map<RequestTrait, Suspicion> suspicions;
     for (const auto &item : m_crashes) {
-        if (item.second.suspects.contains(trait)) {
-            last = std::max(last, item.second.at);
+        for (const auto &trait : item.second.suspects) {
+            auto &suspicion = suspicions[trait];
+            suspicion.lastCrash = std::max(suspicion.lastCrash, item.second.at);
+            suspicion.crashes += isRefuted(trait, item.second) ? 0 : 1;
         }
     }
-    return last;
+    return suspicions;
 }
 
-std::size_t CrashVerdict::separateCrashes(const EngineSet &engines) const
+std::size_t CrashVerdict::separateCrashes(const Crashes &crashes)
 {
     std::vector<StoreTime> times;
-    for (const auto &engine : engines) {
-        times.push_back(m_crashes.at(engine).at);
+    times.reserve(crashes.size());
+    for (const auto *crash : crashes) {
+        times.push_back(crash->at);
     }
     std::sort(times.begin(), times.end());
     std::size_t separate = 0;
@@ -79,25 +86,27 @@
     return separate;
 }
 
-bool CrashVerdict::isEnough(const RequestTrait &trait, const EngineSet &engines) const
+bool CrashVerdict::isEnough(const RequestTrait &trait, const Crashes &crashes) const
 {
     if (m_expired.contains(trait)) {
         return true;
     }
+    if (crashes.size() < minEngines) {
+        return false;
+    }
     if (soundRunOf(trait)) {
-        return engines.size() >= minEnginesOfSoundTrait && separateCrashes(engines) >= minSeparateCrashesOfSoundTrait;
+        return crashes.size() >= minEnginesOfSoundTrait && separateCrashes(crashes) >= minSeparateCrashesOfSoundTrait;
     }
     // One request runs at one engine at a time, so the crashes under one body have no common cause.
-    const bool separate = trait.kind == TraitKind::Body || separateCrashes(engines) >= minSeparateCrashes;
-    return engines.size() >= minEngines && separate;
+    return trait.kind == TraitKind::Body || separateCrashes(crashes) >= minSeparateCrashes;
 }
 
-PoisonGroup CrashVerdict::groupWith(const EngineSet &engines, const EnginesByTrait &all) const
+PoisonGroup CrashVerdict::groupWith(const Crashes &crashes, const CrashesByTrait &all) const
 {
     PoisonGroup group;
     PoisonGroup neverSound;
-    for (const auto &[trait, itsEngines] : all) {
-        if (itsEngines == engines && isEnough(trait, itsEngines)) {
+    for (const auto &[trait, itsCrashes] : all) {
+        if (itsCrashes == crashes && isEnough(trait, itsCrashes)) {
             group.insert(trait);
             if (!soundRunOf(trait)) {
                 neverSound.insert(trait);
@@ -109,13 +118,13 @@
 
 std::vector<PoisonGroup> CrashVerdict::poison() const
 {
-    auto left = enginesByTrait();
+    auto left = crashesByTrait();
     std::vector<PoisonGroup> found;
     while (true) {
-        EngineSet most;
-        for (const auto &[trait, engines] : left) {
-            if (engines.size() > most.size() && isEnough(trait, engines)) {
-                most = engines;
+        Crashes most;
+        for (const auto &[trait, crashes] : left) {
+            if (crashes.size() > most.size() && isEnough(trait, crashes)) {
+                most = crashes;
             }
         }
         if (most.empty()) {
@@ -123,7 +132,9 @@
         }
         found.push_back(groupWith(most, left));
         for (auto &item : left) {
-            std::erase_if(item.second, [&](const std::string &engine) { return most.contains(engine); });
+            std::erase_if(item.second, [&](const CrashReport *crash) {
+                return std::find(most.begin(), most.end(), crash) != most.end();
+            });
         }
     }
 }
--- a/src/gateway/crashverdict.h
+++ b/src/gateway/crashverdict.h
@@ -21,27 +21,40 @@
     /// As minEngines, for traits with runs that went well before the crashes.
     static constexpr std::size_t minEnginesOfSoundTrait = 5;
 
+    /// What speaks against one trait.
+    struct Suspicion
+    {
+        /// Engines whose crash counts against it.
+        std::size_t crashes = 0;
+        /// Latest end of an engine at which it was suspected.
+        StoreTime lastCrash{0};
+    };
+
     /// Adds what one node knows.
     void add(const CrashEvidence &evidence);
+    /// Adds that a run with @p trait, which began to be answered at @p beganAt, went well.
+    void addSoundRun(const RequestTrait &trait, StoreTime beganAt);
     /// For these, one crash is enough: their conviction has expired.
     void addExpired(const PoisonGroup &group);
 
     std::vector<PoisonGroup> poison() const;
-    /// Number of engines whose crash counts against @p trait.
-    std::size_t crashesOf(const RequestTrait &trait) const;
-    /// Latest end of an engine at which @p trait was suspected; zero if there is none.
-    StoreTime lastCrashOf(const RequestTrait &trait) const;
+    /// What speaks against each trait that was suspected at the end of any engine.
+    std::map<RequestTrait, Suspicion> suspicions() const;
     /// When the latest run with @p trait that went well began, if there is any.
     std::optional<StoreTime> soundRunOf(const RequestTrait &trait) const;
 
 private:
-    using EngineSet = std::set<std::string>;
-    using EnginesByTrait = std::map<RequestTrait, EngineSet>;
+    /// Entries of m_crashes, in its order.
+    using Crashes = std::vector<const CrashReport *>;
+    using CrashesByTrait = std::map<RequestTrait, Crashes>;
 
-    EnginesByTrait enginesByTrait() const;
-    bool isEnough(const RequestTrait &trait, const EngineSet &engines) const;
-    std::size_t separateCrashes(const EngineSet &engines) const;
-    PoisonGroup groupWith(const EngineSet &engines, const EnginesByTrait &all) const;
+    /// True if a run with @p trait that began after @p crash went well.
+    bool isRefuted(const RequestTrait &trait, const CrashReport &crash) const;
+    /// The crashes that count against each trait.
+    CrashesByTrait crashesByTrait() const;
+    bool isEnough(const RequestTrait &trait, const Crashes &crashes) const;
+    static std::size_t separateCrashes(const Crashes &crashes);
+    PoisonGroup groupWith(const Crashes &crashes, const CrashesByTrait &all) const;
 
     /// Ends of engines, by engine, as all nodes together saw them.
     std::map<std::string, CrashReport> m_crashes;
