A crash counts against the request's body however long its answer had gone on

Cause: such a run was no evidence. Change: a lost run whose parts are known to be sound is evidence against its body, not against its parts, so reports stay small.

--- a/src/gateway/exchangecrash.cpp
+++ b/src/gateway/exchangecrash.cpp
@@ -35,13 +35,11 @@
 
 void Exchange::recordCutOff()
 {
-    if (m_hasSoundParts) {
-        return;
-    }
     // How long ago the first event came says nothing here: this node may have been late to see the end.
     ++m_cutOffs;
     if (m_context.reportLostRun) {
-        m_context.reportLostRun({m_engineEntry, traits()});
+        // Of a run whose parts are sound only the body is suspect, which may crash an engine at any time.
+        m_context.reportLostRun({m_engineEntry, m_hasSoundParts ? std::vector{traits().back()} : traits()});
     }
 }
 
