An engine that is back at its address before the list names its new process has ended

Cause: a node decides whether an engine has ended once another engine of the service has answered. If that took until the engine was back at its address, the probe's next connection was accepted, and the crash counted as a lost run, although the connections before had been refused. A node that is slow, or a service with few requests, waits that long. Change: a probe whose connection failed before one was accepted waits for up to 3 s for the list to name a new process. A run that is lost meanwhile begins the probe anew. Whether this is what the users saw isn't shown.

--- a/src/gateway/crashreporter.cpp
+++ b/src/gateway/crashreporter.cpp
@@ -1,5 +1,7 @@
 #include "gateway/crashreporter.h"
 
+#include <algorithm>
+
 #include "gateway/enginepause.h"
 #include "gateway/eventlog.h"
 #include "net/deletelater.h"
@@ -14,6 +16,8 @@
 constexpr std::chrono::milliseconds shareIntervalPerNode{5};
 /// After a longer cut, an engine may have ended for other reasons than the run that was lost there.
 constexpr std::chrono::milliseconds longestDoubt{10000};
+/// The list names a process that was started again within this time.
+constexpr std::chrono::milliseconds longestUnlisted{3000};
 
 std::string processText(const EngineEntry &engine)
 {
@@ -54,6 +58,7 @@
 void CrashReporter::recordLostRun(const LostRun &run)
 {
     if (!m_context.crashes.recordLostRun(processText(run.engine), run.traits, m_context.storeNow())) {
+        repeatProbe(run.engine);
         return;
     }
     m_probes.push_back({base::monotonicNow(), run.engine, nullptr, nullptr});
@@ -62,6 +67,15 @@
     openConnection(*probe);
 }
 
+void CrashReporter::waitForDecision(Probe &probe)
+{
+    if (probe.acceptsAgainAt) {
+        probe.timer->startOnce(probeTime);
+    } else {
+        openConnection(probe);
+    }
+}
+
 void CrashReporter::openConnection(Probe &probe)
 {
     probe.connection = m_context.reach.isCutOff(probe.engine.service)
@@ -74,6 +88,34 @@
     }
 }
 
+void CrashReporter::repeatProbe(const EngineEntry &engine)
+{
+    const auto isOfEngine = [&](const Probe &probe) {
+        return processText(probe.engine) == processText(engine);
+    };
+    const auto probe = std::find_if(m_probes.begin(), m_probes.end(), isOfEngine);
+    if (probe != m_probes.end() && probe->acceptsAgainAt) {
+        probe->beganAt = base::monotonicNow();
+        probe->hasFailed = false;
+        probe->acceptsAgainAt.reset();
+        openConnection(*probe);
+    }
+}
+
+void CrashReporter::observeConnection(Probe &probe)
+{
+    if (probe.connection == nullptr) {
+        return;
+    }
+    const bool accepts = probe.connection->connected();
+    probe.hasFailed = probe.hasFailed || (!accepts && probe.connection->broken());
+    if (accepts && probe.hasFailed) {
+        // The engine may close the connection later, which says nothing.
+        probe.acceptsAgainAt = base::monotonicNow();
+        net::deleteLater(m_context.base, std::move(probe.connection));
+    }
+}
+
 bool CrashReporter::hasPath(const Probe &probe) const
 {
     if (m_context.reach.isCutOff(probe.engine.service)) {
@@ -96,7 +138,12 @@
     if (isReplaced(probe) || accepts) {
         return false;
     }
-    const auto age = base::monotonicNow() - probe.beganAt;
+    const auto now = base::monotonicNow();
+    if (probe.acceptsAgainAt) {
+        // Another process may have followed the one that refused connections, or the path was at fault.
+        return now - *probe.acceptsAgainAt < longestUnlisted;
+    }
+    const auto age = now - probe.beganAt;
     if (probe.connection == nullptr || !hasPath(probe)) {
         // A path that resets connections looks like engines that have ended.
         return age < longestDoubt;
@@ -115,8 +162,9 @@
 
 void CrashReporter::finishProbe(std::list<Probe>::iterator probe)
 {
+    observeConnection(*probe);
     if (isUndecided(*probe)) {
-        openConnection(*probe);
+        waitForDecision(*probe);
         return;
     }
     const bool ended = hasEnded(*probe);
--- a/src/gateway/crashreporter.h
+++ b/src/gateway/crashreporter.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -46,12 +47,22 @@
     {
         base::TimePoint beganAt;
         EngineEntry engine;
-        /// nullptr while the node is cut off from the engine's service.
+        /// nullptr while the node is cut off from the engine's service, and once the engine accepts connections again.
         std::unique_ptr<http::UpstreamConnection> connection;
         std::unique_ptr<net::Timer> timer;
+        /// A connection was refused or failed.
+        bool hasFailed = false;
+        /// When a connection was first established after that.
+        std::optional<base::TimePoint> acceptsAgainAt{};
     };
 
+    /// Judges the probe again soon.
+    void waitForDecision(Probe &probe);
     void openConnection(Probe &probe);
+    /// Takes in what has become of the probe's connection.
+    void observeConnection(Probe &probe);
+    /// Probes @p engine, of which another run was lost, anew if it had accepted connections again.
+    void repeatProbe(const EngineEntry &engine);
     void finishProbe(std::list<Probe>::iterator probe);
     /// True if the node has a path to the engine's service: one of its engines has answered since the run was lost.
     bool hasPath(const Probe &probe) const;
--- a/tests/gateway/crashnodesfixture.h
+++ b/tests/gateway/crashnodesfixture.h
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <map>
 #include <memory>
+#include <set>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -23,10 +25,24 @@
     static constexpr std::chrono::milliseconds contactTime{3000};
 
     /// @p crashes: true for requests that crash the engine that runs them.
-    explicit CrashNodesTest(EngineFleet::Predicate crashes)
-        : m_fleet(m_base.get(), m_store, engines, std::move(crashes))
+    explicit CrashNodesTest(EngineFleet::Predicate crashes, std::size_t engineCount = engines)
+        : m_fleet(m_base.get(), m_store, engineCount, std::move(crashes))
     { }
 
+    /// Engines whose end the nodes have shared as evidence.
+    std::set<std::string> reportedEngines() const
+    {
+        std::set<std::string> reported;
+        for (std::size_t i = 0; i < nodes; ++i) {
+            const auto row = m_store.find(ownTable, fmt::format("{}n{}", crashEvidencePrefix, i));
+            const auto evidence = row ? decodeCrashEvidence(*row) : std::nullopt;
+            for (const auto &report : evidence.value_or(CrashEvidence{}).reports) {
+                reported.insert(report.engine);
+            }
+        }
+        return reported;
+    }
+
     void startNodes()
     {
         configure();
--- a/tests/gateway/poisonpart_test.cpp
+++ b/tests/gateway/poisonpart_test.cpp
@@ -65,20 +65,6 @@
         sendBad();
     }
 
-    /// Engines whose end the nodes have shared as evidence.
-    std::set<std::string> reportedEngines() const
-    {
-        std::set<std::string> reported;
-        for (std::size_t i = 0; i < nodes; ++i) {
-            const auto row = m_store.find(ownTable, fmt::format("{}n{}", crashEvidencePrefix, i));
-            const auto evidence = row ? decodeCrashEvidence(*row) : std::nullopt;
-            for (const auto &report : evidence.value_or(CrashEvidence{}).reports) {
-                reported.insert(report.engine);
-            }
-        }
-        return reported;
-    }
-
     void sendSound() { send(fmt::format("sound{}", m_serial % 20), m_soundCalls); }
     void sendBad() { send(badPart, m_badCalls); }
 
--- a/tests/gateway/standins.cpp
+++ b/tests/gateway/standins.cpp
@@ -251,14 +251,30 @@
 
 FakeEngine::FakeEngine(event_base *base)
     : m_base(base)
-    , m_port(std::make_unique<ListeningPort>(base,
-                                             net::Address{"127.0.0.1", 0},
-                                             [this](evutil_socket_t socket) { accept(socket); }))
-    , m_address(m_port->address())
-{ }
+{
+    listen({"127.0.0.1", 0});
+    m_address = m_port->address();
+}
 
 FakeEngine::~FakeEngine() = default;
 
+void FakeEngine::crash()
+{
+    refuseConnections();
+    m_connections.clear();
+}
+
+void FakeEngine::acceptConnections()
+{
+    m_refusingPort.reset();
+    listen(m_address);
+}
+
+void FakeEngine::listen(const net::Address &address)
+{
+    m_port = std::make_unique<ListeningPort>(m_base, address, [this](evutil_socket_t socket) { accept(socket); });
+}
+
 void FakeEngine::accept(evutil_socket_t socket)
 {
     auto connection = std::make_unique<Connection>(*this, socket);
--- a/tests/gateway/standins.h
+++ b/tests/gateway/standins.h
@@ -104,6 +104,10 @@
         m_port.reset();
         m_refusingPort.emplace(m_address);
     }
+    /// Ends all connections and refuses new ones, as the end of a process does.
+    void crash();
+    /// Accepts connections again, at the same address.
+    void acceptConnections();
     /// All requests received so far.
     const std::vector<http::Request> &requests() const { return m_requests; }
     /// Number of open connections.
@@ -112,6 +116,7 @@
 private:
     class Connection;
 
+    void listen(const net::Address &address);
     void accept(evutil_socket_t socket);
     EngineReply nextReply(const http::Request &request);
 
