Whether convictions are to be written doesn't delay the verdict

Cause: since the check for convictions computed an outdated verdict at each tick, so a row that arrived within 50 ms of that waited for the next tick, 250 ms later. Evidence: PoisonPartTest.requestWaitsAtAnEngine_itsPartIsConvicted_theEngineIsFreed by itself: freed after 491 to 496 ms in 20 of 20 runs where 400 ms are allowed; 291 to 293 ms on. Run after the others of its file it had passed. Change: the check takes the verdict as it is, at most 50 ms old. Result: 292 to 295 ms, 3 of 3; PoisonPartTest and ReplacedEngineTest 11 of 11, each by itself; CrashTrackerTest 26 of 26.

--- a/src/gateway/crashtracker.cpp
+++ b/src/gateway/crashtracker.cpp
@@ -370,9 +370,6 @@
 
 std::vector<Conviction> CrashTracker::convictionsToWrite(StoreTime now)
 {
-    if (m_isOutdated) {
-        update(now);
-    }
     hasPoison(now);
     convictSettled(now);
     const auto isUnstored = [](const auto &item) {
