Soak with models of which engines are unsure

Nodes choose among models on all routes, and engines are unsure of every other answer of the smallest; each route allows three runs, so that only its kind keeps a request from a second one. The engines count the runs of each id, as in the other soaks.

--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -80,6 +80,7 @@
         "daemon", "path of the ibisforkd that the nodes run", cxxopts::value<std::string>())(
         "lost-paths", "three nodes, some of which lose their paths to engines")(
         "pauses", "only engines that fall silent or are full, and planned work")(
+        "unsure-models", "nodes choose among models, and engines are often unsure of the answers of the smallest")(
         "crowd", "callers and engines that do what few others do, beside starts, ends and planned work")(
         "memory-mb",
         "with --crowd: a node with more is killed; 0 for none",
@@ -120,6 +121,7 @@
                 settings.callers *= soak::callersPerUsual;
                 settings.limits = {given["memory-mb"].as<std::size_t>(), given["descriptors"].as<std::size_t>()};
             }
+            settings.hasUnsureModels = given.count("unsure-models") > 0;
             if (given.count("daemon") > 0) {
                 settings.daemon = std::filesystem::absolute(given["daemon"].as<std::string>()).string();
             }
--- a/soak/soakcaller.cpp
+++ b/soak/soakcaller.cpp
@@ -93,6 +93,8 @@
     head.headers.add("Host", "h.example");
     head.headers.add("Ibisfork-Attempt-Id", id);
     head.headers.add("Ibisfork-Credential", asked.key);
+    // The node chooses the model, where a route has any.
+    head.headers.add("Ibisfork-Model", "*");
     head.headers.add("Ibisfork-Deadline-Ms", std::to_string(patience.count()));
     return http::serializeRequest(head, body);
 }
--- a/soak/soakengine.cpp
+++ b/soak/soakengine.cpp
@@ -13,6 +13,8 @@
 constexpr std::chrono::milliseconds plainWork{80};
 constexpr std::chrono::milliseconds betweenEvents{40};
 constexpr int engineFailure = 500;
+/// In per cent; low enough for a node to ask a larger model.
+constexpr const char *lowConfidence = "10";
 constexpr std::chrono::seconds restTime{2};
 /// One event in so many is sent in two halves.
 constexpr unsigned halvesOneIn = 3;
@@ -149,6 +151,7 @@
     work = {};
     work.id = id;
     work.path = request.head.target;
+    work.isUnsure = valueOf(request, "Ibisfork-Model") == smallModel && ++m_runsOfSmallModel % 2 == 0;
     const auto last = valueOf(request, "Last-Event-Id");
     work.nextEvent = last.empty() ? 1 : static_cast<unsigned>(std::stoul(last)) + 1;
     work.timer = std::make_unique<net::Timer>(m_base, [this, &connection] { step(connection); });
@@ -180,11 +183,12 @@
         return;
     }
     const auto id = work.id;
+    const auto headers = headersFor(work);
     stopWork(connection);
     if (stream) {
         connection.endStream();
     } else {
-        connection.sendAnswer(http::status::ok, headersFor(id), plainBody(id), false);
+        connection.sendAnswer(http::status::ok, headers, plainBody(id), false);
         m_ledger.answered(id, m_identity.id, base::monotonicNow());
     }
 }
@@ -192,7 +196,7 @@
 void SoakEngine::beginStream(http::CallerConnection &connection, Work &work)
 {
     if (!work.begun) {
-        auto headers = headersFor(work.id);
+        auto headers = headersFor(work);
         headers.add("Content-Type", "text/event-stream");
         connection.beginStream(http::status::ok, headers, false);
         work.begun = true;
@@ -251,6 +255,15 @@
     return headers;
 }
 
+http::HeaderList SoakEngine::headersFor(const Work &work)
+{
+    auto headers = headersFor(work.id);
+    if (work.isUnsure) {
+        headers.add("Ibisfork-Confidence", lowConfidence);
+    }
+    return headers;
+}
+
 void SoakEngine::crash()
 {
     m_pause.cancel();
--- a/soak/soakengine.h
+++ b/soak/soakengine.h
@@ -25,6 +25,8 @@
 std::string plainBody(const std::string &id);
 std::string eventData(const std::string &id, unsigned number);
 inline constexpr unsigned eventsOfStream = 12;
+/// Engines are unsure of every other of its answers.
+inline constexpr const char *smallModel = "small";
 inline constexpr const char *healthPath = "/healthz";
 
 /// An engine that speaks the platform's wire, takes its time, and tells the ledger what it runs.
@@ -60,6 +62,7 @@
         /// Second half of an event whose first half has been sent.
         std::string restOfEvent;
         bool begun = false;
+        bool isUnsure = false;
         std::unique_ptr<net::Timer> timer;
     };
 
@@ -80,6 +83,7 @@
     void sendEvent(http::CallerConnection &connection, Work &work);
     void refuse(http::CallerConnection &connection, const std::string &id, int status);
     http::HeaderList headersFor(const std::string &id);
+    http::HeaderList headersFor(const Work &work);
     void askForRest(http::CallerConnection &connection, const std::string &id);
     /// Adds the mark of an engine that leaves, if it does.
     void addMark(http::HeaderList &headers, const std::string &id);
@@ -92,6 +96,7 @@
     base::TimePoint m_restUntil{};
     base::TimePoint m_busyUntil{};
     unsigned m_runs = 0;
+    unsigned m_runsOfSmallModel = 0;
     EnginePause m_pause;
     EngineHolds m_holds;
     std::map<http::CallerConnection *, std::unique_ptr<http::CallerConnection>> m_connections;
--- a/soak/world.cpp
+++ b/soak/world.cpp
@@ -45,6 +45,7 @@
                                    Habit::ReadsSlowly};
 constexpr std::array unusualPaths{longBodyPath, longAnswerPath, "/any/", "/odd/"};
 constexpr std::size_t usualBodyBytes = 10000;
+constexpr unsigned attemptsWithModels = 3;
 constexpr std::size_t crowdBodyBytes = 4194304;
 
 /// Times that operators choose between.
@@ -217,6 +218,13 @@
                                route("/stream/", "streaming", m_streamsTo, streamAttempts),
                                route(movingPath, "non_idempotent", m_movingTo, 1)});
     auto services = json::array({service("a"), service("b")});
+    if (m_settings.hasUnsureModels) {
+        for (auto &usual : routes) {
+            usual["sizes"] = {smallModel, "large"};
+            // Only what the route allows keeps a request from a second run.
+            usual["maxAttempts"] = attemptsWithModels;
+        }
+    }
     if (m_settings.crowd) {
         for (const auto *path : unusualPaths) {
             routes.push_back(route(path, path == std::string_view("/odd/") ? "non_idempotent" : "idempotent", "c", 2));
--- a/soak/world.h
+++ b/soak/world.h
@@ -47,6 +47,8 @@
     std::string daemon{};
     /// Callers and engines do what few others do, and nodes have limits and ports of their own.
     bool crowd = false;
+    /// Nodes choose among models, and engines are often unsure of the answers of the smallest.
+    bool hasUnsureModels = false;
     NodeLimits limits{};
 };
 
