Comments on lost runs say what counts now; sound runs are added in one place

The comments still said that runs whose answer had gone on are no evidence. mayRefute() is called what it answers.

--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -46,7 +46,7 @@
 
 ResendBound resendBound(const settings::FleetBounds &bounds);
 
-/// A run whose connection was lost before an event had shown, soundRunTime after the first, that its prompt is sound.
+/// A run whose connection was lost before its answer was whole.
 struct LostRun
 {
     /// The engine's entry when the run was sent.
--- a/src/gateway/crashevidence.cpp
+++ b/src/gateway/crashevidence.cpp
@@ -56,11 +56,16 @@
     suspects.insert(other.suspects.begin(), other.suspects.end());
 }
 
+void addSoundRun(SoundRuns &to, const RequestTrait &trait, StoreTime beganAt)
+{
+    auto &latest = to.try_emplace(trait, beganAt).first->second;
+    latest = std::max(latest, beganAt);
+}
+
 void addSoundRuns(SoundRuns &to, const SoundRuns &from)
 {
     for (const auto &[trait, beganAt] : from) {
-        auto &latest = to.try_emplace(trait, beganAt).first->second;
-        latest = std::max(latest, beganAt);
+        addSoundRun(to, trait, beganAt);
     }
 }
 
--- a/src/gateway/crashevidence.h
+++ b/src/gateway/crashevidence.h
@@ -20,8 +20,8 @@
     /// The engine's process: its id and start time.
     std::string engine;
     StoreTime at{0};
-    /// Traits of this node's requests that ran there and had not begun to be answered, or only just. A request that
-    /// crashes engines does so as its answer begins, so the others are not suspected.
+    /// Traits of this node's requests that ran there: their bodies, and the prompt parts of those whose answers had not
+    /// begun, or only just. A part that crashes engines does so as the answer begins.
     std::set<RequestTrait> suspects;
 
     /// Adds what another node has seen of the same end.
@@ -32,6 +32,8 @@
 
 /// When the latest run with a trait that went well began to be answered.
 using SoundRuns = std::map<RequestTrait, StoreTime>;
+/// Adds a run with @p trait, unless a later one is known.
+void addSoundRun(SoundRuns &to, const RequestTrait &trait, StoreTime beganAt);
 /// Keeps the later run of each trait.
 void addSoundRuns(SoundRuns &to, const SoundRuns &from);
 
--- a/src/gateway/crashtracker.cpp
+++ b/src/gateway/crashtracker.cpp
@@ -110,16 +110,15 @@
 void CrashTracker::recordSoundRun(const std::vector<RequestTrait> &traits, StoreTime beganAt)
 {
     for (const auto &trait : traits) {
-        m_isOutdated = m_isOutdated || mayRefute(trait, beganAt);
-        auto &latest = m_own.soundRuns.try_emplace(trait, beganAt).first->second;
-        latest = std::max(latest, beganAt);
+        m_isOutdated = m_isOutdated || mayChangeVerdict(trait, beganAt);
+        addSoundRun(m_own.soundRuns, trait, beganAt);
     }
     if (m_own.soundRuns.size() > maxSoundTraits) {
         dropOldestSoundRuns();
     }
 }
 
-bool CrashTracker::mayRefute(const RequestTrait &trait, StoreTime beganAt) const
+bool CrashTracker::mayChangeVerdict(const RequestTrait &trait, StoreTime beganAt) const
 {
     const auto suspicion = m_suspects.find(trait);
     if (suspicion == m_suspects.end()) {
--- a/src/gateway/crashtracker.h
+++ b/src/gateway/crashtracker.h
@@ -20,8 +20,8 @@
     /// contradicts it arrives.
     static constexpr std::chrono::milliseconds settleTime{1000};
 
-    /// Records that a run with @p traits, which had at most begun to be answered, was lost at @p engine. Returns true
-    /// if it is to be found out whether the engine has ended; confirmLoss() must follow then.
+    /// Records that a run was lost at @p engine, of which @p traits are suspect. Returns true if it is to be found out
+    /// whether the engine has ended; confirmLoss() must follow then.
     bool recordLostRun(const std::string &engine, const std::vector<RequestTrait> &traits, StoreTime now);
     /// Records whether @p engine has ended, or lost some runs only.
     void confirmLoss(const std::string &engine, bool hasEnded, StoreTime now);
@@ -98,8 +98,8 @@
     void dropOld(StoreTime now);
     void dropOldestSoundRuns();
     bool isConvicted(const RequestTrait &trait, StoreTime now) const;
-    /// True if a run with @p trait that began at @p beganAt changes the verdict.
-    bool mayRefute(const RequestTrait &trait, StoreTime beganAt) const;
+    /// True if it matters to the verdict that a run with @p trait, which began at @p beganAt, went well.
+    bool mayChangeVerdict(const RequestTrait &trait, StoreTime beganAt) const;
     bool isInForce(const Conviction &conviction, const CrashVerdict &verdict, StoreTime now) const;
 
     std::map<std::string, PendingLoss> m_pending;
--- a/src/gateway/crashverdict.cpp
+++ b/src/gateway/crashverdict.cpp
@@ -24,8 +24,7 @@
 
 void CrashVerdict::addSoundRun(const RequestTrait &trait, StoreTime beganAt)
 {
-    auto &latest = m_soundRuns.try_emplace(trait, beganAt).first->second;
-    latest = std::max(latest, beganAt);
+    gateway::addSoundRun(m_soundRuns, trait, beganAt);
 }
 
 void CrashVerdict::addExpired(const PoisonGroup &group)
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -257,8 +257,7 @@
     void recordSoundRun();
     /// Cancels the current attempt, if any, by closing its connection; the engine then aborts the request.
     void cancelAttempt();
-    /// Records that the current run was cut off; it is evidence of a crash if its answer had not gone on for
-    /// soundRunTime.
+    /// Records that the current run was cut off, which may be because it has crashed its engine.
     void recordCutOff();
     /// True if this request must not reach an engine because it is known to crash them.
     bool isPoison();
@@ -420,7 +419,7 @@
     std::optional<base::TimePoint> m_runBeganAt;
     /// recordSoundParts() has been called for the current attempt.
     bool m_hasSoundParts = false;
-    /// Attempts that were cut off before the answer had gone on for soundRunTime.
+    /// Attempts that were cut off.
     unsigned m_cutOffs = 0;
     /// Reading from the upstream is paused.
     bool m_paused = false;
--- a/src/gateway/exchangecrash.cpp
+++ b/src/gateway/exchangecrash.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-/// After this many runs that were cut off before or as their answer began, a request with prompt parts that no run has
+/// After this many runs that were cut off, a request with prompt parts that no run has
 /// shown to be sound is not sent again: it may itself have ended the engines.
 constexpr unsigned maxCutOffsOfUnproven = 2;
 /// A request that crashes engines is unlikely to be accepted sooner.
