What speaks against the traits is computed once for a verdict

An update of the verdict on crashes computed it twice, before and after this node's sound runs, though neither the traits nor their last crashes depend on these; the node's own reports were copied once more; CrashVerdict::isRefuted() looked a sound run up beside soundRunOf().

--- a/soak/world.cpp
+++ b/soak/world.cpp
@@ -45,8 +45,9 @@
                                    Habit::ReadsSlowly};
 constexpr std::array unusualPaths{longBodyPath, longAnswerPath, "/any/", "/odd/"};
 constexpr std::size_t usualBodyBytes = 10000;
-constexpr unsigned attemptsWithModels = 3;
 constexpr std::size_t crowdBodyBytes = 4194304;
+/// Attempts that routes with models allow.
+constexpr unsigned attemptsWithModels = 3;
 
 /// Times that operators choose between.
 struct Times
--- a/src/gateway/crashtracker.cpp
+++ b/src/gateway/crashtracker.cpp
@@ -204,7 +204,7 @@
 CrashVerdict CrashTracker::evidenceOfAll() const
 {
     CrashVerdict verdict;
-    verdict.add({m_own.reports, {}});
+    verdict.addReports(m_own.reports);
     verdict.add(m_fleet);
     for (const auto &item : m_peers) {
         verdict.add(item.second);
@@ -212,22 +212,21 @@
     return verdict;
 }
 
-CrashVerdict CrashTracker::verdict(StoreTime now) const
+CrashVerdict CrashTracker::verdictOn(CrashVerdict evidence, const Suspicions &suspects, StoreTime now) const
 {
-    auto verdict = evidenceOfAll();
     // Of the thousands of traits that went well at this node only these matter.
-    for (const auto &item : suspicions(verdict)) {
+    for (const auto &item : suspects) {
         const auto sound = m_own.soundRuns.find(item.first);
         if (sound != m_own.soundRuns.end()) {
-            verdict.addSoundRun(sound->first, sound->second);
+            evidence.addSoundRun(sound->first, sound->second);
         }
     }
     for (const auto &item : m_convictions) {
         if (now >= item.second.conviction.until()) {
-            verdict.addExpired(item.second.conviction.group);
+            evidence.addExpired(item.second.conviction.group);
         }
     }
-    return verdict;
+    return evidence;
 }
 
 bool CrashTracker::isInForce(const Conviction &conviction, const CrashVerdict &verdict, StoreTime now) const
@@ -273,8 +272,9 @@
     m_isOutdated = false;
     m_updatedAt = now;
     dropOld(now);
-    const auto known = verdict(now);
-    m_suspects = suspicions(known);
+    auto evidence = evidenceOfAll();
+    m_suspects = suspicions(evidence);
+    const auto known = verdictOn(std::move(evidence), m_suspects, now);
     std::vector<PoisonGroup> refused;
     std::map<std::string, FoundGroup> found;
     for (const auto &group : known.poison()) {
@@ -378,7 +378,9 @@
     if (std::none_of(m_convictions.begin(), m_convictions.end(), isUnstored)) {
         return out;
     }
-    const auto known = verdict(now);
+    auto evidence = evidenceOfAll();
+    const auto suspects = suspicions(evidence);
+    const auto known = verdictOn(std::move(evidence), suspects, now);
     for (const auto &item : m_convictions) {
         if (isUnstored(item) && isInForce(item.second.conviction, known, now)) {
             out.push_back(item.second.conviction);
--- a/src/gateway/crashtracker.h
+++ b/src/gateway/crashtracker.h
@@ -87,8 +87,8 @@
     std::set<RequestTrait> suspectsOf(const PendingLoss &loss) const;
     /// The ends of engines that any node knows, and the sound runs that the others have told of.
     CrashVerdict evidenceOfAll() const;
-    /// Verdict on the evidence of all nodes, with this node's sound runs.
-    CrashVerdict verdict(StoreTime now) const;
+    /// Completes @p evidence of all nodes by this node's sound runs with @p suspects and by expired convictions.
+    CrashVerdict verdictOn(CrashVerdict evidence, const Suspicions &suspects, StoreTime now) const;
     /// What speaks against each trait that any node suspects, by @p verdict, or that is convicted. A conviction counts
     /// as a crash at its begin, for a run that began later lifts it.
     Suspicions suspicions(const CrashVerdict &verdict) const;
--- a/src/gateway/crashverdict.cpp
+++ b/src/gateway/crashverdict.cpp
@@ -16,10 +16,15 @@
 
 void CrashVerdict::add(const CrashEvidence &evidence)
 {
-    for (const auto &report : evidence.reports) {
+    addReports(evidence.reports);
+    addSoundRuns(m_soundRuns, evidence.soundRuns);
+}
+
+void CrashVerdict::addReports(const std::vector<CrashReport> &reports)
+{
+    for (const auto &report : reports) {
         m_crashes.try_emplace(report.engine, report).first->second.add(report);
     }
-    addSoundRuns(m_soundRuns, evidence.soundRuns);
 }
 
 void CrashVerdict::addSoundRun(const RequestTrait &trait, StoreTime beganAt)
@@ -40,8 +45,8 @@
 
 bool CrashVerdict::isRefuted(const RequestTrait &trait, const CrashReport &crash) const
 {
-    const auto sound = m_soundRuns.find(trait);
-    return sound != m_soundRuns.end() && sound->second > crash.at;
+    const auto sound = soundRunOf(trait);
+    return sound && *sound > crash.at;
 }
 
 CrashVerdict::CrashesByTrait CrashVerdict::crashesByTrait() const
--- a/src/gateway/crashverdict.h
+++ b/src/gateway/crashverdict.h
@@ -32,6 +32,8 @@
 
     /// Adds what one node knows.
     void add(const CrashEvidence &evidence);
+    /// Adds the ends of engines that one node has seen.
+    void addReports(const std::vector<CrashReport> &reports);
     /// Adds that a run with @p trait, which began to be answered at @p beganAt, went well.
     void addSoundRun(const RequestTrait &trait, StoreTime beganAt);
     /// For these, one crash is enough: their conviction has expired.
